--- /dev/null
+++ b/crates/simhost/src/main.rs
@@ -0,0 +1,300 @@
+//! Hosts instances of the decision module on the simulator's wire: decodes frames, maps ids to small
+//! indices, keeps the instances apart, encodes replies. It decides nothing.
+
+mod frame;
+mod sheet;
+
+use frame::{Frame, Reply, Wrong};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::io::{self, BufReader, BufWriter, Read, Write};
+use std::time::Duration;
+use tindock::rules::Rules;
+use tindock::terms::{Condition, Decision, Ending, Site};
+
+const BATCH_HEADER: usize = 20;
+const EVENT: usize = 56;
+const ENTRY: usize = 23;
+
+/// One scheduler: its decisions, and the outside names of its tasks and workers.
+struct Instance {
+    rules: Rules,
+    places: HashMap<u64, usize>,
+    ids: Vec<u64>,
+    given: HashSet<u64>,
+    workers: HashMap<[u8; 6], usize>,
+    addresses: Vec<[u8; 6]>,
+}
+
+impl Instance {
+    fn place(&self, id: u64, at: usize) -> Result<Option<usize>, Wrong> {
+        match self.places.get(&id) {
+            Some(&place) => Ok(Some(place)),
+            // Over and forgotten: a batch may still name it.
+            None if self.given.contains(&id) => Ok(None),
+            None => Err(Wrong::at(at, format!("task id {id} was never given to this instance"))),
+        }
+    }
+
+    fn worker(&self, address: [u8; 6], at: usize) -> Result<usize, Wrong> {
+        let known = self.workers.get(&address).copied();
+        known.ok_or_else(|| Wrong::at(at, format!("worker {address:?} is on none of this instance's lists")))
+    }
+
+    fn report(frame: &Frame, at: usize) -> Result<([f64; 4], usize), Wrong> {
+        let count = frame.u8(at)? as usize;
+        if count > 4 {
+            return Err(Wrong::at(at, format!("load report of {count} values")));
+        }
+        let mut values = [0.0; 4];
+        for (i, value) in values.iter_mut().enumerate() {
+            *value = f64::from(frame.f32(at + 1 + 4 * i)?);
+        }
+        Ok((values, count))
+    }
+
+    fn update(&mut self, frame: &Frame, at: usize) -> Result<(), Wrong> {
+        let whole = match frame.u8(at + 2)? {
+            1 => {
+                self.rules.list_failed();
+                return Ok(());
+            }
+            3 => false,
+            0 | 2 => true,
+            form => return Err(Wrong::at(at + 2, format!("unknown list form {form}"))),
+        };
+        let entries = frame.tail(at + 11, ENTRY)?;
+        self.rules.list_begins(whole);
+        for e in entries {
+            let e = Frame::over(&frame.bytes[e..e + ENTRY], e);
+            let site = Site { zone: e.u8(0)? as usize, cell: e.u16(5)? as usize, kind: e.u8(7)? as usize };
+            let address = e.address(8)?;
+            let condition = match e.u8(14)? {
+                0 => Condition::Gone,
+                1 => Condition::Ready,
+                2 => Condition::Draining,
+                other => return Err(Wrong::at(e.base + 14, format!("unknown condition {other}"))),
+            };
+            let fresh = self.addresses.len();
+            let worker = *self.workers.entry(address).or_insert(fresh);
+            if worker == fresh {
+                self.addresses.push(address);
+            }
+            let booted = Some(e.span(15)?).filter(|b| !b.is_zero());
+            self.rules.listed(worker, site, f64::from(e.f32(1)?), condition, booted);
+        }
+        self.rules.list_ends();
+        Ok(())
+    }
+
+    fn event(&mut self, frame: &Frame, at: usize, code: u16) -> Result<(), Wrong> {
+        match code {
+            1010 => self.update(frame, at)?,
+            1020 => {
+                let id = frame.u64(at + 2)?;
+                if !self.given.insert(id) {
+                    return Err(Wrong::at(at + 2, format!("task id {id} was given twice")));
+                }
+                let workload = frame.u8(at + 48)? as usize;
+                if workload >= self.rules.sheet().workloads.len() {
+                    return Err(Wrong::at(at + 48, format!("unknown workload {workload}")));
+                }
+                let size = frame.f32(at + 30)?.max(frame.f32(at + 26)?);
+                let left = frame.span(at + 34)?;
+                let customer = frame.u32(at + 44)? as usize;
+                let place = self.rules.arrived(workload, f64::from(size), left, customer);
+                if place == self.ids.len() {
+                    self.ids.push(id);
+                } else {
+                    self.places.remove(&self.ids[place]);
+                    self.ids[place] = id;
+                }
+                self.places.insert(id, place);
+            }
+            1030 => {
+                // Streams: no deployment has them; the news that the answer began is a sign of life.
+                if let Some(place) = self.place(frame.u64(at + 2)?, at + 2)? {
+                    self.rules.started(place, frame.u8(at + 10)? as usize);
+                }
+            }
+            1040 => {
+                let place = self.place(frame.u64(at + 2)?, at + 2)?;
+                let assignment = frame.u8(at + 10)? as usize;
+                self.worker(frame.address(at + 11)?, at + 11)?;
+                let ending = ending(frame, at + 17)?;
+                let over = frame.u8(at + 26)? != 0;
+                Self::report(frame, at + 28)?;
+                if let Some(place) = place {
+                    self.rules.ended(place, assignment, ending, over);
+                }
+            }
+            1050 => {
+                if let Some(place) = self.place(frame.u64(at + 2)?, at + 2)? {
+                    self.rules.left(place);
+                }
+            }
+            1060 => self.rules.bell(),
+            1070 => {
+                let worker = self.worker(frame.address(at + 10)?, at + 10)?;
+                let ok = ending(frame, at + 16)? == Ending::Finished;
+                let (values, count) = Self::report(frame, at + 17)?;
+                self.rules.probed(worker, ok, &values[..count]);
+            }
+            1080 => {
+                let _ = frame.tail(at + 6, 1)?;
+            }
+            1100 => {
+                let place = self.place(frame.u64(at + 2)?, at + 2)?;
+                let (topic, assignment) = (frame.u8(at + 16)?, frame.u8(at + 17)? as usize);
+                let share = f64::from(frame.f32(at + 18)?);
+                match (place, topic) {
+                    (Some(place), 1) => self.rules.started(place, assignment),
+                    (Some(place), 2) => self.rules.progressed(place, assignment, share),
+                    _ => {}
+                }
+            }
+            other => return Err(Wrong::at(at, format!("unknown event code {other}"))),
+        }
+        Ok(())
+    }
+
+    fn pull(&mut self, reply: &mut Reply) {
+        while let Some(decision) = self.rules.decide() {
+            match decision {
+                Decision::Assign { task, worker } => {
+                    reply.record(1000).u64(self.ids[task]).raw(&self.addresses[worker]).f64(0.0);
+                }
+                Decision::Shed { task, come_back } => {
+                    let wait = come_back.map_or(0.0, |w| w.as_secs_f64());
+                    reply.record(1100).u64(self.ids[task]).f64(wait);
+                }
+                Decision::BreakOff { task } => {
+                    reply.record(1050).u64(self.ids[task]);
+                }
+                Decision::CallOff { task, assignment } => {
+                    reply.record(1060).u64(self.ids[task]).raw(&[assignment as u8]);
+                }
+                Decision::Probe { worker } => {
+                    reply.record(1040).raw(&self.addresses[worker]);
+                }
+                Decision::Wake { after } => {
+                    reply.record(1090).f64(after.as_secs_f64()).u64(0);
+                }
+                Decision::Subscribe => {
+                    reply.record(1110).raw(&[1]);
+                }
+                Decision::Log(line) => reply.text(1020, &line),
+            }
+        }
+    }
+}
+
+fn ending(frame: &Frame, at: usize) -> Result<Ending, Wrong> {
+    Ok(match frame.u8(at)? {
+        0 => Ending::Finished,
+        255 => Ending::Error,
+        254 => Ending::Full,
+        253 => Ending::TimedOut,
+        252 => Ending::ConnectFailed,
+        251 => Ending::Reset,
+        250 => Ending::Cancelled,
+        249 => Ending::Moot,
+        other => return Err(Wrong::at(at, format!("unknown outcome code {other}"))),
+    })
+}
+
+fn answer(hosted: &mut BTreeMap<u32, Instance>, frame: &Frame, header: &Frame) -> Result<Reply, Wrong> {
+    let count = header.u32(8)? as usize;
+    let now: Duration = header.span(12)?;
+    let mut reply = Reply::new();
+    let mut current: Option<u32> = None;
+    let mut order: Vec<u32> = Vec::new();
+    if frame.bytes.len() < count.saturating_mul(EVENT) {
+        return Err(Wrong::at(0, format!("{count} records do not fit in {} bytes", frame.bytes.len())));
+    }
+    let frame = frame.with_tail(count * EVENT);
+    for at in (0..count * EVENT).step_by(EVENT) {
+        let code = frame.u16(at)?;
+        if code == 1110 {
+            let number = frame.u32(at + 2)?;
+            current = Some(number);
+            if !order.contains(&number) {
+                order.push(number);
+            }
+            continue;
+        }
+        let number = current.ok_or_else(|| Wrong::at(at, "event before any About".into()))?;
+        if code == 1000 {
+            let info = frame.tail_text(at + 10)?;
+            let sheet = sheet::read(info).map_err(|why| Wrong::at(at + 10, why))?;
+            let instance = Instance {
+                rules: Rules::new(sheet, frame.u64(at + 2)?, now),
+                places: HashMap::new(),
+                ids: Vec::new(),
+                given: HashSet::new(),
+                workers: HashMap::new(),
+                addresses: Vec::new(),
+            };
+            hosted.insert(number, instance);
+            continue;
+        }
+        let missing = || Wrong::at(at, format!("event {code} for instance {number}, which was not started"));
+        if code == 1090 {
+            hosted.remove(&number).ok_or_else(missing)?;
+            continue;
+        }
+        let instance = hosted.get_mut(&number).ok_or_else(missing)?;
+        instance.rules.clock(now);
+        instance.event(&frame, at, code)?;
+    }
+    for number in order {
+        if let Some(instance) = hosted.get_mut(&number) {
+            let before = reply.len();
+            reply.record(1120).raw(&number.to_le_bytes());
+            let opened = reply.len();
+            instance.pull(&mut reply);
+            if reply.len() == opened {
+                reply.cut(before);
+            }
+        }
+    }
+    Ok(reply)
+}
+
+fn serve() -> Result<(), String> {
+    let mut input = BufReader::with_capacity(1 << 20, io::stdin().lock());
+    let mut output = BufWriter::with_capacity(1 << 20, io::stdout().lock());
+    let mut hosted: BTreeMap<u32, Instance> = BTreeMap::new();
+    let mut body: Vec<u8> = Vec::new();
+    loop {
+        let mut head = [0u8; BATCH_HEADER];
+        let mut got = 0;
+        while got < BATCH_HEADER {
+            match input.read(&mut head[got..]) {
+                Ok(0) if got == 0 => return Ok(()),
+                Ok(0) => return Err(format!("input ends after {got} bytes of a batch header")),
+                Ok(n) => got += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(format!("reading input: {e}")),
+            }
+        }
+        let header = Frame::over(&head, 0);
+        let number = header.u32(0).map_err(|w| w.to_string())?;
+        let length = header.u32(4).map_err(|w| w.to_string())? as usize;
+        body.clear();
+        let read = input.by_ref().take(length as u64).read_to_end(&mut body);
+        if read.map_err(|e| format!("reading input: {e}"))? < length {
+            return Err(format!("batch {number}: {} of {length} bytes, then the input ends", body.len()));
+        }
+        let reply = answer(&mut hosted, &Frame::over(&body, 0), &header)
+            .map_err(|wrong| format!("batch {number}: {wrong}"))?;
+        let sent = reply.write(number, &mut output).and_then(|()| output.flush());
+        sent.map_err(|e| format!("writing a reply: {e}"))?;
+    }
+}
+
+fn main() {
+    if let Err(why) = serve() {
+        eprintln!("tindock-simhost: {why}");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/crates/simhost/src/sheet.rs
@@ -0,0 +1,109 @@
+//! Reads the settings of an instance into the duty sheet; keys it does not know are skipped.
+
+use serde_json::Value;
+use std::time::Duration;
+use tindock::terms::{DutySheet, Effect, Group, News, Workload};
+
+type Read<T> = Result<T, String>;
+
+fn number(of: &Value, path: &str) -> Read<f64> {
+    let found = of.pointer(path).and_then(Value::as_f64).filter(|v| v.is_finite());
+    found.ok_or_else(|| format!("settings: no number at {path}"))
+}
+
+fn span(of: &Value, path: &str) -> Read<Duration> {
+    let seconds = number(of, path)?;
+    Duration::try_from_secs_f64(seconds).map_err(|_| format!("settings: {seconds} at {path} is no time"))
+}
+
+fn word<'a>(of: &'a Value, path: &str) -> Read<&'a str> {
+    of.pointer(path).and_then(Value::as_str).ok_or_else(|| format!("settings: no text at {path}"))
+}
+
+fn flag(of: &Value, path: &str) -> bool {
+    of.pointer(path).and_then(Value::as_bool).unwrap_or(false)
+}
+
+fn optional(of: &Value, path: &str) -> Read<Option<f64>> {
+    of.pointer(path).map(|_| number(of, path)).transpose()
+}
+
+fn list<'a>(of: &'a Value, path: &str) -> &'a [Value] {
+    of.pointer(path).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+}
+
+fn workload(info: &Value, row: usize) -> Read<Workload> {
+    let at = |key: &str| format!("/workloads/{row}/{key}");
+    let effect = match word(info, &at("effect"))? {
+        "retryable" => Effect::Idempotent,
+        "fragile" => Effect::Unrepeatable,
+        "dedup" => Effect::Deduplicated(match word(info, &at("group"))? {
+            "all" => Group::All,
+            "zone" => Group::Zone,
+            "cell" => Group::Cell,
+            other => return Err(format!("settings: unknown group {other:?} at {}", at("group"))),
+        }),
+        other => return Err(format!("settings: unknown effect {other:?} at {}", at("effect"))),
+    };
+    let stretch = optional(info, &format!("/domain/class_stretch/{row}"))?;
+    let stretch = stretch.or(optional(info, &at("aim_stretch"))?);
+    let kind = optional(info, &format!("/domain/class_kind/{row}"))?;
+    Ok(Workload {
+        effect,
+        memory: optional(info, &at("window_s"))?
+            .map_or(Ok(Duration::ZERO), |_| span(info, &at("window_s")))?,
+        promised: span(info, &at("promised_time_s"))?,
+        stretch: stretch.unwrap_or(0.0),
+        hard_limit: span(info, &at("hard_limit_s"))?,
+        utility: number(info, &at("utility"))?,
+        kind: kind.filter(|k| *k >= 0.0).map(|k| k as usize),
+    })
+}
+
+pub fn read(text: &[u8]) -> Read<DutySheet> {
+    let info: Value = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let rows = list(&info, "/workloads").len();
+    if rows == 0 {
+        return Err("settings: no workloads".into());
+    }
+    let reports: Vec<&str> = list(&info, "/reporting/names").iter().filter_map(Value::as_str).collect();
+    let position = |name: &str| reports.iter().position(|r| *r == name);
+    let free = optional_word(&info, "/domain/report_x0") == Some("free slots");
+    let news = match word(&info, "/discovery")? {
+        "automatic" => News::Pushed,
+        "subscribe" => News::Asked { within: span(&info, "/rules/must_ask_in_s")? },
+        other => return Err(format!("settings: unknown discovery {other:?}")),
+    };
+    let quota = |t: &Value| optional(t, "/quota_per_s").map(|q| q.unwrap_or(f64::INFINITY));
+    let progress = optional(&info, "/domain/progress_s")?.unwrap_or(0.0);
+    let come_back = flag(&info, "/caps/retry_after").then(|| span(&info, "/caps/max_retry_after_s"));
+    Ok(DutySheet {
+        workloads: (0..rows).map(|row| workload(&info, row)).collect::<Read<_>>()?,
+        schedulers: number(&info, "/instances")?.max(1.0) as usize,
+        zone: number(&info, "/zone")? as usize,
+        news,
+        beyond_share: optional(&info, "/beyond_share_utility")?.unwrap_or(1.0),
+        quotas: list(&info, "/tenants").iter().map(quota).collect::<Read<_>>()?,
+        may_cancel: flag(&info, "/caps/cancel"),
+        may_probe: flag(&info, "/caps/may_probe"),
+        second_copies: flag(&info, "/caps/second_copies"),
+        come_back: come_back.transpose()?,
+        most_assignments: number(&info, "/caps/most_assignments")?.max(1.0) as usize,
+        progress_every: (progress > 0.0).then(|| Duration::try_from_secs_f64(progress).unwrap_or_default()),
+        tells_start: flag(&info, "/domain/tells_start"),
+        report_free: position("x0").filter(|_| free),
+        report_waiting: position("backlog"),
+        drain_grace: span(&info, "/rules/stop_sending_within_s")?,
+        overload_factor: number(&info, "/rules/overload_factor")?,
+        fall: span(&info, "/rules/fall_s")?,
+        cold_share: number(&info, "/rules/cold_share")?,
+        warm_within: span(&info, "/rules/warm_within_s")?,
+        price_crossing: optional(&info, "/penalties/cross_zone")?.unwrap_or(0.0),
+        price_probe: optional(&info, "/penalties/probe")?.unwrap_or(0.0),
+        price_waste: optional(&info, "/penalties/waste")?.unwrap_or(0.0),
+    })
+}
+
+fn optional_word<'a>(of: &'a Value, path: &str) -> Option<&'a str> {
+    of.pointer(path).and_then(Value::as_str)
+}
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,876 @@
+//! All decisions of tindock.
+//!
+//! The host calls `clock` with the time, then the inputs (`listed`, `arrived`, `started`, `progressed`,
+//! `ended`, `left`, `probed`, `bell`), which only update what is known, and then pulls `decide` until it
+//! gives `None`. The words of this interface are in `terms.rs`; the reasons are in `docs/design.md`.
+
+use crate::terms::{Condition, Decision, DutySheet, Effect, Ending, Group, News, Site, Workload};
+use oorandom::Rand64;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// A worker that none of the own tasks used for this long counts as off: some seconds outlast a lull
+/// between two tasks, and hidden traffic seldom leaves a worker asleep.
+const IDLE_WINDOW: f64 = 5.0;
+/// Smoothing of the own arrival rate: long against bursts of arrivals, short against a day's swing.
+const RATE_SPAN: f64 = 10.0;
+/// Floor of the own arrival rate, tasks a second, so that a and b stay above zero.
+const RATE_FLOOR: f64 = 0.05;
+/// The sweep over all that is out; a fraction of any promised time.
+const SWEEP: Duration = Duration::from_millis(40);
+/// A final answer is given this long before the hard limit: two sweeps and some room.
+const LAST_CALL: f64 = 0.1;
+/// Answers below this wait mean the task started at once: a connection and a way across zones.
+const AT_ONCE: f64 = 0.04;
+/// Running times are heavy-tailed: their logarithm spreads by about this much.
+const LOG_SPREAD: f64 = 0.7;
+/// A worker's own speed counts after so many completions, if it is clearly different.
+const OWN_SPEED_AFTER: f64 = 12.0;
+/// A progress note is overdue after this much more than its gap: longer than a common pause.
+const NOTE_GRACE: f64 = 0.7;
+/// Smoothed share of errors at which a worker is barred: two errors on end reach it.
+const ERRORS_BAR: f64 = 0.45;
+/// Weight of one ending in the share of errors: quick, since errors return in no time.
+const ERROR_STEP: f64 = 0.3;
+/// At most this share of the ready workers is barred at a time.
+const BARRED_SHARE: f64 = 0.34;
+/// What others send is unknown from second to second: an old view fades over this span.
+const HIDDEN_SPAN: f64 = 2.0;
+/// Part of the own cold budget that is used; the rest covers tasks longer than the mean.
+const COLD_ROOM: f64 = 0.7;
+
+/// The energy state of a worker as the design page derives it from the own tasks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Energy {
+    #[default]
+    Off,
+    Setup,
+    Busy,
+}
+
+/// The paper's Whittle index (Theorem 1 with holding cost 1 and beta 0) of a worker with `n` in it.
+pub fn whittle(n: f64, energy: Energy, lambda: f64, mu: f64, delta: f64) -> f64 {
+    let (a, b) = (lambda / delta, lambda / mu);
+    if energy == Energy::Off {
+        return a + b;
+    }
+    // Guards against 0/0 at lambda = mu: there the paper has a form of its own.
+    let (before, queue) = if (b - 1.0).abs() < 1e-4 {
+        (1.0, (n + 1.0) * (n + 2.0) / 2.0)
+    } else {
+        // Guards against overflow: beyond this, workers are equally out of the question.
+        let power = b.powf(n + 2.0).min(1e200);
+        (b / (b * (1.0 + a) - a), b * ((n + 1.0) - (n + 2.0) * b + power) / ((b - 1.0) * (b - 1.0)))
+    };
+    match energy {
+        Energy::Setup => before * (queue + a),
+        _ => before * (queue + a * a - (n + 1.0) * a + a * (b - a) * (a / (1.0 + a)).powf(n)),
+    }
+}
+
+#[derive(Default)]
+struct Worker {
+    site: Site,
+    weight: f64,
+    condition: Option<Condition>,
+    on_list: bool,
+    booted: Option<Duration>,
+    /// Own slots out, and those of them that have started.
+    n: f64,
+    running: f64,
+    waiting: VecDeque<(usize, usize)>,
+    energy: Energy,
+    used: Duration,
+    /// New or returning: no completion yet.
+    fresh: bool,
+    /// Own logarithm of the speed against its kind's, and the completions behind it.
+    apart: f64,
+    completions: f64,
+    /// What others have there, in slots, as of `seen`.
+    hidden: f64,
+    seen: Duration,
+    errors: f64,
+    barred: Option<Duration>,
+    spells: i32,
+    silent: bool,
+    budget: VecDeque<(Duration, f64)>,
+    probed: Duration,
+    probing: bool,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Kind {
+    /// Logarithm of the speed, and the most slots seen in use or free at once.
+    speed: f64,
+    slots: f64,
+}
+
+#[derive(Clone, Copy)]
+struct Assignment {
+    worker: usize,
+    sent: Duration,
+    started: Option<Duration>,
+    heard: Duration,
+    /// Own slots on the worker when it was sent.
+    ahead: f64,
+    cold: bool,
+    ending: Option<Ending>,
+    called_off: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    First,
+    Further,
+    Out,
+    Over,
+    Unused,
+}
+
+struct Task {
+    stage: Stage,
+    workload: usize,
+    size: f64,
+    born: Duration,
+    limit: Duration,
+    assignments: Vec<Assignment>,
+}
+
+impl Task {
+    fn out(&self) -> usize {
+        self.assignments.iter().filter(|a| a.ending.is_none()).count()
+    }
+
+    fn may_have_run(&self) -> bool {
+        self.assignments.iter().any(|a| !a.ending.is_some_and(Ending::proves_never_ran))
+    }
+}
+
+/// What is learned of a workload: logarithm of the running time at speed 1, its mean, and how often.
+#[derive(Clone, Copy)]
+struct Runs {
+    log: f64,
+    mean: f64,
+    seen: f64,
+}
+
+/// One scheduler's decisions.
+pub struct Rules {
+    sheet: DutySheet,
+    chance: Rand64,
+    now: Duration,
+    start: Duration,
+    workers: Vec<Worker>,
+    kinds: Vec<Kind>,
+    tasks: Vec<Task>,
+    unused: Vec<usize>,
+    first: VecDeque<usize>,
+    further: VecDeque<usize>,
+    /// Tasks looked at in this pull and left waiting.
+    passed: (usize, usize),
+    loose: Vec<usize>,
+    say: VecDeque<Decision>,
+    runs: Vec<Runs>,
+    /// Mean time a slot is held at speed 1, and the decayed count of slots that arrived.
+    hold: f64,
+    arrivals: f64,
+    arrivals_at: Duration,
+    setup: f64,
+    others: f64,
+    relisted: Vec<bool>,
+    sweep_due: bool,
+    armed: bool,
+    subscribed: bool,
+    ask_at: Duration,
+    ask_failures: u32,
+    crowded: bool,
+}
+
+fn secs(d: Duration) -> f64 {
+    d.as_secs_f64()
+}
+
+impl Rules {
+    pub fn new(sheet: DutySheet, seed: u64, now: Duration) -> Self {
+        // Before the first completions a promised time says best how long a task runs.
+        let first = |w: &Workload| Runs { log: secs(w.promised).ln(), mean: secs(w.promised), seen: 0.0 };
+        let runs: Vec<Runs> = sheet.workloads.iter().map(first).collect();
+        let hold = runs.iter().map(|r| r.mean).sum::<f64>() / runs.len() as f64;
+        Rules {
+            chance: Rand64::new(u128::from(seed)),
+            now,
+            start: now,
+            workers: Vec::new(),
+            kinds: Vec::new(),
+            tasks: Vec::new(),
+            unused: Vec::new(),
+            first: VecDeque::new(),
+            further: VecDeque::new(),
+            passed: (0, 0),
+            loose: Vec::new(),
+            say: VecDeque::new(),
+            runs,
+            hold,
+            arrivals: 0.0,
+            arrivals_at: now,
+            setup: hold / 16.0,
+            others: 0.2,
+            relisted: Vec::new(),
+            sweep_due: true,
+            armed: false,
+            subscribed: sheet.news == News::Pushed,
+            ask_at: now,
+            ask_failures: 0,
+            crowded: false,
+            sheet,
+        }
+    }
+
+    pub fn sheet(&self) -> &DutySheet {
+        &self.sheet
+    }
+
+    // ---- inputs: they only update what is known ----
+
+    pub fn clock(&mut self, now: Duration) {
+        self.now = now;
+        self.passed = (0, 0);
+    }
+
+    pub fn bell(&mut self) {
+        self.armed = false;
+        self.sweep_due = true;
+    }
+
+    pub fn list_begins(&mut self, whole: bool) {
+        self.relisted.clear();
+        self.relisted.resize(self.workers.len(), !whole);
+        self.ask_failures = 0;
+    }
+
+    pub fn listed(
+        &mut self,
+        i: usize,
+        site: Site,
+        weight: f64,
+        condition: Condition,
+        booted: Option<Duration>,
+    ) {
+        if i >= self.workers.len() {
+            let fresh = self.now > self.start;
+            self.workers.push(Worker { site, booted, seen: self.now, fresh, ..Worker::default() });
+            self.relisted.push(true);
+        }
+        if site.kind >= self.kinds.len() {
+            self.kinds.resize(site.kind + 1, Kind::default());
+        }
+        self.relisted[i] = true;
+        let w = &mut self.workers[i];
+        if w.booted != booted || (w.condition != Some(Condition::Ready) && condition == Condition::Ready) {
+            w.fresh = true;
+            (w.errors, w.barred, w.hidden) = (0.0, None, 0.0);
+        }
+        (w.site, w.weight, w.condition, w.booted) = (site, weight, Some(condition), booted);
+        w.on_list = condition != Condition::Gone;
+    }
+
+    pub fn list_ends(&mut self) {
+        for (w, kept) in self.workers.iter_mut().zip(&self.relisted) {
+            w.on_list &= kept;
+        }
+    }
+
+    /// A call for the list failed, or the subscription broke.
+    pub fn list_failed(&mut self) {
+        self.subscribed = self.sheet.news == News::Pushed;
+        self.ask_failures += 1;
+        let pause = 0.25 * f64::from(1 << self.ask_failures.min(4)) * (0.75 + 0.5 * self.chance.rand_float());
+        self.ask_at = self.now + Duration::from_secs_f64(pause);
+    }
+
+    pub fn arrived(&mut self, workload: usize, size: f64, left: Duration, _customer: usize) -> usize {
+        let size = size.max(1.0);
+        self.arrivals = self.arrivals * self.fade(self.arrivals_at, RATE_SPAN) + size;
+        self.arrivals_at = self.now;
+        let row = &self.sheet.workloads[workload];
+        // A client's repeat counts from its first try, which the time left tells.
+        let born = self.now.saturating_sub(row.hard_limit.saturating_sub(left));
+        let place = self.unused.pop().unwrap_or(self.tasks.len());
+        if place == self.tasks.len() {
+            let assignments = Vec::with_capacity(self.sheet.most_assignments);
+            let (stage, limit) = (Stage::Unused, Duration::ZERO);
+            self.tasks.push(Task { stage, workload, size, born, limit, assignments });
+        }
+        let t = &mut self.tasks[place];
+        t.assignments.clear();
+        (t.stage, t.workload, t.size, t.born, t.limit) =
+            (Stage::First, workload, size, born, self.now + left);
+        self.first.push_back(place);
+        place
+    }
+
+    pub fn started(&mut self, task: usize, number: usize) {
+        let now = self.now;
+        let (speed, slots) = match self.out(task, number) {
+            Some(a) if a.started.is_none() => (self.speed(a.worker), self.slots(a.worker)),
+            _ => return,
+        };
+        let size = self.tasks[task].size;
+        let a = &mut self.tasks[task].assignments[number];
+        (a.started, a.heard) = (Some(now), now);
+        let (i, wait, ahead, cold) = (a.worker, secs(now - a.sent), a.ahead, a.cold);
+        let hold = self.hold;
+        if cold {
+            self.setup += 0.1 * (wait - self.setup);
+        }
+        let w = &mut self.workers[i];
+        w.running += size;
+        w.silent = false;
+        w.waiting.retain(|x| *x != (task, number));
+        // The wait tells what others had there: nothing beyond the free slots, or all that left before.
+        let sample = if wait > AT_ONCE {
+            (slots + wait * slots * speed / hold - ahead - size).max(0.0)
+        } else {
+            w.hidden.min((slots - ahead - size).max(0.0))
+        };
+        w.hidden += 0.4 * (sample - w.hidden);
+        w.seen = now;
+        let kind = &mut self.kinds[w.site.kind];
+        kind.slots = kind.slots.max(w.running);
+    }
+
+    pub fn progressed(&mut self, task: usize, number: usize, _share: f64) {
+        if let Some(a) = self.out(task, number) {
+            let i = a.worker;
+            self.tasks[task].assignments[number].heard = self.now;
+            self.workers[i].silent = false;
+        }
+    }
+
+    pub fn ended(&mut self, task: usize, number: usize, ending: Ending, over: bool) {
+        let Some(a) = self.out(task, number).copied() else { return };
+        let (now, size, i) = (self.now, self.tasks[task].size, a.worker);
+        self.tasks[task].assignments[number].ending = Some(ending);
+        let workload = self.tasks[task].workload;
+        let w = &mut self.workers[i];
+        w.n = (w.n - size).max(0.0);
+        w.used = now;
+        w.waiting.retain(|x| *x != (task, number));
+        if a.started.is_some() {
+            w.running = (w.running - size).max(0.0);
+        }
+        match ending {
+            Ending::Finished => {
+                (w.silent, w.energy, w.fresh) = (false, Energy::Busy, false);
+                w.errors -= ERROR_STEP * w.errors;
+                self.learn(i, workload, size, secs(now - a.started.unwrap_or(a.sent)));
+            }
+            Ending::Error | Ending::Reset | Ending::ConnectFailed => {
+                w.errors += ERROR_STEP * (1.0 - w.errors)
+            }
+            // A full worker is as busy as can be: others have what the own tasks do not.
+            Ending::Full => (w.hidden, w.seen) = (w.hidden.max(2.0 * w.weight), now),
+            _ => {}
+        }
+        if over {
+            self.tasks[task].stage = Stage::Over;
+        }
+        self.loose.push(task);
+    }
+
+    pub fn left(&mut self, task: usize) {
+        if self.tasks[task].stage != Stage::Unused {
+            self.tasks[task].stage = Stage::Over;
+            self.loose.push(task);
+        }
+    }
+
+    pub fn probed(&mut self, i: usize, ok: bool, report: &[f64]) {
+        self.workers[i].probing = false;
+        let (Some(free), Some(waiting)) = (self.sheet.report_free, self.sheet.report_waiting) else { return };
+        let (Some(free), Some(waiting)) = (report.get(free), report.get(waiting)) else { return };
+        if !ok {
+            return;
+        }
+        let kind = &mut self.kinds[self.workers[i].site.kind];
+        kind.slots = kind.slots.max(free.round());
+        let slots = self.slots(i);
+        let w = &mut self.workers[i];
+        let others = ((slots - free).max(0.0) + waiting * 1.3 - w.n).max(0.0);
+        w.hidden += 0.6 * (others - w.hidden);
+        w.seen = self.now;
+    }
+
+    // ---- what follows from what is known ----
+
+    fn fade(&self, since: Duration, span: f64) -> f64 {
+        (-secs(self.now.saturating_sub(since)) / span).exp()
+    }
+
+    fn out(&self, task: usize, number: usize) -> Option<&Assignment> {
+        let t = self.tasks.get(task).filter(|t| t.stage != Stage::Unused)?;
+        t.assignments.get(number).filter(|a| a.ending.is_none())
+    }
+
+    /// Own arrivals a second, in slots.
+    fn lambda(&self) -> f64 {
+        let lived = secs(self.now - self.start) + 0.5;
+        let rate = self.arrivals * self.fade(self.arrivals_at, RATE_SPAN) / RATE_SPAN;
+        (rate / (1.0 - (-lived / RATE_SPAN).exp())).max(RATE_FLOOR)
+    }
+
+    /// Speed of one core, pooled by kind; a worker's own counts when it is clearly apart.
+    fn speed(&self, i: usize) -> f64 {
+        let w = &self.workers[i];
+        let clear = w.completions >= OWN_SPEED_AFTER
+            && w.apart.abs() * w.completions.min(30.0).sqrt() > 2.0 * LOG_SPREAD;
+        (self.kinds[w.site.kind].speed + if clear { w.apart } else { 0.0 }).exp()
+    }
+
+    fn slots(&self, i: usize) -> f64 {
+        let w = &self.workers[i];
+        self.kinds[w.site.kind].slots.max(w.weight / self.speed(i)).max(1.0)
+    }
+
+    /// Learns run times by workload and speeds by kind from their logarithms, so that neither the mix
+    /// of workloads nor one very long task passes as speed.
+    fn learn(&mut self, i: usize, workload: usize, size: f64, run: f64) {
+        let run = run.max(1e-3);
+        let w = &mut self.workers[i];
+        let (kind, r) = (&mut self.kinds[w.site.kind], &mut self.runs[workload]);
+        let off = run.ln() - (r.log - kind.speed);
+        r.seen += 1.0;
+        r.log += off * (1.0 / r.seen).max(0.03);
+        if r.seen > 8.0 {
+            kind.speed -= 0.02 * off;
+            w.completions += 1.0;
+            w.apart += (-off - w.apart) * (1.0 / w.completions).max(1.0 / 30.0);
+        }
+        let plain = run * kind.speed.exp();
+        r.mean += (plain - r.mean) * (1.0 / r.seen).max(0.02);
+        self.hold += 0.02 * size.min(4.0) * (plain - self.hold);
+    }
+
+    /// Slots in use or waited for on a worker, others' included.
+    fn occupied(&self, i: usize) -> f64 {
+        let w = &self.workers[i];
+        let fade = self.fade(w.seen, HIDDEN_SPAN);
+        let slots = self.slots(i);
+        let known = w.n + w.hidden * fade + self.others * slots * (1.0 - fade);
+        let stuck = w
+            .waiting
+            .front()
+            .is_some_and(|&(t, k)| secs(self.now - self.tasks[t].assignments[k].sent) > AT_ONCE);
+        // Served in order: while an own task waits, all slots are taken.
+        if stuck {
+            known.max(slots + w.n - w.running)
+        } else {
+            known
+        }
+    }
+
+    /// Expected wait of a task of this size, from what is occupied.
+    fn wait(&self, i: usize, occupied: f64, size: f64) -> f64 {
+        let slots = self.slots(i);
+        (occupied + size.min(slots) - slots).max(0.0) * self.hold / (slots * self.speed(i))
+    }
+
+    fn run(&self, workload: usize) -> f64 {
+        self.runs[workload].log.exp()
+    }
+
+    /// Time left in which a task must have waited and run to be in time.
+    fn slack(&self, task: usize) -> f64 {
+        let t = &self.tasks[task];
+        let row = &self.sheet.workloads[t.workload];
+        let promised = secs(t.born + row.promised) + row.stretch * self.run(t.workload) - secs(self.now);
+        promised.min(secs(t.limit) - secs(self.now) - LAST_CALL)
+    }
+
+    /// Guards against pushing over a cold worker: the own share of a sliding budget.
+    fn budget_allows(&mut self, i: usize, work: f64) -> bool {
+        let Some(age) = self.workers[i].booted.map(|b| secs(self.now.saturating_sub(b))) else { return true };
+        let s = &self.sheet;
+        let warm = secs(s.warm_within) + secs(s.fall);
+        if age > warm {
+            return true;
+        }
+        let share = s.cold_share
+            + (1.0 - s.cold_share) * ((age - secs(s.fall)).max(0.0) / secs(s.warm_within)).min(1.0);
+        let room =
+            s.overload_factor * share * self.slots(i) * self.speed(i) * secs(s.fall) / s.schedulers as f64;
+        let since = self.now.saturating_sub(s.fall);
+        let w = &mut self.workers[i];
+        while w.budget.front().is_some_and(|(at, _)| *at <= since) {
+            w.budget.pop_front();
+        }
+        w.budget.iter().map(|(_, work)| work).sum::<f64>() + work <= COLD_ROOM * room
+    }
+
+    fn open(&self, i: usize) -> bool {
+        let w = &self.workers[i];
+        w.on_list
+            && w.condition == Some(Condition::Ready)
+            && !w.silent
+            && w.barred.is_none_or(|until| until <= self.now)
+    }
+
+    /// Guards against doubled effects: where a task may still be sent.
+    fn allowed(&self, task: usize, i: usize) -> bool {
+        let t = &self.tasks[task];
+        let row = &self.sheet.workloads[t.workload];
+        let site = self.workers[i].site;
+        if row.kind.is_some_and(|k| k != site.kind) {
+            return false;
+        }
+        t.assignments.iter().filter(|a| !a.ending.is_some_and(Ending::proves_never_ran)).all(|a| {
+            match row.effect {
+                Effect::Idempotent => true,
+                Effect::Unrepeatable => false,
+                Effect::Deduplicated(group) => {
+                    let other = self.workers[a.worker].site;
+                    let same = match group {
+                        Group::All => true,
+                        Group::Zone => other.zone == site.zone,
+                        Group::Cell => other.cell == site.cell,
+                    };
+                    same && self.now + Duration::from_millis(50) < a.sent + row.memory
+                }
+            }
+        })
+    }
+
+    /// The worker of the lowest index among those open to the task; ties by chance.
+    fn lowest(&mut self, task: usize) -> Option<(usize, f64)> {
+        let (lambda, size) = (self.lambda(), self.tasks[task].size);
+        let workload = self.tasks[task].workload;
+        let work = self.runs[workload].mean * size;
+        let (mut best, mut lowest, mut ties) = (None, f64::INFINITY, 0u64);
+        let (mut sum, mut count) = (0.0, 0.0);
+        let mut newcomer = None;
+        for i in 0..self.workers.len() {
+            if !self.open(i)
+                || !self.allowed(task, i)
+                || self.tasks[task].assignments.iter().any(|a| a.worker == i)
+            {
+                continue;
+            }
+            if !self.budget_allows(i, work) {
+                continue;
+            }
+            let trickle = self.workers[i].spells > 0 && self.workers[i].errors > 0.2;
+            if trickle && self.workers[i].n > 0.0 {
+                continue;
+            }
+            let w = &self.workers[i];
+            let mu = self.slots(i) * self.speed(i) / self.hold;
+            let delta = (1.0 / self.setup.max(1e-3)).max(1.05 * mu);
+            let occupied = self.occupied(i);
+            let idle = w.n == 0.0 && secs(self.now.saturating_sub(w.used)) > IDLE_WINDOW;
+            let energy = if idle { Energy::Off } else { w.energy };
+            let index = whittle(occupied, energy, lambda, mu, delta);
+            if w.fresh && w.n == 0.0 {
+                newcomer = Some(i);
+                continue;
+            }
+            (sum, count) = (sum + index, count + 1.0);
+            if index < lowest * (1.0 - 1e-9) {
+                (best, lowest, ties) = (Some(i), index, 1);
+            } else if index <= lowest * (1.0 + 1e-9) {
+                ties += 1;
+                if self.chance.rand_range(0..ties) == 0 {
+                    best = Some(i);
+                }
+            }
+        }
+        // A new or returning worker stands at the others' mean until its first completion.
+        if let Some(i) = newcomer {
+            if best.is_none() || sum / count <= lowest * (1.0 + 1e-9) || self.chance.rand_float() < 0.1 {
+                best = Some(i);
+            }
+        }
+        best.map(|i| (i, self.wait(i, self.occupied(i), size)))
+    }
+
+    // ---- decisions ----
+
+    pub fn decide(&mut self) -> Option<Decision> {
+        loop {
+            if self.sweep_due {
+                self.sweep_due = false;
+                self.sweep();
+            }
+            if let Some(said) = self.say.pop_front() {
+                return Some(said);
+            }
+            if !self.armed {
+                self.armed = true;
+                return Some(Decision::Wake { after: SWEEP });
+            }
+            if let Some(task) = self.loose.pop() {
+                if let Some(answer) = self.settle(task) {
+                    return Some(answer);
+                }
+                continue;
+            }
+            let (task, line) = if let Some(&task) = self.first.get(self.passed.0) {
+                (task, Stage::First)
+            } else if let Some(&task) = self.further.get(self.passed.1) {
+                (task, Stage::Further)
+            } else {
+                return None;
+            };
+            let decision = if self.tasks[task].stage == line { self.place(task) } else { None };
+            let keep = decision.is_none() && self.tasks[task].stage == line;
+            let (queue, passed) = match line {
+                Stage::First => (&mut self.first, &mut self.passed.0),
+                _ => (&mut self.further, &mut self.passed.1),
+            };
+            if keep {
+                *passed += 1;
+            } else {
+                queue.remove(*passed);
+                self.forget(task);
+            }
+            if decision.is_some() {
+                return decision;
+            }
+        }
+    }
+
+    /// Frees the place of a task that is over and has nothing out.
+    fn forget(&mut self, task: usize) {
+        let t = &mut self.tasks[task];
+        if t.stage == Stage::Over
+            && t.out() == 0
+            && !self.first.contains(&task)
+            && !self.further.contains(&task)
+        {
+            t.stage = Stage::Unused;
+            self.unused.push(task);
+        }
+    }
+
+    /// The task is done for this scheduler: a shed reply only where trying again is harmless.
+    fn give_up(&mut self, task: usize) -> Decision {
+        let t = &mut self.tasks[task];
+        let harmless = match self.sheet.workloads[t.workload].effect {
+            Effect::Idempotent | Effect::Deduplicated(Group::All) => true,
+            _ => !t.may_have_run(),
+        };
+        t.stage = Stage::Over;
+        if self.sheet.may_cancel {
+            for (k, a) in
+                t.assignments.iter_mut().enumerate().filter(|(_, a)| a.ending.is_none() && !a.called_off)
+            {
+                a.called_off = true;
+                self.say.push_back(Decision::CallOff { task, assignment: k });
+            }
+        }
+        if !harmless {
+            return Decision::BreakOff { task };
+        }
+        let come_back = self.sheet.come_back.map(|most| most.min(Duration::from_secs(1)));
+        Decision::Shed { task, come_back }
+    }
+
+    /// After an ending that was not the end: a further assignment, or the final answer at once.
+    fn settle(&mut self, task: usize) -> Option<Decision> {
+        match self.tasks[task].stage {
+            Stage::Over => {
+                for k in 0..self.tasks[task].assignments.len() {
+                    let a = &mut self.tasks[task].assignments[k];
+                    if a.ending.is_none() && !a.called_off && self.sheet.may_cancel {
+                        a.called_off = true;
+                        self.say.push_back(Decision::CallOff { task, assignment: k });
+                    }
+                }
+                self.forget(task);
+                None
+            }
+            Stage::Out if self.tasks[task].out() == 0 => {
+                let again = self.tasks[task].assignments.len() < self.sheet.most_assignments
+                    && self.slack(task) > 0.0
+                    && (0..self.workers.len()).any(|i| self.allowed(task, i));
+                if again {
+                    self.tasks[task].stage = Stage::Further;
+                    self.further.push_back(task);
+                    return None;
+                }
+                let answer = self.give_up(task);
+                self.forget(task);
+                Some(answer)
+            }
+            _ => None,
+        }
+    }
+
+    /// A waiting task: to the lowest index; given up as soon as it cannot be in time.
+    fn place(&mut self, task: usize) -> Option<Decision> {
+        let slack = self.slack(task);
+        let run = self.run(self.tasks[task].workload);
+        if let Some((i, wait)) = self.lowest(task) {
+            if wait + 0.5 * run / self.speed(i) < slack {
+                return Some(self.assign(task, i));
+            }
+            return Some(self.give_up(task));
+        }
+        (slack < 0.5 * run).then(|| self.give_up(task))
+    }
+
+    fn assign(&mut self, task: usize, i: usize) -> Decision {
+        let now = self.now;
+        let t = &mut self.tasks[task];
+        let w = &mut self.workers[i];
+        let off = w.n == 0.0 && secs(now.saturating_sub(w.used)) > IDLE_WINDOW;
+        if off {
+            w.energy = Energy::Setup;
+        }
+        let number = t.assignments.len();
+        t.assignments.push(Assignment {
+            worker: i,
+            sent: now,
+            started: None,
+            heard: now,
+            ahead: w.n,
+            cold: off,
+            ending: None,
+            called_off: false,
+        });
+        w.n += t.size;
+        w.used = now;
+        w.waiting.push_back((task, number));
+        if w.booted.is_some() {
+            w.budget.push_back((now, self.runs[t.workload].mean * t.size));
+            if w.budget.len() > 64 {
+                w.budget.pop_front();
+            }
+        }
+        t.stage = Stage::Out;
+        Decision::Assign { task, worker: i }
+    }
+
+    /// Looks over all that is out: silence, doomed tasks, hard limits, the list and probes.
+    fn sweep(&mut self) {
+        self.look_for_silence();
+        for task in 0..self.tasks.len() {
+            let t = &self.tasks[task];
+            if !matches!(t.stage, Stage::Out) {
+                continue;
+            }
+            let row = &self.sheet.workloads[t.workload];
+            let waits = t.assignments.iter().all(|a| a.started.is_none());
+            let (limit, run) = (secs(t.limit) - secs(self.now), self.run(t.workload));
+            let silent = t.assignments.iter().any(|a| a.ending.is_none() && self.workers[a.worker].silent);
+            let doomed = waits && self.slack(task) + row.stretch * run < 0.5 * run;
+            if limit < LAST_CALL || doomed {
+                let answer = self.give_up(task);
+                self.say.push_back(answer);
+                self.forget(task);
+            } else if silent && self.sheet.may_cancel && row.effect != Effect::Unrepeatable {
+                for k in 0..self.tasks[task].assignments.len() {
+                    let a = &mut self.tasks[task].assignments[k];
+                    if a.ending.is_none() && !a.called_off {
+                        a.called_off = true;
+                        self.say.push_back(Decision::CallOff { task, assignment: k });
+                    }
+                }
+            }
+        }
+        if !self.subscribed && self.ask_at <= self.now {
+            self.subscribed = true;
+            self.say.push_back(Decision::Subscribe);
+        }
+        self.others_share();
+        self.bar_and_probe();
+    }
+
+    /// Learns what share of the slots others hold on the whole, from the workers seen lately.
+    fn others_share(&mut self) {
+        let (mut hidden, mut slots) = (0.0, 0.0);
+        for i in 0..self.workers.len() {
+            let w = &self.workers[i];
+            if w.on_list && secs(self.now.saturating_sub(w.seen)) < HIDDEN_SPAN {
+                (hidden, slots) = (hidden + w.hidden, slots + self.slots(i));
+            }
+        }
+        if slots > 0.0 {
+            self.others += 0.02 * ((hidden / slots).min(1.5) - self.others);
+        }
+    }
+
+    /// A worker whose notes are overdue stands still; if many do at once, it is not theirs alone.
+    fn look_for_silence(&mut self) {
+        let Some(gap) = self.sheet.progress_every.map(secs) else { return };
+        let now = self.now;
+        let (mut silent, mut ready) = (0.0, 0.0);
+        for w in &self.workers {
+            ready += f64::from(u8::from(w.on_list && w.condition == Some(Condition::Ready)));
+            silent += f64::from(u8::from(w.on_list && w.silent));
+        }
+        for task in 0..self.tasks.len() {
+            for k in 0..self.tasks[task].assignments.len() {
+                let a = self.tasks[task].assignments[k];
+                let over = self.tasks[task].stage == Stage::Unused || a.ending.is_some() || a.called_off;
+                let late = a.started.is_some() && secs(now - a.heard) > gap + NOTE_GRACE;
+                if over
+                    || !late
+                    || self.workers[a.worker].silent
+                    || silent + 1.0 > (BARRED_SHARE * ready).max(1.0)
+                {
+                    continue;
+                }
+                self.workers[a.worker].silent = true;
+                silent += 1.0;
+                let line = format!(
+                    "worker {} silent for {:.2} s with a task started",
+                    a.worker,
+                    secs(now - a.heard)
+                );
+                self.say.push_back(Decision::Log(line));
+            }
+        }
+        if silent >= (BARRED_SHARE * ready).max(1.0) && !self.crowded {
+            self.say
+                .push_back(Decision::Log(format!("{silent} of {ready} workers silent: no more set aside")));
+        }
+        self.crowded = silent >= (BARRED_SHARE * ready).max(1.0);
+    }
+
+    fn bar_and_probe(&mut self) {
+        let ready =
+            self.workers.iter().filter(|w| w.on_list && w.condition == Some(Condition::Ready)).count() as f64;
+        let mut barred =
+            self.workers.iter().filter(|w| w.barred.is_some_and(|u| u > self.now)).count() as f64;
+        let told =
+            self.sheet.may_probe && self.sheet.report_free.is_some() && self.sheet.report_waiting.is_some();
+        for i in 0..self.workers.len() {
+            let now = self.now;
+            let w = &mut self.workers[i];
+            let free = w.barred.is_none_or(|until| until <= now);
+            if w.errors > ERRORS_BAR && free && barred + 1.0 <= (BARRED_SHARE * ready).max(1.0) {
+                barred += 1.0;
+                w.spells = (w.spells + 1).min(4);
+                let pause = Duration::from_secs_f64(0.75 * f64::from(1 << w.spells));
+                w.barred = Some(now + pause);
+                let line =
+                    format!("worker {i} barred for {:.1} s: share of errors {:.2}", secs(pause), w.errors);
+                w.errors = 0.35;
+                self.say.push_back(Decision::Log(line));
+            } else if w.errors < 0.05 && w.spells > 0 && free {
+                (w.spells, w.barred) = (0, None);
+                self.say
+                    .push_back(Decision::Log(format!("worker {i} back: share of errors {:.2}", w.errors)));
+            }
+            if told
+                && w.on_list
+                && w.condition == Some(Condition::Ready)
+                && !w.probing
+                && secs(now - w.probed.min(now)) > 1.0
+            {
+                (w.probing, w.probed) = (true, now);
+                self.say.push_back(Decision::Probe { worker: i });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/terms.rs
@@ -0,0 +1,160 @@
+//! The words between the decision module and its host.
+//!
+//! Times are spans since the start. Tasks, workers, workloads, customers, zones, cells and machine
+//! kinds are small indices; the host maps outside ids to them at the door.
+
+use std::time::Duration;
+
+/// What a repeat of a task may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// May run again freely.
+    Idempotent,
+    /// Repeats are dropped inside the group, for as long as its memory window lasts.
+    Deduplicated(Group),
+    /// Must never run twice.
+    Unrepeatable,
+}
+
+/// The workers that know each other's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// One row of the workload table: only what the decisions read.
+#[derive(Clone, Debug)]
+pub struct Workload {
+    pub effect: Effect,
+    /// How long deduplicating workers remember, from the first assignment that might have run.
+    pub memory: Duration,
+    pub promised: Duration,
+    /// The promised time grows by this multiple of the task's own running time.
+    pub stretch: f64,
+    pub hard_limit: Duration,
+    pub utility: f64,
+    /// The one machine kind that runs it, if only one does.
+    pub kind: Option<usize>,
+}
+
+/// How news of the workers reaches this scheduler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    Pushed,
+    /// Only by subscribing or asking; silence longer than this counts as having been told.
+    Asked {
+        within: Duration,
+    },
+}
+
+/// What a scheduler is handed at its start.
+#[derive(Clone, Debug)]
+pub struct DutySheet {
+    pub workloads: Vec<Workload>,
+    pub schedulers: usize,
+    pub zone: usize,
+    pub news: News,
+    /// Share of the utility that a task beyond its customer's share still has.
+    pub beyond_share: f64,
+    /// Tasks a second within each customer's share, over all schedulers.
+    pub quotas: Vec<f64>,
+    pub may_cancel: bool,
+    pub may_probe: bool,
+    pub second_copies: bool,
+    /// Longest come-back time that clients heed; none where they are not told.
+    pub come_back: Option<Duration>,
+    pub most_assignments: usize,
+    /// Gap between progress notes, none where workers send none.
+    pub progress_every: Option<Duration>,
+    pub tells_start: bool,
+    /// Positions of free slots and of waiting tasks among the values of a probe's report.
+    pub report_free: Option<usize>,
+    pub report_waiting: Option<usize>,
+    pub drain_grace: Duration,
+    pub overload_factor: f64,
+    pub fall: Duration,
+    pub cold_share: f64,
+    pub warm_within: Duration,
+    /// Points lost, as a share of all utility, if every task crosses zones once.
+    pub price_crossing: f64,
+    /// The same for one probe a task.
+    pub price_probe: f64,
+    /// The same for work wasted, as much as was asked for.
+    pub price_waste: f64,
+}
+
+/// A worker's state on the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// Where a worker stands and what it is built from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub struct Site {
+    pub zone: usize,
+    pub cell: usize,
+    pub kind: usize,
+}
+
+/// How an assignment ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Finished,
+    /// The worker returned an error; it may have run.
+    Error,
+    /// Turned away unseen.
+    Full,
+    TimedOut,
+    ConnectFailed,
+    /// The connection broke; it may have run.
+    Reset,
+    Cancelled,
+    /// Never sent.
+    Moot,
+}
+
+impl Ending {
+    pub fn proves_never_ran(self) -> bool {
+        matches!(self, Ending::Full | Ending::ConnectFailed | Ending::Moot)
+    }
+}
+
+/// What the host carries out, one at a time.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Send the task to the worker; its assignments are numbered from 0 in this order.
+    Assign {
+        task: usize,
+        worker: usize,
+    },
+    /// Final answer: turned away; trying again is harmless.
+    Shed {
+        task: usize,
+        come_back: Option<Duration>,
+    },
+    /// Final answer: given up, nothing promised about its effect.
+    BreakOff {
+        task: usize,
+    },
+    /// Stop waiting for one assignment.
+    CallOff {
+        task: usize,
+        assignment: usize,
+    },
+    Probe {
+        worker: usize,
+    },
+    /// Ring the bell after this span.
+    Wake {
+        after: Duration,
+    },
+    /// Subscribe to the worker list.
+    Subscribe,
+    /// A short line for the log.
+    Log(String),
+}
