Take as new only what is new; space the sends to cold workers

Cause: every worker counted as new at the first list, so all schedulers took the same last one. A newcomer is now tried on its own index, the mean only holds it back.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,8 +36,8 @@
 const BARRED_SHARE: f64 = 0.34;
 /// What others send is unknown from second to second: an old view fades over this span.
 const HIDDEN_SPAN: f64 = 2.0;
-/// Part of the own cold budget that is used; the rest covers tasks longer than the mean.
-const COLD_ROOM: f64 = 0.7;
+/// Part of the cold budget that is used; the rest covers long tasks and schedulers that send together.
+const COLD_ROOM: f64 = 0.4;
 
 /// The energy state of a worker as the design page derives it from the own tasks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -93,7 +93,8 @@
     barred: Option<Duration>,
     spells: i32,
     silent: bool,
-    budget: VecDeque<(Duration, f64)>,
+    /// While cold: no own task before then.
+    rest: Duration,
     probed: Duration,
     probing: bool,
 }
@@ -178,6 +179,7 @@
     setup: f64,
     others: f64,
     relisted: Vec<bool>,
+    scores: Vec<f64>,
     sweep_due: bool,
     armed: bool,
     subscribed: bool,
@@ -216,6 +218,7 @@
             setup: hold / 16.0,
             others: 0.2,
             relisted: Vec::new(),
+            scores: Vec::new(),
             sweep_due: true,
             armed: false,
             subscribed: sheet.news == News::Pushed,
@@ -266,12 +269,23 @@
         }
         self.relisted[i] = true;
         let w = &mut self.workers[i];
-        if w.booted != booted || (w.condition != Some(Condition::Ready) && condition == Condition::Ready) {
+        let mut cold = false;
+        let returns = w.condition.is_some_and(|c| c != Condition::Ready) && condition == Condition::Ready;
+        if w.booted != booted || returns {
             w.fresh = true;
             (w.errors, w.barred, w.hidden) = (0.0, None, 0.0);
         }
+        if w.booted != booted || w.condition.is_none() {
+            // Schedulers that learn of a start together must not send together: a random first rest.
+            cold = booted.is_some();
+        }
         (w.site, w.weight, w.condition, w.booted) = (site, weight, Some(condition), booted);
         w.on_list = condition != Condition::Gone;
+        if cold && self.warmth(i) < 1.0 {
+            let pause = self.hold / self.budget(i) * self.chance.rand_float();
+            self.workers[i].rest =
+                self.now + Duration::from_secs_f64(pause.min(secs(self.sheet.warm_within)));
+        }
     }
 
     pub fn list_ends(&mut self) {
@@ -427,9 +441,17 @@
         (self.kinds[w.site.kind].speed + if clear { w.apart } else { 0.0 }).exp()
     }
 
+    /// Slots of a worker: its registered size, or more if more were seen on one of its kind.
     fn slots(&self, i: usize) -> f64 {
         let w = &self.workers[i];
-        self.kinds[w.site.kind].slots.max(w.weight / self.speed(i)).max(1.0)
+        self.kinds[w.site.kind].slots.max(w.weight).max(1.0)
+    }
+
+    /// Share of its capacity that a worker surely has by now: it climbs evenly from the cold share.
+    fn warmth(&self, i: usize) -> f64 {
+        let Some(booted) = self.workers[i].booted else { return 1.0 };
+        let age = secs(self.now.saturating_sub(booted)) / secs(self.sheet.warm_within).max(1e-3);
+        (self.sheet.cold_share + (1.0 - self.sheet.cold_share) * age).min(1.0)
     }
 
     /// Learns run times by workload and speeds by kind from their logarithms, so that neither the mix
@@ -487,24 +509,10 @@
         promised.min(secs(t.limit) - secs(self.now) - LAST_CALL)
     }
 
-    /// Guards against pushing over a cold worker: the own share of a sliding budget.
-    fn budget_allows(&mut self, i: usize, work: f64) -> bool {
-        let Some(age) = self.workers[i].booted.map(|b| secs(self.now.saturating_sub(b))) else { return true };
-        let s = &self.sheet;
-        let warm = secs(s.warm_within) + secs(s.fall);
-        if age > warm {
-            return true;
-        }
-        let share = s.cold_share
-            + (1.0 - s.cold_share) * ((age - secs(s.fall)).max(0.0) / secs(s.warm_within)).min(1.0);
-        let room =
-            s.overload_factor * share * self.slots(i) * self.speed(i) * secs(s.fall) / s.schedulers as f64;
-        let since = self.now.saturating_sub(s.fall);
-        let w = &mut self.workers[i];
-        while w.budget.front().is_some_and(|(at, _)| *at <= since) {
-            w.budget.pop_front();
-        }
-        w.budget.iter().map(|(_, work)| work).sum::<f64>() + work <= COLD_ROOM * room
+    /// Guards against pushing over a cold worker: what this scheduler may send it in a second.
+    fn budget(&self, i: usize) -> f64 {
+        let (s, full) = (&self.sheet, self.slots(i) * self.speed(i));
+        COLD_ROOM * s.overload_factor * self.warmth(i) * full / s.schedulers as f64
     }
 
     fn open(&self, i: usize) -> bool {
@@ -543,52 +551,43 @@
     /// The worker of the lowest index among those open to the task; ties by chance.
     fn lowest(&mut self, task: usize) -> Option<(usize, f64)> {
         let (lambda, size) = (self.lambda(), self.tasks[task].size);
-        let workload = self.tasks[task].workload;
-        let work = self.runs[workload].mean * size;
-        let (mut best, mut lowest, mut ties) = (None, f64::INFINITY, 0u64);
         let (mut sum, mut count) = (0.0, 0.0);
-        let mut newcomer = None;
+        self.scores.clear();
         for i in 0..self.workers.len() {
-            if !self.open(i)
-                || !self.allowed(task, i)
-                || self.tasks[task].assignments.iter().any(|a| a.worker == i)
-            {
-                continue;
-            }
-            if !self.budget_allows(i, work) {
-                continue;
-            }
-            let trickle = self.workers[i].spells > 0 && self.workers[i].errors > 0.2;
-            if trickle && self.workers[i].n > 0.0 {
+            let w = &self.workers[i];
+            let tried = self.tasks[task].assignments.iter().any(|a| a.worker == i);
+            let held = w.spells > 0 && w.errors > 0.2 && w.n > 0.0;
+            if tried || held || !self.open(i) || !self.allowed(task, i) {
+                self.scores.push(f64::INFINITY);
                 continue;
             }
-            let w = &self.workers[i];
-            let mu = self.slots(i) * self.speed(i) / self.hold;
+            let mu = self.slots(i) * self.speed(i) * self.warmth(i) / self.hold;
             let delta = (1.0 / self.setup.max(1e-3)).max(1.05 * mu);
-            let occupied = self.occupied(i);
             let idle = w.n == 0.0 && secs(self.now.saturating_sub(w.used)) > IDLE_WINDOW;
             let energy = if idle { Energy::Off } else { w.energy };
-            let index = whittle(occupied, energy, lambda, mu, delta);
-            if w.fresh && w.n == 0.0 {
-                newcomer = Some(i);
-                continue;
+            let index = whittle(self.occupied(i), energy, lambda, mu, delta);
+            if !w.fresh {
+                (sum, count) = (sum + index, count + 1.0);
+            }
+            self.scores.push(index);
+        }
+        let (mut best, mut lowest, mut ties) = (None, f64::INFINITY, 0u64);
+        for i in 0..self.workers.len() {
+            let (w, mut index) = (&self.workers[i], self.scores[i]);
+            if w.fresh && count > 0.0 && index < f64::INFINITY {
+                // A new or returning worker stands at the others' mean until its first completion; the mean
+                // is never the lowest, so with nothing of ours it is tried on its own index if that is less.
+                index = if w.n > 0.0 { index.max(sum / count) } else { index.min(sum / count) };
             }
-            (sum, count) = (sum + index, count + 1.0);
             if index < lowest * (1.0 - 1e-9) {
                 (best, lowest, ties) = (Some(i), index, 1);
-            } else if index <= lowest * (1.0 + 1e-9) {
+            } else if index <= lowest * (1.0 + 1e-9) && index < f64::INFINITY {
                 ties += 1;
                 if self.chance.rand_range(0..ties) == 0 {
                     best = Some(i);
                 }
             }
         }
-        // A new or returning worker stands at the others' mean until its first completion.
-        if let Some(i) = newcomer {
-            if best.is_none() || sum / count <= lowest * (1.0 + 1e-9) || self.chance.rand_float() < 0.1 {
-                best = Some(i);
-            }
-        }
         best.map(|i| (i, self.wait(i, self.occupied(i), size)))
     }
 
@@ -720,6 +719,8 @@
 
     fn assign(&mut self, task: usize, i: usize) -> Decision {
         let now = self.now;
+        let work = self.runs[self.tasks[task].workload].mean * self.tasks[task].size;
+        let pause = Duration::from_secs_f64((work / self.budget(i)).min(secs(self.sheet.warm_within)));
         let t = &mut self.tasks[task];
         let w = &mut self.workers[i];
         let off = w.n == 0.0 && secs(now.saturating_sub(w.used)) > IDLE_WINDOW;
@@ -740,12 +741,7 @@
         w.n += t.size;
         w.used = now;
         w.waiting.push_back((task, number));
-        if w.booted.is_some() {
-            w.budget.push_back((now, self.runs[t.workload].mean * t.size));
-            if w.budget.len() > 64 {
-                w.budget.pop_front();
-            }
-        }
+        w.rest = now + pause;
         t.stage = Stage::Out;
         Decision::Assign { task, worker: i }
     }
