--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,6 +36,8 @@
 const BARRED_SHARE: f64 = 0.34;
 /// What others send is unknown from second to second: an old view fades over this span.
 const HIDDEN_SPAN: f64 = 2.0;
+/// What probes may cost a task, in the points that the whole utility is worth.
+const PROBE_SPEND: f64 = 0.003;
 /// Part of the cold budget that is used; the rest covers long tasks and schedulers that send together.
 const COLD_ROOM: f64 = 0.4;
 
@@ -186,6 +188,7 @@
     ask_at: Duration,
     ask_failures: u32,
     crowded: bool,
+    probes: f64,
 }
 
 fn secs(d: Duration) -> f64 {
@@ -225,6 +228,7 @@
             ask_at: now,
             ask_failures: 0,
             crowded: false,
+            probes: 0.0,
             sheet,
         }
     }
@@ -306,6 +310,7 @@
         let size = size.max(1.0);
         self.arrivals = self.arrivals * self.fade(self.arrivals_at, RATE_SPAN) + size;
         self.arrivals_at = self.now;
+        self.probes = (self.probes + PROBE_SPEND / self.sheet.price_probe.max(1e-4)).min(4.0);
         let row = &self.sheet.workloads[workload];
         // A client's repeat counts from its first try, which the time left tells.
         let born = self.now.saturating_sub(row.hard_limit.saturating_sub(left));
@@ -778,7 +783,8 @@
             self.say.push_back(Decision::Subscribe);
         }
         self.others_share();
-        self.bar_and_probe();
+        self.bar();
+        self.probe();
     }
 
     /// Learns what share of the slots others hold on the whole, from the workers seen lately.
@@ -833,13 +839,11 @@
         self.crowded = silent >= (BARRED_SHARE * ready).max(1.0);
     }
 
-    fn bar_and_probe(&mut self) {
+    fn bar(&mut self) {
         let ready =
             self.workers.iter().filter(|w| w.on_list && w.condition == Some(Condition::Ready)).count() as f64;
         let mut barred =
             self.workers.iter().filter(|w| w.barred.is_some_and(|u| u > self.now)).count() as f64;
-        let told =
-            self.sheet.may_probe && self.sheet.report_free.is_some() && self.sheet.report_waiting.is_some();
         for i in 0..self.workers.len() {
             let now = self.now;
             let w = &mut self.workers[i];
@@ -858,15 +862,21 @@
                 self.say
                     .push_back(Decision::Log(format!("worker {i} back: share of errors {:.2}", w.errors)));
             }
-            if told
-                && w.on_list
-                && w.condition == Some(Condition::Ready)
-                && !w.probing
-                && secs(now - w.probed.min(now)) > 1.0
-            {
-                (w.probing, w.probed) = (true, now);
-                self.say.push_back(Decision::Probe { worker: i });
-            }
+        }
+    }
+
+    /// Probes the worker not looked at for longest, as often as own arrivals and the price allow.
+    fn probe(&mut self) {
+        let reports = self.sheet.report_free.is_some() && self.sheet.report_waiting.is_some();
+        if !self.sheet.may_probe || !reports || self.probes < 1.0 {
+            return;
+        }
+        let ready = |w: &Worker| w.on_list && w.condition == Some(Condition::Ready) && !w.probing;
+        let stalest = self.workers.iter().enumerate().filter(|(_, w)| ready(w));
+        if let Some((i, _)) = stalest.min_by_key(|(_, w)| w.probed.max(w.seen)) {
+            self.probes -= 1.0;
+            (self.workers[i].probing, self.workers[i].probed) = (true, self.now);
+            self.say.push_back(Decision::Probe { worker: i });
         }
     }
 }
