Workers with room first; a task that has not started moves on

Cause: hidden traffic of other schedulers put tasks behind full workers while others stood free. Change: among workers with room for the task's slots the lowest index decides; a task without a start note after 60 ms, that may be sent again, is called off and sent to one with room.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,11 +17,13 @@
 /// Floor of the own arrival rate, tasks a second, so that a and b stay above zero.
 const RATE_FLOOR: f64 = 0.05;
 /// The sweep over all that is out; a fraction of any promised time.
-const SWEEP: Duration = Duration::from_millis(40);
+const SWEEP: Duration = Duration::from_millis(25);
 /// A final answer is given this long before the hard limit: two sweeps and some room.
 const LAST_CALL: f64 = 0.1;
 /// Answers below this wait mean the task started at once: a connection and a way across zones.
 const AT_ONCE: f64 = 0.04;
+/// A waiting task moves after this: a start note has had time to come from any zone.
+const MOVE_AFTER: f64 = 0.06;
 /// Running times are heavy-tailed: their logarithm spreads by about this much.
 const LOG_SPREAD: f64 = 0.7;
 /// A worker's own speed counts after so many completions, if it is clearly different.
@@ -387,6 +389,12 @@
             Ending::Error | Ending::Reset | Ending::ConnectFailed => {
                 w.errors += ERROR_STEP * (1.0 - w.errors)
             }
+            // Called off while it waited: whatever was free is taken by others.
+            Ending::Cancelled if a.started.is_none() && secs(now - a.sent) > AT_ONCE => {
+                let slots = self.slots(i);
+                let w = &mut self.workers[i];
+                (w.hidden, w.seen) = (w.hidden.max(slots - w.n), now);
+            }
             // A full worker is as busy as can be: others have what the own tasks do not.
             Ending::Full => (w.hidden, w.seen) = (w.hidden.max(2.0 * w.weight), now),
             _ => {}
@@ -496,6 +504,10 @@
         }
     }
 
+    fn has_room(&self, i: usize, size: f64) -> bool {
+        self.occupied(i) + size <= self.slots(i) + 0.3
+    }
+
     /// Expected wait of a task of this size, from what is occupied.
     fn wait(&self, i: usize, occupied: f64, size: f64) -> f64 {
         let slots = self.slots(i);
@@ -576,9 +588,14 @@
             }
             self.scores.push(index);
         }
+        // A task that would wait here though others have its slots free: those with room come first.
+        let room = (0..self.workers.len()).any(|i| self.scores[i] < f64::INFINITY && self.has_room(i, size));
         let (mut best, mut lowest, mut ties) = (None, f64::INFINITY, 0u64);
         for i in 0..self.workers.len() {
             let (w, mut index) = (&self.workers[i], self.scores[i]);
+            if room && !self.has_room(i, size) {
+                continue;
+            }
             if w.fresh && count > 0.0 && index < f64::INFINITY {
                 // A new or returning worker stands at the others' mean until its first completion; the mean
                 // is never the lowest, so with nothing of ours it is tried on its own index if that is less.
@@ -762,13 +779,14 @@
             let row = &self.sheet.workloads[t.workload];
             let waits = t.assignments.iter().all(|a| a.started.is_none());
             let (limit, run) = (secs(t.limit) - secs(self.now), self.run(t.workload));
-            let silent = t.assignments.iter().any(|a| a.ending.is_none() && self.workers[a.worker].silent);
+            let silent = row.effect != Effect::Unrepeatable
+                && t.assignments.iter().any(|a| a.ending.is_none() && self.workers[a.worker].silent);
             let doomed = waits && self.slack(task) + row.stretch * run < 0.5 * run;
             if limit < LAST_CALL || doomed {
                 let answer = self.give_up(task);
                 self.say.push_back(answer);
                 self.forget(task);
-            } else if silent && self.sheet.may_cancel && row.effect != Effect::Unrepeatable {
+            } else if (silent || self.should_move(task)) && self.sheet.may_cancel {
                 for k in 0..self.tasks[task].assignments.len() {
                     let a = &mut self.tasks[task].assignments[k];
                     if a.ending.is_none() && !a.called_off {
@@ -787,6 +805,24 @@
         self.probe();
     }
 
+    /// Guards against waiting behind hidden traffic: a task not started at once, that may be sent again,
+    /// moves on while another worker has room.
+    fn should_move(&self, task: usize) -> bool {
+        let t = &self.tasks[task];
+        let Some(a) = t.assignments.last().filter(|a| a.ending.is_none() && a.started.is_none()) else {
+            return false;
+        };
+        let free = |i: usize| {
+            let tried = t.assignments.iter().any(|a| a.worker == i);
+            !tried && self.open(i) && self.allowed(task, i) && self.has_room(i, t.size)
+        };
+        self.sheet.tells_start
+            && secs(self.now - a.sent) > MOVE_AFTER
+            && t.assignments.len() + 1 < self.sheet.most_assignments
+            && self.sheet.workloads[t.workload].effect != Effect::Unrepeatable
+            && (0..self.workers.len()).any(free)
+    }
+
     /// Learns what share of the slots others hold on the whole, from the workers seen lately.
     fn others_share(&mut self) {
         let (mut hidden, mut slots) = (0.0, 0.0);
