--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,6 +40,8 @@
 const HIDDEN_SPAN: f64 = 2.0;
 /// What probes may cost a task, in the points that the whole utility is worth.
 const PROBE_SPEND: f64 = 0.003;
+/// A worker across zones has its index raised by this multiple of the price of crossing.
+const CROSSING: f64 = 20.0;
 /// Part of the cold budget that is used; the rest covers long tasks and schedulers that send together.
 const COLD_ROOM: f64 = 0.4;
 
@@ -534,10 +536,9 @@
 
     fn open(&self, i: usize) -> bool {
         let w = &self.workers[i];
-        w.on_list
-            && w.condition == Some(Condition::Ready)
-            && !w.silent
-            && w.barred.is_none_or(|until| until <= self.now)
+        let rests = w.rest > self.now && self.warmth(i) < 1.0;
+        let ready = w.on_list && w.condition == Some(Condition::Ready);
+        ready && !rests && !w.silent && w.barred.is_none_or(|until| until <= self.now)
     }
 
     /// Guards against doubled effects: where a task may still be sent.
@@ -582,7 +583,8 @@
             let delta = (1.0 / self.setup.max(1e-3)).max(1.05 * mu);
             let idle = w.n == 0.0 && secs(self.now.saturating_sub(w.used)) > IDLE_WINDOW;
             let energy = if idle { Energy::Off } else { w.energy };
-            let index = whittle(self.occupied(i), energy, lambda, mu, delta);
+            let crossing = if w.site.zone == self.sheet.zone { 0.0 } else { self.sheet.price_crossing };
+            let index = whittle(self.occupied(i), energy, lambda, mu, delta) * (1.0 + CROSSING * crossing);
             if !w.fresh {
                 (sum, count) = (sum + index, count + 1.0);
             }
