--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,6 +22,8 @@
 const LAST_CALL: f64 = 0.1;
 /// Answers below this wait mean the task started at once: a connection and a way across zones.
 const AT_ONCE: f64 = 0.04;
+/// A repeat leaves this long before the memory of its group ends: it has a way to go.
+const MEMORY_MARGIN: Duration = Duration::from_millis(50);
 /// A waiting task moves after this: a start note has had time to come from any zone.
 const MOVE_AFTER: f64 = 0.06;
 /// Running times are heavy-tailed: their logarithm spreads by about this much.
@@ -105,6 +107,12 @@
     probing: bool,
 }
 
+impl Worker {
+    fn ready(&self) -> bool {
+        self.on_list && self.condition == Some(Condition::Ready)
+    }
+}
+
 #[derive(Clone, Copy, Default)]
 struct Kind {
     /// Logarithm of the speed, and the most slots seen in use or free at once.
@@ -125,6 +133,12 @@
     called_off: bool,
 }
 
+impl Assignment {
+    fn live(&self) -> bool {
+        self.ending.is_none() && !self.called_off
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Stage {
     First,
@@ -161,10 +175,19 @@
     seen: f64,
 }
 
+struct Chance(Rand64);
+
+impl Default for Chance {
+    fn default() -> Self {
+        Chance(Rand64::new(0))
+    }
+}
+
 /// One scheduler's decisions.
+#[derive(Default)]
 pub struct Rules {
     sheet: DutySheet,
-    chance: Rand64,
+    chance: Chance,
     now: Duration,
     start: Duration,
     workers: Vec<Worker>,
@@ -205,36 +228,12 @@
         let first = |w: &Workload| Runs { log: secs(w.promised).ln(), mean: secs(w.promised), seen: 0.0 };
         let runs: Vec<Runs> = sheet.workloads.iter().map(first).collect();
         let hold = runs.iter().map(|r| r.mean).sum::<f64>() / runs.len() as f64;
-        Rules {
-            chance: Rand64::new(u128::from(seed)),
-            now,
-            start: now,
-            workers: Vec::new(),
-            kinds: Vec::new(),
-            tasks: Vec::new(),
-            unused: Vec::new(),
-            first: VecDeque::new(),
-            further: VecDeque::new(),
-            passed: (0, 0),
-            loose: Vec::new(),
-            say: VecDeque::new(),
-            runs,
-            hold,
-            arrivals: 0.0,
-            arrivals_at: now,
-            setup: hold / 16.0,
-            others: 0.2,
-            relisted: Vec::new(),
-            scores: Vec::new(),
-            sweep_due: true,
-            armed: false,
-            subscribed: sheet.news == News::Pushed,
-            ask_at: now,
-            ask_failures: 0,
-            crowded: false,
-            probes: 0.0,
-            sheet,
-        }
+        let subscribed = sheet.news == News::Pushed;
+        let chance = Chance(Rand64::new(u128::from(seed)));
+        // Others' share and the setup time start at guesses that the first answers replace.
+        let (others, setup, sweep_due) = (0.2, hold / 16.0, true);
+        let times = Rules { now, start: now, arrivals_at: now, ask_at: now, ..Rules::default() };
+        Rules { chance, runs, hold, setup, others, sweep_due, subscribed, sheet, ..times }
     }
 
     pub fn sheet(&self) -> &DutySheet {
@@ -259,14 +258,7 @@
         self.ask_failures = 0;
     }
 
-    pub fn listed(
-        &mut self,
-        i: usize,
-        site: Site,
-        weight: f64,
-        condition: Condition,
-        booted: Option<Duration>,
-    ) {
+    pub fn listed(&mut self, i: usize, site: Site, weight: f64, is: Condition, booted: Option<Duration>) {
         if i >= self.workers.len() {
             let fresh = self.now > self.start;
             self.workers.push(Worker { site, booted, seen: self.now, fresh, ..Worker::default() });
@@ -277,22 +269,17 @@
         }
         self.relisted[i] = true;
         let w = &mut self.workers[i];
-        let mut cold = false;
-        let returns = w.condition.is_some_and(|c| c != Condition::Ready) && condition == Condition::Ready;
+        let returns = w.condition.is_some_and(|c| c != Condition::Ready) && is == Condition::Ready;
+        let starts = booted.is_some() && (w.booted != booted || w.condition.is_none());
         if w.booted != booted || returns {
-            w.fresh = true;
-            (w.errors, w.barred, w.hidden) = (0.0, None, 0.0);
+            (w.fresh, w.errors, w.barred, w.hidden) = (true, 0.0, None, 0.0);
         }
-        if w.booted != booted || w.condition.is_none() {
-            // Schedulers that learn of a start together must not send together: a random first rest.
-            cold = booted.is_some();
-        }
-        (w.site, w.weight, w.condition, w.booted) = (site, weight, Some(condition), booted);
-        w.on_list = condition != Condition::Gone;
-        if cold && self.warmth(i) < 1.0 {
-            let pause = self.hold / self.budget(i) * self.chance.rand_float();
-            self.workers[i].rest =
-                self.now + Duration::from_secs_f64(pause.min(secs(self.sheet.warm_within)));
+        (w.site, w.weight, w.condition, w.booted) = (site, weight, Some(is), booted);
+        w.on_list = is != Condition::Gone;
+        if starts && self.warmth(i) < 1.0 {
+            // Guards against schedulers that learn of a start together sending together.
+            let work = self.hold * self.chance.0.rand_float();
+            self.workers[i].rest = self.now + self.pause(i, work);
         }
     }
 
@@ -306,7 +293,8 @@
     pub fn list_failed(&mut self) {
         self.subscribed = self.sheet.news == News::Pushed;
         self.ask_failures += 1;
-        let pause = 0.25 * f64::from(1 << self.ask_failures.min(4)) * (0.75 + 0.5 * self.chance.rand_float());
+        let jitter = 0.75 + 0.5 * self.chance.0.rand_float();
+        let pause = 0.25 * f64::from(1 << self.ask_failures.min(4)) * jitter;
         self.ask_at = self.now + Duration::from_secs_f64(pause);
     }
 
@@ -326,8 +314,8 @@
         }
         let t = &mut self.tasks[place];
         t.assignments.clear();
-        (t.stage, t.workload, t.size, t.born, t.limit) =
-            (Stage::First, workload, size, born, self.now + left);
+        (t.stage, t.workload, t.size) = (Stage::First, workload, size);
+        (t.born, t.limit) = (born, self.now + left);
         self.first.push_back(place);
         place
     }
@@ -389,7 +377,7 @@
                 self.learn(i, workload, size, secs(now - a.started.unwrap_or(a.sent)));
             }
             Ending::Error | Ending::Reset | Ending::ConnectFailed => {
-                w.errors += ERROR_STEP * (1.0 - w.errors)
+                w.errors += ERROR_STEP - ERROR_STEP * w.errors
             }
             // Called off while it waited: whatever was free is taken by others.
             Ending::Cancelled if a.started.is_none() && secs(now - a.sent) > AT_ONCE => {
@@ -432,6 +420,10 @@
 
     // ---- what follows from what is known ----
 
+    fn log(&mut self, line: String) {
+        self.say.push_back(Decision::Log(line));
+    }
+
     fn fade(&self, since: Duration, span: f64) -> f64 {
         (-secs(self.now.saturating_sub(since)) / span).exp()
     }
@@ -494,16 +486,10 @@
         let fade = self.fade(w.seen, HIDDEN_SPAN);
         let slots = self.slots(i);
         let known = w.n + w.hidden * fade + self.others * slots * (1.0 - fade);
-        let stuck = w
-            .waiting
-            .front()
-            .is_some_and(|&(t, k)| secs(self.now - self.tasks[t].assignments[k].sent) > AT_ONCE);
+        let late = |&(t, k): &(usize, usize)| secs(self.now - self.tasks[t].assignments[k].sent) > AT_ONCE;
         // Served in order: while an own task waits, all slots are taken.
-        if stuck {
-            known.max(slots + w.n - w.running)
-        } else {
-            known
-        }
+        let least = if w.waiting.front().is_some_and(late) { slots + w.n - w.running } else { 0.0 };
+        known.max(least)
     }
 
     fn has_room(&self, i: usize, size: f64) -> bool {
@@ -528,17 +514,17 @@
         promised.min(secs(t.limit) - secs(self.now) - LAST_CALL)
     }
 
-    /// Guards against pushing over a cold worker: what this scheduler may send it in a second.
-    fn budget(&self, i: usize) -> f64 {
+    /// Guards against pushing over a cold worker: the own share of its budget needs this long for a work.
+    fn pause(&self, i: usize, work: f64) -> Duration {
         let (s, full) = (&self.sheet, self.slots(i) * self.speed(i));
-        COLD_ROOM * s.overload_factor * self.warmth(i) * full / s.schedulers as f64
+        let budget = COLD_ROOM * s.overload_factor * self.warmth(i) * full / s.schedulers as f64;
+        Duration::from_secs_f64((work / budget).min(secs(s.warm_within)))
     }
 
     fn open(&self, i: usize) -> bool {
         let w = &self.workers[i];
         let rests = w.rest > self.now && self.warmth(i) < 1.0;
-        let ready = w.on_list && w.condition == Some(Condition::Ready);
-        ready && !rests && !w.silent && w.barred.is_none_or(|until| until <= self.now)
+        w.ready() && !rests && !w.silent && w.barred.is_none_or(|until| until <= self.now)
     }
 
     /// Guards against doubled effects: where a task may still be sent.
@@ -549,20 +535,20 @@
         if row.kind.is_some_and(|k| k != site.kind) {
             return false;
         }
-        t.assignments.iter().filter(|a| !a.ending.is_some_and(Ending::proves_never_ran)).all(|a| {
-            match row.effect {
-                Effect::Idempotent => true,
-                Effect::Unrepeatable => false,
-                Effect::Deduplicated(group) => {
-                    let other = self.workers[a.worker].site;
-                    let same = match group {
-                        Group::All => true,
-                        Group::Zone => other.zone == site.zone,
-                        Group::Cell => other.cell == site.cell,
-                    };
-                    same && self.now + Duration::from_millis(50) < a.sent + row.memory
-                }
-            }
+        let mut maybe = t.assignments.iter().filter(|a| !a.ending.is_some_and(Ending::proves_never_ran));
+        let within = |a: &Assignment, group: Group| {
+            let other = self.workers[a.worker].site;
+            let same = match group {
+                Group::All => true,
+                Group::Zone => other.zone == site.zone,
+                Group::Cell => other.cell == site.cell,
+            };
+            same && self.now + MEMORY_MARGIN < a.sent + row.memory
+        };
+        maybe.all(|a| match row.effect {
+            Effect::Idempotent => true,
+            Effect::Unrepeatable => false,
+            Effect::Deduplicated(group) => within(a, group),
         })
     }
 
@@ -607,7 +593,7 @@
                 (best, lowest, ties) = (Some(i), index, 1);
             } else if index <= lowest * (1.0 + 1e-9) && index < f64::INFINITY {
                 ties += 1;
-                if self.chance.rand_range(0..ties) == 0 {
+                if self.chance.0.rand_range(0..ties) == 0 {
                     best = Some(i);
                 }
             }
@@ -661,14 +647,20 @@
         }
     }
 
+    /// Stops waiting for whatever is still out of a task.
+    fn call_off(&mut self, task: usize) {
+        let out = self.tasks[task].assignments.iter_mut().enumerate();
+        for (assignment, a) in out.filter(|(_, a)| self.sheet.may_cancel && a.live()) {
+            a.called_off = true;
+            self.say.push_back(Decision::CallOff { task, assignment });
+        }
+    }
+
     /// Frees the place of a task that is over and has nothing out.
     fn forget(&mut self, task: usize) {
+        let in_line = self.first.contains(&task) || self.further.contains(&task);
         let t = &mut self.tasks[task];
-        if t.stage == Stage::Over
-            && t.out() == 0
-            && !self.first.contains(&task)
-            && !self.further.contains(&task)
-        {
+        if t.stage == Stage::Over && t.out() == 0 && !in_line {
             t.stage = Stage::Unused;
             self.unused.push(task);
         }
@@ -682,14 +674,7 @@
             _ => !t.may_have_run(),
         };
         t.stage = Stage::Over;
-        if self.sheet.may_cancel {
-            for (k, a) in
-                t.assignments.iter_mut().enumerate().filter(|(_, a)| a.ending.is_none() && !a.called_off)
-            {
-                a.called_off = true;
-                self.say.push_back(Decision::CallOff { task, assignment: k });
-            }
-        }
+        self.call_off(task);
         if !harmless {
             return Decision::BreakOff { task };
         }
@@ -701,13 +686,7 @@
     fn settle(&mut self, task: usize) -> Option<Decision> {
         match self.tasks[task].stage {
             Stage::Over => {
-                for k in 0..self.tasks[task].assignments.len() {
-                    let a = &mut self.tasks[task].assignments[k];
-                    if a.ending.is_none() && !a.called_off && self.sheet.may_cancel {
-                        a.called_off = true;
-                        self.say.push_back(Decision::CallOff { task, assignment: k });
-                    }
-                }
+                self.call_off(task);
                 self.forget(task);
                 None
             }
@@ -744,7 +723,7 @@
     fn assign(&mut self, task: usize, i: usize) -> Decision {
         let now = self.now;
         let work = self.runs[self.tasks[task].workload].mean * self.tasks[task].size;
-        let pause = Duration::from_secs_f64((work / self.budget(i)).min(secs(self.sheet.warm_within)));
+        let pause = self.pause(i, work);
         let t = &mut self.tasks[task];
         let w = &mut self.workers[i];
         let off = w.n == 0.0 && secs(now.saturating_sub(w.used)) > IDLE_WINDOW;
@@ -752,16 +731,11 @@
             w.energy = Energy::Setup;
         }
         let number = t.assignments.len();
-        t.assignments.push(Assignment {
-            worker: i,
-            sent: now,
-            started: None,
-            heard: now,
-            ahead: w.n,
-            cold: off,
-            ending: None,
-            called_off: false,
-        });
+        let (ahead, called_off) = (w.n, false);
+        let (started, ending) = (None, None);
+        let a =
+            Assignment { worker: i, sent: now, started, heard: now, ahead, cold: off, ending, called_off };
+        t.assignments.push(a);
         w.n += t.size;
         w.used = now;
         w.waiting.push_back((task, number));
@@ -788,14 +762,8 @@
                 let answer = self.give_up(task);
                 self.say.push_back(answer);
                 self.forget(task);
-            } else if (silent || self.should_move(task)) && self.sheet.may_cancel {
-                for k in 0..self.tasks[task].assignments.len() {
-                    let a = &mut self.tasks[task].assignments[k];
-                    if a.ending.is_none() && !a.called_off {
-                        a.called_off = true;
-                        self.say.push_back(Decision::CallOff { task, assignment: k });
-                    }
-                }
+            } else if silent || self.should_move(task) {
+                self.call_off(task);
             }
         }
         if !self.subscribed && self.ask_at <= self.now {
@@ -827,13 +795,10 @@
 
     /// Learns what share of the slots others hold on the whole, from the workers seen lately.
     fn others_share(&mut self) {
-        let (mut hidden, mut slots) = (0.0, 0.0);
-        for i in 0..self.workers.len() {
-            let w = &self.workers[i];
-            if w.on_list && secs(self.now.saturating_sub(w.seen)) < HIDDEN_SPAN {
-                (hidden, slots) = (hidden + w.hidden, slots + self.slots(i));
-            }
-        }
+        let lately = |w: &Worker| w.on_list && secs(self.now.saturating_sub(w.seen)) < HIDDEN_SPAN;
+        let seen = (0..self.workers.len()).filter(|&i| lately(&self.workers[i]));
+        let (hidden, slots) =
+            seen.fold((0.0, 0.0), |(h, s), i| (h + self.workers[i].hidden, s + self.slots(i)));
         if slots > 0.0 {
             self.others += 0.02 * ((hidden / slots).min(1.5) - self.others);
         }
@@ -843,62 +808,51 @@
     fn look_for_silence(&mut self) {
         let Some(gap) = self.sheet.progress_every.map(secs) else { return };
         let now = self.now;
-        let (mut silent, mut ready) = (0.0, 0.0);
-        for w in &self.workers {
-            ready += f64::from(u8::from(w.on_list && w.condition == Some(Condition::Ready)));
-            silent += f64::from(u8::from(w.on_list && w.silent));
-        }
+        let ready = self.workers.iter().filter(|w| w.ready()).count();
+        let most = ((BARRED_SHARE * ready as f64) as usize).max(1);
+        let mut silent = self.workers.iter().filter(|w| w.on_list && w.silent).count();
         for task in 0..self.tasks.len() {
             for k in 0..self.tasks[task].assignments.len() {
                 let a = self.tasks[task].assignments[k];
-                let over = self.tasks[task].stage == Stage::Unused || a.ending.is_some() || a.called_off;
-                let late = a.started.is_some() && secs(now - a.heard) > gap + NOTE_GRACE;
-                if over
-                    || !late
-                    || self.workers[a.worker].silent
-                    || silent + 1.0 > (BARRED_SHARE * ready).max(1.0)
-                {
-                    continue;
+                let late = a.live() && a.started.is_some() && secs(now - a.heard) > gap + NOTE_GRACE;
+                if late && !self.workers[a.worker].silent && silent < most {
+                    silent += 1;
+                    self.workers[a.worker].silent = true;
+                    self.log(format!(
+                        "worker {} silent for {:.2} s, task started",
+                        a.worker,
+                        secs(now - a.heard)
+                    ));
                 }
-                self.workers[a.worker].silent = true;
-                silent += 1.0;
-                let line = format!(
-                    "worker {} silent for {:.2} s with a task started",
-                    a.worker,
-                    secs(now - a.heard)
-                );
-                self.say.push_back(Decision::Log(line));
             }
         }
-        if silent >= (BARRED_SHARE * ready).max(1.0) && !self.crowded {
-            self.say
-                .push_back(Decision::Log(format!("{silent} of {ready} workers silent: no more set aside")));
+        if silent >= most && !self.crowded {
+            self.log(format!("{silent} of {ready} workers silent: no more set aside"));
         }
-        self.crowded = silent >= (BARRED_SHARE * ready).max(1.0);
+        self.crowded = silent >= most;
     }
 
+    /// Bars workers that err far too often, a limited share at a time, for longer each time.
     fn bar(&mut self) {
-        let ready =
-            self.workers.iter().filter(|w| w.on_list && w.condition == Some(Condition::Ready)).count() as f64;
-        let mut barred =
-            self.workers.iter().filter(|w| w.barred.is_some_and(|u| u > self.now)).count() as f64;
+        let now = self.now;
+        let ready = self.workers.iter().filter(|w| w.ready()).count();
+        let most = ((BARRED_SHARE * ready as f64) as usize).max(1);
+        let mut barred = self.workers.iter().filter(|w| w.barred.is_some_and(|until| until > now)).count();
         for i in 0..self.workers.len() {
-            let now = self.now;
             let w = &mut self.workers[i];
-            let free = w.barred.is_none_or(|until| until <= now);
-            if w.errors > ERRORS_BAR && free && barred + 1.0 <= (BARRED_SHARE * ready).max(1.0) {
-                barred += 1.0;
+            let errors = w.errors;
+            if w.barred.is_some_and(|until| until > now) {
+                continue;
+            }
+            if errors > ERRORS_BAR && barred < most {
+                barred += 1;
                 w.spells = (w.spells + 1).min(4);
                 let pause = Duration::from_secs_f64(0.75 * f64::from(1 << w.spells));
-                w.barred = Some(now + pause);
-                let line =
-                    format!("worker {i} barred for {:.1} s: share of errors {:.2}", secs(pause), w.errors);
-                w.errors = 0.35;
-                self.say.push_back(Decision::Log(line));
-            } else if w.errors < 0.05 && w.spells > 0 && free {
+                (w.barred, w.errors) = (Some(now + pause), 0.35);
+                self.log(format!("worker {i} barred for {:.1} s: share of errors {errors:.2}", secs(pause)));
+            } else if errors < 0.05 && w.spells > 0 {
                 (w.spells, w.barred) = (0, None);
-                self.say
-                    .push_back(Decision::Log(format!("worker {i} back: share of errors {:.2}", w.errors)));
+                self.log(format!("worker {i} back: share of errors {errors:.2}"));
             }
         }
     }
@@ -909,8 +863,7 @@
         if !self.sheet.may_probe || !reports || self.probes < 1.0 {
             return;
         }
-        let ready = |w: &Worker| w.on_list && w.condition == Some(Condition::Ready) && !w.probing;
-        let stalest = self.workers.iter().enumerate().filter(|(_, w)| ready(w));
+        let stalest = self.workers.iter().enumerate().filter(|(_, w)| w.ready() && !w.probing);
         if let Some((i, _)) = stalest.min_by_key(|(_, w)| w.probed.max(w.seen)) {
             self.probes -= 1.0;
             (self.workers[i].probing, self.workers[i].probed) = (true, self.now);
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -40,17 +40,16 @@
 }
 
 /// How news of the workers reaches this scheduler.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum News {
+    #[default]
     Pushed,
     /// Only by subscribing or asking; silence longer than this counts as having been told.
-    Asked {
-        within: Duration,
-    },
+    Asked { within: Duration },
 }
 
 /// What a scheduler is handed at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct DutySheet {
     pub workloads: Vec<Workload>,
     pub schedulers: usize,
