--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -18,6 +18,7 @@
 /// One scheduler: its decisions, and the outside names of its tasks and workers.
 struct Instance {
     rules: Rules,
+    workloads: usize,
     places: HashMap<u64, usize>,
     ids: Vec<u64>,
     given: HashSet<u64>,
@@ -82,7 +83,6 @@
             let booted = Some(e.span(15)?).filter(|b| !b.is_zero());
             self.rules.listed(worker, site, f64::from(e.f32(1)?), condition, booted);
         }
-        self.rules.list_ends();
         Ok(())
     }
 
@@ -95,7 +95,7 @@
                     return Err(Wrong::at(at + 2, format!("task id {id} was given twice")));
                 }
                 let workload = frame.u8(at + 48)? as usize;
-                if workload >= self.rules.sheet().workloads.len() {
+                if workload >= self.workloads {
                     return Err(Wrong::at(at + 48, format!("unknown workload {workload}")));
                 }
                 let size = frame.f32(at + 30)?.max(frame.f32(at + 26)?);
@@ -227,6 +227,7 @@
             let info = frame.tail_text(at + 10)?;
             let sheet = sheet::read(info).map_err(|why| Wrong::at(at + 10, why))?;
             let instance = Instance {
+                workloads: sheet.workloads.len(),
                 rules: Rules::new(sheet, frame.u64(at + 2)?, now),
                 places: HashMap::new(),
                 ids: Vec::new(),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,57 +4,31 @@
 //! `ended`, `left`, `probed`, `bell`), which only update what is known, and then pulls `decide` until it
 //! gives `None`. The words of this interface are in `terms.rs`; the reasons are in `docs/design.md`.
 
-use crate::terms::{Condition, Decision, DutySheet, Effect, Ending, Group, News, Site, Workload};
+use crate::books::{Assignment, Chance, Kind, Runs, Stage, Task, Worker};
+use crate::terms::{Condition, Decision, DutySheet, Effect, Ending, Energy, Group, News, Site, Workload};
 use oorandom::Rand64;
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// A worker that none of the own tasks used for this long counts as off: some seconds outlast a lull
-/// between two tasks, and hidden traffic seldom leaves a worker asleep.
-const IDLE_WINDOW: f64 = 5.0;
-/// Smoothing of the own arrival rate: long against bursts of arrivals, short against a day's swing.
-const RATE_SPAN: f64 = 10.0;
-/// Floor of the own arrival rate, tasks a second, so that a and b stay above zero.
-const RATE_FLOOR: f64 = 0.05;
-/// The sweep over all that is out; a fraction of any promised time.
-const SWEEP: Duration = Duration::from_millis(25);
-/// A final answer is given this long before the hard limit: two sweeps and some room.
-const LAST_CALL: f64 = 0.1;
-/// Answers below this wait mean the task started at once: a connection and a way across zones.
-const AT_ONCE: f64 = 0.04;
-/// A repeat leaves this long before the memory of its group ends: it has a way to go.
-const MEMORY_MARGIN: Duration = Duration::from_millis(50);
-/// A waiting task moves after this: a start note has had time to come from any zone.
-const MOVE_AFTER: f64 = 0.06;
-/// Running times are heavy-tailed: their logarithm spreads by about this much.
-const LOG_SPREAD: f64 = 0.7;
-/// A worker's own speed counts after so many completions, if it is clearly different.
-const OWN_SPEED_AFTER: f64 = 12.0;
-/// A progress note is overdue after this much more than its gap: longer than a common pause.
-const NOTE_GRACE: f64 = 0.7;
-/// Smoothed share of errors at which a worker is barred: two errors on end reach it.
-const ERRORS_BAR: f64 = 0.45;
-/// Weight of one ending in the share of errors: quick, since errors return in no time.
-const ERROR_STEP: f64 = 0.3;
-/// At most this share of the ready workers is barred at a time.
-const BARRED_SHARE: f64 = 0.34;
-/// What others send is unknown from second to second: an old view fades over this span.
-const HIDDEN_SPAN: f64 = 2.0;
-/// What probes may cost a task, in the points that the whole utility is worth.
-const PROBE_SPEND: f64 = 0.003;
-/// A worker across zones has its index raised by this multiple of the price of crossing.
-const CROSSING: f64 = 20.0;
-/// Part of the cold budget that is used; the rest covers long tasks and schedulers that send together.
-const COLD_ROOM: f64 = 0.4;
-
-/// The energy state of a worker as the design page derives it from the own tasks.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Energy {
-    #[default]
-    Off,
-    Setup,
-    Busy,
-}
+// Times are in seconds unless they say otherwise.
+const IDLE_WINDOW: f64 = 5.0; // off after this without an own task: longer than a lull between two
+const RATE_SPAN: f64 = 10.0; // smooths the own rate: long against bursts, short against a day's swing
+const RATE_FLOOR: f64 = 0.05; // keeps a and b above zero when nothing arrives
+const SWEEP: Duration = Duration::from_millis(25); // a small part of any promised time
+const LAST_CALL: f64 = 0.1; // final answers come this long before the hard limit: some sweeps
+const AT_ONCE: f64 = 0.04; // a wait below this is a connection and a way across zones, no queue
+const MOVE_AFTER: f64 = 0.06; // a waiting task moves then: a start note had time to come from any zone
+const MEMORY_MARGIN: Duration = Duration::from_millis(50); // a repeat's way to a group that forgets soon
+const LOG_SPREAD: f64 = 0.7; // running times are heavy-tailed: their logarithm spreads by about this
+const OWN_SPEED_AFTER: f64 = 12.0; // completions before a worker's own speed may replace its kind's
+const NOTE_GRACE: f64 = 0.7; // a progress note this late is no common pause
+const ERRORS_BAR: f64 = 0.45; // smoothed share of errors that bars a worker: two on end reach it
+const ERROR_STEP: f64 = 0.3; // weight of one ending in that share: quick, since errors return at once
+const BARRED_SHARE: f64 = 0.34; // at most this share of the ready workers is set aside at a time
+const HIDDEN_SPAN: f64 = 2.0; // what others have on a worker is forgotten over this: about a task or two
+const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
+const CROSSING: f64 = 20.0; // weight of the price of crossing zones in the index: a crossing costs a place
+const COLD_ROOM: f64 = 0.4; // part of a cold budget that is used: tasks run long, schedulers coincide
 
 /// The paper's Whittle index (Theorem 1 with holding cost 1 and beta 0) of a worker with `n` in it.
 pub fn whittle(n: f64, energy: Energy, lambda: f64, mu: f64, delta: f64) -> f64 {
@@ -76,113 +50,6 @@
     }
 }
 
-#[derive(Default)]
-struct Worker {
-    site: Site,
-    weight: f64,
-    condition: Option<Condition>,
-    on_list: bool,
-    booted: Option<Duration>,
-    /// Own slots out, and those of them that have started.
-    n: f64,
-    running: f64,
-    waiting: VecDeque<(usize, usize)>,
-    energy: Energy,
-    used: Duration,
-    /// New or returning: no completion yet.
-    fresh: bool,
-    /// Own logarithm of the speed against its kind's, and the completions behind it.
-    apart: f64,
-    completions: f64,
-    /// What others have there, in slots, as of `seen`.
-    hidden: f64,
-    seen: Duration,
-    errors: f64,
-    barred: Option<Duration>,
-    spells: i32,
-    silent: bool,
-    /// While cold: no own task before then.
-    rest: Duration,
-    probed: Duration,
-    probing: bool,
-}
-
-impl Worker {
-    fn ready(&self) -> bool {
-        self.on_list && self.condition == Some(Condition::Ready)
-    }
-}
-
-#[derive(Clone, Copy, Default)]
-struct Kind {
-    /// Logarithm of the speed, and the most slots seen in use or free at once.
-    speed: f64,
-    slots: f64,
-}
-
-#[derive(Clone, Copy)]
-struct Assignment {
-    worker: usize,
-    sent: Duration,
-    started: Option<Duration>,
-    heard: Duration,
-    /// Own slots on the worker when it was sent.
-    ahead: f64,
-    cold: bool,
-    ending: Option<Ending>,
-    called_off: bool,
-}
-
-impl Assignment {
-    fn live(&self) -> bool {
-        self.ending.is_none() && !self.called_off
-    }
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    First,
-    Further,
-    Out,
-    Over,
-    Unused,
-}
-
-struct Task {
-    stage: Stage,
-    workload: usize,
-    size: f64,
-    born: Duration,
-    limit: Duration,
-    assignments: Vec<Assignment>,
-}
-
-impl Task {
-    fn out(&self) -> usize {
-        self.assignments.iter().filter(|a| a.ending.is_none()).count()
-    }
-
-    fn may_have_run(&self) -> bool {
-        self.assignments.iter().any(|a| !a.ending.is_some_and(Ending::proves_never_ran))
-    }
-}
-
-/// What is learned of a workload: logarithm of the running time at speed 1, its mean, and how often.
-#[derive(Clone, Copy)]
-struct Runs {
-    log: f64,
-    mean: f64,
-    seen: f64,
-}
-
-struct Chance(Rand64);
-
-impl Default for Chance {
-    fn default() -> Self {
-        Chance(Rand64::new(0))
-    }
-}
-
 /// One scheduler's decisions.
 #[derive(Default)]
 pub struct Rules {
@@ -194,10 +61,9 @@
     kinds: Vec<Kind>,
     tasks: Vec<Task>,
     unused: Vec<usize>,
-    first: VecDeque<usize>,
-    further: VecDeque<usize>,
-    /// Tasks looked at in this pull and left waiting.
-    passed: (usize, usize),
+    /// First and further assignments wait apart; `passed` were looked at in this pull and left waiting.
+    lines: [VecDeque<usize>; 2],
+    passed: [usize; 2],
     loose: Vec<usize>,
     say: VecDeque<Decision>,
     runs: Vec<Runs>,
@@ -207,7 +73,6 @@
     arrivals_at: Duration,
     setup: f64,
     others: f64,
-    relisted: Vec<bool>,
     scores: Vec<f64>,
     sweep_due: bool,
     armed: bool,
@@ -236,15 +101,11 @@
         Rules { chance, runs, hold, setup, others, sweep_due, subscribed, sheet, ..times }
     }
 
-    pub fn sheet(&self) -> &DutySheet {
-        &self.sheet
-    }
-
     // ---- inputs: they only update what is known ----
 
     pub fn clock(&mut self, now: Duration) {
         self.now = now;
-        self.passed = (0, 0);
+        self.passed = [0, 0];
     }
 
     pub fn bell(&mut self) {
@@ -253,21 +114,18 @@
     }
 
     pub fn list_begins(&mut self, whole: bool) {
-        self.relisted.clear();
-        self.relisted.resize(self.workers.len(), !whole);
         self.ask_failures = 0;
+        self.workers.iter_mut().for_each(|w| w.on_list &= !whole);
     }
 
     pub fn listed(&mut self, i: usize, site: Site, weight: f64, is: Condition, booted: Option<Duration>) {
         if i >= self.workers.len() {
             let fresh = self.now > self.start;
             self.workers.push(Worker { site, booted, seen: self.now, fresh, ..Worker::default() });
-            self.relisted.push(true);
         }
         if site.kind >= self.kinds.len() {
             self.kinds.resize(site.kind + 1, Kind::default());
         }
-        self.relisted[i] = true;
         let w = &mut self.workers[i];
         let returns = w.condition.is_some_and(|c| c != Condition::Ready) && is == Condition::Ready;
         let starts = booted.is_some() && (w.booted != booted || w.condition.is_none());
@@ -283,12 +141,6 @@
         }
     }
 
-    pub fn list_ends(&mut self) {
-        for (w, kept) in self.workers.iter_mut().zip(&self.relisted) {
-            w.on_list &= kept;
-        }
-    }
-
     /// A call for the list failed, or the subscription broke.
     pub fn list_failed(&mut self) {
         self.subscribed = self.sheet.news == News::Pushed;
@@ -316,7 +168,7 @@
         t.assignments.clear();
         (t.stage, t.workload, t.size) = (Stage::First, workload, size);
         (t.born, t.limit) = (born, self.now + left);
-        self.first.push_back(place);
+        self.lines[0].push_back(place);
         place
     }
 
@@ -326,17 +178,13 @@
             Some(a) if a.started.is_none() => (self.speed(a.worker), self.slots(a.worker)),
             _ => return,
         };
-        let size = self.tasks[task].size;
+        let (size, hold) = (self.tasks[task].size, self.hold);
         let a = &mut self.tasks[task].assignments[number];
         (a.started, a.heard) = (Some(now), now);
-        let (i, wait, ahead, cold) = (a.worker, secs(now - a.sent), a.ahead, a.cold);
-        let hold = self.hold;
-        if cold {
-            self.setup += 0.1 * (wait - self.setup);
-        }
+        let (i, wait, ahead) = (a.worker, secs(now - a.sent), a.ahead);
+        self.setup += if a.cold { 0.1 * (wait - self.setup) } else { 0.0 };
         let w = &mut self.workers[i];
-        w.running += size;
-        w.silent = false;
+        (w.running, w.silent) = (w.running + size, false);
         w.waiting.retain(|x| *x != (task, number));
         // The wait tells what others had there: nothing beyond the free slots, or all that left before.
         let sample = if wait > AT_ONCE {
@@ -344,8 +192,7 @@
         } else {
             w.hidden.min((slots - ahead - size).max(0.0))
         };
-        w.hidden += 0.4 * (sample - w.hidden);
-        w.seen = now;
+        (w.hidden, w.seen) = (w.hidden + 0.4 * (sample - w.hidden), now);
         let kind = &mut self.kinds[w.site.kind];
         kind.slots = kind.slots.max(w.running);
     }
@@ -360,12 +207,11 @@
 
     pub fn ended(&mut self, task: usize, number: usize, ending: Ending, over: bool) {
         let Some(a) = self.out(task, number).copied() else { return };
-        let (now, size, i) = (self.now, self.tasks[task].size, a.worker);
-        self.tasks[task].assignments[number].ending = Some(ending);
-        let workload = self.tasks[task].workload;
+        let (now, i, t) = (self.now, a.worker, &mut self.tasks[task]);
+        let (size, workload) = (t.size, t.workload);
+        t.assignments[number].ending = Some(ending);
         let w = &mut self.workers[i];
-        w.n = (w.n - size).max(0.0);
-        w.used = now;
+        (w.n, w.used) = ((w.n - size).max(0.0), now);
         w.waiting.retain(|x| *x != (task, number));
         if a.started.is_some() {
             w.running = (w.running - size).max(0.0);
@@ -404,18 +250,15 @@
 
     pub fn probed(&mut self, i: usize, ok: bool, report: &[f64]) {
         self.workers[i].probing = false;
-        let (Some(free), Some(waiting)) = (self.sheet.report_free, self.sheet.report_waiting) else { return };
-        let (Some(free), Some(waiting)) = (report.get(free), report.get(waiting)) else { return };
-        if !ok {
-            return;
-        }
+        let value = |at: Option<usize>| at.and_then(|at| report.get(at)).copied().filter(|_| ok);
+        let (free, waiting) = (value(self.sheet.report_free), value(self.sheet.report_waiting));
+        let (Some(free), Some(waiting)) = (free, waiting) else { return };
         let kind = &mut self.kinds[self.workers[i].site.kind];
         kind.slots = kind.slots.max(free.round());
         let slots = self.slots(i);
         let w = &mut self.workers[i];
         let others = ((slots - free).max(0.0) + waiting * 1.3 - w.n).max(0.0);
-        w.hidden += 0.6 * (others - w.hidden);
-        w.seen = self.now;
+        (w.hidden, w.seen) = (w.hidden + 0.6 * (others - w.hidden), self.now);
     }
 
     // ---- what follows from what is known ----
@@ -496,21 +339,12 @@
         self.occupied(i) + size <= self.slots(i) + 0.3
     }
 
-    /// Expected wait of a task of this size, from what is occupied.
-    fn wait(&self, i: usize, occupied: f64, size: f64) -> f64 {
-        let slots = self.slots(i);
-        (occupied + size.min(slots) - slots).max(0.0) * self.hold / (slots * self.speed(i))
-    }
-
-    fn run(&self, workload: usize) -> f64 {
-        self.runs[workload].log.exp()
-    }
-
     /// Time left in which a task must have waited and run to be in time.
     fn slack(&self, task: usize) -> f64 {
         let t = &self.tasks[task];
         let row = &self.sheet.workloads[t.workload];
-        let promised = secs(t.born + row.promised) + row.stretch * self.run(t.workload) - secs(self.now);
+        let promised =
+            secs(t.born + row.promised) + row.stretch * self.runs[t.workload].log.exp() - secs(self.now);
         promised.min(secs(t.limit) - secs(self.now) - LAST_CALL)
     }
 
@@ -552,16 +386,21 @@
         })
     }
 
-    /// The worker of the lowest index among those open to the task; ties by chance.
+    fn eligible(&self, task: usize, i: usize) -> bool {
+        let (t, w) = (&self.tasks[task], &self.workers[i]);
+        // A worker back from being barred proves itself on one task at a time.
+        let trickles = w.spells > 0 && w.errors > 0.2 && w.n > 0.0;
+        !trickles && self.open(i) && self.allowed(task, i) && t.assignments.iter().all(|a| a.worker != i)
+    }
+
+    /// The worker of the lowest index among those open to the task, ties by chance, and the wait there.
     fn lowest(&mut self, task: usize) -> Option<(usize, f64)> {
         let (lambda, size) = (self.lambda(), self.tasks[task].size);
         let (mut sum, mut count) = (0.0, 0.0);
         self.scores.clear();
         for i in 0..self.workers.len() {
             let w = &self.workers[i];
-            let tried = self.tasks[task].assignments.iter().any(|a| a.worker == i);
-            let held = w.spells > 0 && w.errors > 0.2 && w.n > 0.0;
-            if tried || held || !self.open(i) || !self.allowed(task, i) {
+            if !self.eligible(task, i) {
                 self.scores.push(f64::INFINITY);
                 continue;
             }
@@ -598,7 +437,10 @@
                 }
             }
         }
-        best.map(|i| (i, self.wait(i, self.occupied(i), size)))
+        best.map(|i| {
+            let (slots, occupied) = (self.slots(i), self.occupied(i));
+            (i, (occupied + size.min(slots) - slots).max(0.0) * self.hold / (slots * self.speed(i)))
+        })
     }
 
     // ---- decisions ----
@@ -617,28 +459,20 @@
                 return Some(Decision::Wake { after: SWEEP });
             }
             if let Some(task) = self.loose.pop() {
-                if let Some(answer) = self.settle(task) {
-                    return Some(answer);
+                let answer = self.settle(task);
+                if answer.is_some() {
+                    return answer;
                 }
                 continue;
             }
-            let (task, line) = if let Some(&task) = self.first.get(self.passed.0) {
-                (task, Stage::First)
-            } else if let Some(&task) = self.further.get(self.passed.1) {
-                (task, Stage::Further)
+            let line = (0..2).find(|&l| self.passed[l] < self.lines[l].len())?;
+            let task = self.lines[line][self.passed[line]];
+            let waits = |t: &Task| t.stage == [Stage::First, Stage::Further][line];
+            let decision = if waits(&self.tasks[task]) { self.place(task) } else { None };
+            if waits(&self.tasks[task]) {
+                self.passed[line] += 1;
             } else {
-                return None;
-            };
-            let decision = if self.tasks[task].stage == line { self.place(task) } else { None };
-            let keep = decision.is_none() && self.tasks[task].stage == line;
-            let (queue, passed) = match line {
-                Stage::First => (&mut self.first, &mut self.passed.0),
-                _ => (&mut self.further, &mut self.passed.1),
-            };
-            if keep {
-                *passed += 1;
-            } else {
-                queue.remove(*passed);
+                self.lines[line].remove(self.passed[line]);
                 self.forget(task);
             }
             if decision.is_some() {
@@ -658,7 +492,7 @@
 
     /// Frees the place of a task that is over and has nothing out.
     fn forget(&mut self, task: usize) {
-        let in_line = self.first.contains(&task) || self.further.contains(&task);
+        let in_line = self.lines.iter().any(|line| line.contains(&task));
         let t = &mut self.tasks[task];
         if t.stage == Stage::Over && t.out() == 0 && !in_line {
             t.stage = Stage::Unused;
@@ -675,6 +509,7 @@
         };
         t.stage = Stage::Over;
         self.call_off(task);
+        self.forget(task);
         if !harmless {
             return Decision::BreakOff { task };
         }
@@ -684,33 +519,26 @@
 
     /// After an ending that was not the end: a further assignment, or the final answer at once.
     fn settle(&mut self, task: usize) -> Option<Decision> {
-        match self.tasks[task].stage {
-            Stage::Over => {
-                self.call_off(task);
-                self.forget(task);
-                None
-            }
-            Stage::Out if self.tasks[task].out() == 0 => {
-                let again = self.tasks[task].assignments.len() < self.sheet.most_assignments
-                    && self.slack(task) > 0.0
-                    && (0..self.workers.len()).any(|i| self.allowed(task, i));
-                if again {
-                    self.tasks[task].stage = Stage::Further;
-                    self.further.push_back(task);
-                    return None;
-                }
-                let answer = self.give_up(task);
-                self.forget(task);
-                Some(answer)
-            }
-            _ => None,
+        if self.tasks[task].stage == Stage::Over {
+            self.call_off(task);
+            self.forget(task);
+        }
+        if self.tasks[task].stage != Stage::Out || self.tasks[task].out() > 0 {
+            return None;
+        }
+        let more = self.tasks[task].assignments.len() < self.sheet.most_assignments;
+        if !more || self.slack(task) <= 0.0 || !(0..self.workers.len()).any(|i| self.allowed(task, i)) {
+            return Some(self.give_up(task));
         }
+        self.tasks[task].stage = Stage::Further;
+        self.lines[1].push_back(task);
+        None
     }
 
     /// A waiting task: to the lowest index; given up as soon as it cannot be in time.
     fn place(&mut self, task: usize) -> Option<Decision> {
         let slack = self.slack(task);
-        let run = self.run(self.tasks[task].workload);
+        let run = self.runs[self.tasks[task].workload].log.exp();
         if let Some((i, wait)) = self.lowest(task) {
             if wait + 0.5 * run / self.speed(i) < slack {
                 return Some(self.assign(task, i));
@@ -749,19 +577,18 @@
         self.look_for_silence();
         for task in 0..self.tasks.len() {
             let t = &self.tasks[task];
-            if !matches!(t.stage, Stage::Out) {
+            if t.stage != Stage::Out {
                 continue;
             }
             let row = &self.sheet.workloads[t.workload];
             let waits = t.assignments.iter().all(|a| a.started.is_none());
-            let (limit, run) = (secs(t.limit) - secs(self.now), self.run(t.workload));
+            let (limit, run) = (secs(t.limit) - secs(self.now), self.runs[t.workload].log.exp());
             let silent = row.effect != Effect::Unrepeatable
                 && t.assignments.iter().any(|a| a.ending.is_none() && self.workers[a.worker].silent);
             let doomed = waits && self.slack(task) + row.stretch * run < 0.5 * run;
             if limit < LAST_CALL || doomed {
                 let answer = self.give_up(task);
                 self.say.push_back(answer);
-                self.forget(task);
             } else if silent || self.should_move(task) {
                 self.call_off(task);
             }
@@ -782,10 +609,7 @@
         let Some(a) = t.assignments.last().filter(|a| a.ending.is_none() && a.started.is_none()) else {
             return false;
         };
-        let free = |i: usize| {
-            let tried = t.assignments.iter().any(|a| a.worker == i);
-            !tried && self.open(i) && self.allowed(task, i) && self.has_room(i, t.size)
-        };
+        let free = |i: usize| self.eligible(task, i) && self.has_room(i, t.size);
         self.sheet.tells_start
             && secs(self.now - a.sent) > MOVE_AFTER
             && t.assignments.len() + 1 < self.sheet.most_assignments
@@ -808,8 +632,7 @@
     fn look_for_silence(&mut self) {
         let Some(gap) = self.sheet.progress_every.map(secs) else { return };
         let now = self.now;
-        let ready = self.workers.iter().filter(|w| w.ready()).count();
-        let most = ((BARRED_SHARE * ready as f64) as usize).max(1);
+        let (ready, most) = self.ready();
         let mut silent = self.workers.iter().filter(|w| w.on_list && w.silent).count();
         for task in 0..self.tasks.len() {
             for k in 0..self.tasks[task].assignments.len() {
@@ -832,11 +655,16 @@
         self.crowded = silent >= most;
     }
 
+    /// Ready workers, and how many of them may be set aside.
+    fn ready(&self) -> (usize, usize) {
+        let ready = self.workers.iter().filter(|w| w.ready()).count();
+        (ready, ((BARRED_SHARE * ready as f64) as usize).max(1))
+    }
+
     /// Bars workers that err far too often, a limited share at a time, for longer each time.
     fn bar(&mut self) {
         let now = self.now;
-        let ready = self.workers.iter().filter(|w| w.ready()).count();
-        let most = ((BARRED_SHARE * ready as f64) as usize).max(1);
+        let (_, most) = self.ready();
         let mut barred = self.workers.iter().filter(|w| w.barred.is_some_and(|until| until > now)).count();
         for i in 0..self.workers.len() {
             let w = &mut self.workers[i];
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -100,6 +100,15 @@
     pub kind: usize,
 }
 
+/// The energy state of a worker as the design page derives it from the own tasks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Energy {
+    #[default]
+    Off,
+    Setup,
+    Busy,
+}
+
 /// How an assignment ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
--- a/tests/index.rs
+++ b/tests/index.rs
@@ -1,4 +1,5 @@
-use tindock::rules::{whittle, Energy};
+use tindock::rules::whittle;
+use tindock::terms::Energy;
 
 #[test]
 fn placeholder_of_the_formula() {
