Tasks bound to a group may return to a worker they left only waiting

Cause of the loss before: under overload idempotent tasks moved in circles and lost every queue place.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -390,10 +390,12 @@
         let (t, w) = (&self.tasks[task], &self.workers[i]);
         // A worker back from being barred proves itself on one task at a time.
         let trickles = w.spells > 0 && w.errors > 0.2 && w.n > 0.0;
-        !trickles
-            && self.open(i)
-            && self.allowed(task, i)
-            && t.assignments.last().is_none_or(|a| a.worker != i)
+        // A task may move back to a worker that it left only waiting, never at once.
+        let last = t.assignments.len().wrapping_sub(1);
+        let few = self.sheet.workloads[t.workload].effect != Effect::Idempotent;
+        let left = |a: &Assignment| few && a.ending == Some(Ending::Cancelled) && a.started.is_none();
+        let mut tried = t.assignments.iter().enumerate().filter(|(_, a)| a.worker == i);
+        !trickles && self.open(i) && self.allowed(task, i) && tried.all(|(k, a)| k != last && left(a))
     }
 
     /// The worker of the lowest index among those open to the task, ties by chance, and the wait there.
@@ -530,7 +532,7 @@
             return None;
         }
         let more = self.tasks[task].assignments.len() < self.sheet.most_assignments;
-        if !more || self.slack(task) <= 0.0 || !(0..self.workers.len()).any(|i| self.eligible(task, i)) {
+        if !more || self.slack(task) <= 0.0 || !(0..self.workers.len()).any(|i| self.allowed(task, i)) {
             return Some(self.give_up(task));
         }
         self.tasks[task].stage = Stage::Further;
