--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -40,6 +40,10 @@
     }
 }
 
+fn site(worker: usize) -> Site {
+    Site { zone: worker % 2, cell: worker % 2, kind: usize::from(worker > 1) }
+}
+
 pub struct Desk {
     pub rules: Rules,
     pub now: u64,
@@ -47,13 +51,13 @@
 }
 
 impl Desk {
-    /// A scheduler with this many warm workers of two slots, each in a zone of its own number modulo two.
+    /// A scheduler with this many warm workers of two slots: odd ones in zone 1, those from 2 on of kind 1.
     pub fn new(sheet: DutySheet, workers: usize) -> Self {
         let mut desk = Desk { rules: Rules::new(sheet, 7, ms(1000)), now: 1000, trace: String::new() };
         desk.rules.clock(ms(1000));
         desk.rules.list_begins(true);
         for i in 0..workers {
-            desk.rules.listed(i, Site { zone: i % 2, cell: i % 2, kind: 0 }, 2.0, Condition::Ready, None);
+            desk.rules.listed(i, site(i), 2.0, Condition::Ready, None);
         }
         desk.pull();
         desk
@@ -81,8 +85,7 @@
 
     pub fn list(&mut self, worker: usize, condition: Condition, booted: Option<u64>) {
         self.rules.list_begins(false);
-        let site = Site { zone: worker % 2, cell: worker % 2, kind: 0 };
-        self.rules.listed(worker, site, 2.0, condition, booted.map(ms));
+        self.rules.listed(worker, site(worker), 2.0, condition, booted.map(ms));
         self.pull();
     }
 
@@ -98,11 +101,12 @@
         self.pull();
     }
 
-    /// A task that starts at once and runs this long.
-    pub fn run(&mut self, workload: usize, span: u64) {
+    /// A task that starts at once and runs this long on a worker of kind 0 and of kind 1.
+    pub fn run(&mut self, workload: usize, spans: [u64; 2]) {
         let task = self.arrive(workload);
         self.rules.started(task, 0);
-        let then = self.now + span;
+        let worker = self.trace.trim_end().chars().last().and_then(|c| c.to_digit(10)).unwrap_or(0);
+        let then = self.now + spans[usize::from(worker > 1)];
         self.at(then).rules.ended(task, 0, Ending::Finished, true);
         self.pull();
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -40,6 +40,10 @@
 #[test]
 fn a_faster_worker_is_filled_first_and_ties_are_spread() {
     let mut desk = Desk::new(duty(&[Effect::Idempotent]), 4);
+    for _ in 0..80 {
+        desk.run(0, [300, 700]);
+    }
+    desk.trace.clear();
     for _ in 0..8 {
         desk.arrive(0);
     }
