--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,6 +28,7 @@
 const HIDDEN_SPAN: f64 = 2.0; // what others have on a worker is forgotten over this: about a task or two
 const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
 const CROSSING: f64 = 20.0; // weight of the price of crossing zones in the index: a crossing costs a place
+const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
 const COLD_ROOM: f64 = 0.4; // part of a cold budget that is used: tasks run long, schedulers coincide
 
 /// The paper's Whittle index (Theorem 1 with holding cost 1 and beta 0) of a worker with `n` in it.
@@ -105,7 +106,6 @@
 
     pub fn clock(&mut self, now: Duration) {
         self.now = now;
-        self.passed = [0, 0];
     }
 
     pub fn bell(&mut self) {
@@ -545,6 +545,11 @@
         let slack = self.slack(task);
         let run = self.runs[self.tasks[task].workload].log.exp();
         if let Some((i, wait)) = self.lowest(task) {
+            // Queues at workers serve in order, so what waits there delays what is worth more: only the
+            // workloads of the highest utility per work may queue, others wait here until there is room.
+            if wait > 0.0 && slack > 0.5 * run && !self.may_queue(task) {
+                return None;
+            }
             if wait + 0.5 * run / self.speed(i) < slack {
                 return Some(self.assign(task, i));
             }
@@ -553,6 +558,15 @@
         (slack < 0.5 * run).then(|| self.give_up(task))
     }
 
+    fn density(&self, workload: usize) -> f64 {
+        self.sheet.workloads[workload].utility / self.runs[workload].mean
+    }
+
+    fn may_queue(&self, task: usize) -> bool {
+        let best = (0..self.runs.len()).map(|w| self.density(w)).fold(0.0, f64::max);
+        self.density(self.tasks[task].workload) >= QUEUE_SHARE * best
+    }
+
     fn assign(&mut self, task: usize, i: usize) -> Decision {
         let now = self.now;
         let work = self.runs[self.tasks[task].workload].mean * self.tasks[task].size;
@@ -579,6 +593,14 @@
 
     /// Looks over all that is out: silence, doomed tasks, hard limits, the list and probes.
     fn sweep(&mut self) {
+        // Tasks that wait here are looked at again, first those of the highest utility per work.
+        self.passed = [0, 0];
+        for line in 0..2 {
+            let mut waiting = std::mem::take(&mut self.lines[line]);
+            let density = |t: &usize| self.density(self.tasks[*t].workload);
+            waiting.make_contiguous().sort_by(|x, y| density(y).total_cmp(&density(x)));
+            self.lines[line] = waiting;
+        }
         self.look_for_silence();
         for task in 0..self.tasks.len() {
             let t = &self.tasks[task];
