--- a/src/rules.rs
+++ b/src/rules.rs
@@ -336,7 +336,7 @@
     }
 
     fn has_room(&self, i: usize, size: f64) -> bool {
-        self.occupied(i) + size <= self.slots(i) + 0.3
+        self.occupied(i) + size <= self.slots(i) + 0.5
     }
 
     /// Time left in which a task must have waited and run to be in time.
@@ -543,11 +543,11 @@
     /// A waiting task: to the lowest index; given up as soon as it cannot be in time.
     fn place(&mut self, task: usize) -> Option<Decision> {
         let slack = self.slack(task);
-        let run = self.runs[self.tasks[task].workload].log.exp();
+        let (size, run) = (self.tasks[task].size, self.runs[self.tasks[task].workload].log.exp());
         if let Some((i, wait)) = self.lowest(task) {
             // Queues at workers serve in order, so what waits there delays what is worth more: only the
             // workloads of the highest utility per work may queue, others wait here until there is room.
-            if wait > 0.0 && slack > 0.5 * run && !self.may_queue(task) {
+            if !self.has_room(i, size) && slack > 0.5 * run && !self.may_queue(task) {
                 return None;
             }
             if wait + 0.5 * run / self.speed(i) < slack {
