--- a/src/rules.rs
+++ b/src/rules.rs
@@ -651,7 +651,8 @@
         let (hidden, slots) =
             seen.fold((0.0, 0.0), |(h, s), i| (h + self.workers[i].hidden, s + self.slots(i)));
         if slots > 0.0 {
-            self.others += 0.02 * ((hidden / slots).min(1.5) - self.others);
+            // Guards against a lock-out: a worker not seen lately must look as if it had some room.
+            self.others += 0.02 * ((hidden / slots).min(0.5) - self.others);
         }
     }
 
