--- a/src/rules.rs
+++ b/src/rules.rs
@@ -74,7 +74,7 @@
     arrivals_at: Duration,
     setup: f64,
     others: f64,
-    scores: Vec<f64>,
+    scores: Vec<(usize, u8, f64)>,
     sweep_due: bool,
     armed: bool,
     subscribed: bool,
@@ -398,54 +398,53 @@
         !trickles && self.open(i) && self.allowed(task, i) && tried.all(|(k, a)| k != last && left(a))
     }
 
-    /// The worker of the lowest index among those open to the task, ties by chance, and the wait there.
-    fn lowest(&mut self, task: usize) -> Option<(usize, f64)> {
-        let (lambda, size) = (self.lambda(), self.tasks[task].size);
-        let (mut sum, mut count) = (0.0, 0.0);
-        self.scores.clear();
-        for i in 0..self.workers.len() {
-            let w = &self.workers[i];
-            if !self.eligible(task, i) {
-                self.scores.push(f64::INFINITY);
-                continue;
-            }
-            let mu = self.slots(i) * self.speed(i) * self.warmth(i) / self.hold;
+    /// The worker of the lowest index among those open to the task, ties by chance; and whether the task
+    /// has room there (2), would wait but be in time (1), or would be late (0).
+    fn lowest(&mut self, task: usize) -> Option<(usize, u8)> {
+        let (lambda, slack, t) = (self.lambda(), self.slack(task), &self.tasks[task]);
+        let run = self.runs[t.workload].log.exp();
+        let (mut sum, mut count, mut best_tier) = (0.0, 0.0, 0);
+        let mut scores = std::mem::take(&mut self.scores);
+        scores.clear();
+        for i in (0..self.workers.len()).filter(|&i| self.eligible(task, i)) {
+            let (w, slots, speed, occupied) =
+                (&self.workers[i], self.slots(i), self.speed(i), self.occupied(i));
+            let mu = slots * speed * self.warmth(i) / self.hold;
             let delta = (1.0 / self.setup.max(1e-3)).max(1.05 * mu);
             let idle = w.n == 0.0 && secs(self.now.saturating_sub(w.used)) > IDLE_WINDOW;
             let energy = if idle { Energy::Off } else { w.energy };
             let crossing = if w.site.zone == self.sheet.zone { 0.0 } else { self.sheet.price_crossing };
-            let index = whittle(self.occupied(i), energy, lambda, mu, delta) * (1.0 + CROSSING * crossing);
+            let index = whittle(occupied, energy, lambda, mu, delta) * (1.0 + CROSSING * crossing);
             if !w.fresh {
                 (sum, count) = (sum + index, count + 1.0);
             }
-            self.scores.push(index);
+            // Guards against late answers: workers where the task is in time come first, of these the
+            // ones with room for it; the index decides among the best there are.
+            let over = occupied + t.size.min(slots) - slots - 0.5;
+            let in_time = over.max(0.0) * self.hold / (slots * speed) + 0.5 * run / speed < slack;
+            let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0));
+            best_tier = best_tier.max(tier);
+            scores.push((i, tier, index));
         }
-        // A task that would wait here though others have its slots free: those with room come first.
-        let room = (0..self.workers.len()).any(|i| self.scores[i] < f64::INFINITY && self.has_room(i, size));
         let (mut best, mut lowest, mut ties) = (None, f64::INFINITY, 0u64);
-        for i in 0..self.workers.len() {
-            let (w, mut index) = (&self.workers[i], self.scores[i]);
-            if room && !self.has_room(i, size) {
-                continue;
-            }
-            if w.fresh && count > 0.0 && index < f64::INFINITY {
+        for &(i, tier, mut index) in scores.iter().filter(|(_, tier, _)| *tier == best_tier) {
+            let w = &self.workers[i];
+            if w.fresh && count > 0.0 {
                 // A new or returning worker stands at the others' mean until its first completion; the mean
                 // is never the lowest, so with nothing of ours it is tried on its own index if that is less.
                 index = if w.n > 0.0 { index.max(sum / count) } else { index.min(sum / count) };
             }
             if index < lowest * (1.0 - 1e-9) {
-                (best, lowest, ties) = (Some(i), index, 1);
-            } else if index <= lowest * (1.0 + 1e-9) && index < f64::INFINITY {
+                (best, lowest, ties) = (Some((i, tier)), index, 1);
+            } else if index <= lowest * (1.0 + 1e-9) {
                 ties += 1;
                 if self.chance.0.rand_range(0..ties) == 0 {
-                    best = Some(i);
+                    best = Some((i, tier));
                 }
             }
         }
-        best.map(|i| {
-            let (slots, occupied) = (self.slots(i), self.occupied(i));
-            (i, (occupied + size.min(slots) - slots).max(0.0) * self.hold / (slots * self.speed(i)))
-        })
+        self.scores = scores;
+        best
     }
 
     // ---- decisions ----
@@ -543,17 +542,14 @@
     /// A waiting task: to the lowest index; given up as soon as it cannot be in time.
     fn place(&mut self, task: usize) -> Option<Decision> {
         let slack = self.slack(task);
-        let (size, run) = (self.tasks[task].size, self.runs[self.tasks[task].workload].log.exp());
-        if let Some((i, wait)) = self.lowest(task) {
-            // Queues at workers serve in order, so what waits there delays what is worth more: only the
-            // workloads of the highest utility per work may queue, others wait here until there is room.
-            if !self.has_room(i, size) && slack > 0.5 * run && !self.may_queue(task) {
-                return None;
-            }
-            if wait + 0.5 * run / self.speed(i) < slack {
-                return Some(self.assign(task, i));
-            }
-            return Some(self.give_up(task));
+        let run = self.runs[self.tasks[task].workload].log.exp();
+        // Queues at workers serve in order, so what waits there delays what is worth more: only the
+        // workloads of the highest utility per work may queue, others wait here until there is room.
+        match self.lowest(task) {
+            Some((i, 2)) => return Some(self.assign(task, i)),
+            Some((i, 1)) if self.may_queue(task) => return Some(self.assign(task, i)),
+            Some((_, 0)) => return Some(self.give_up(task)),
+            _ => {}
         }
         (slack < 0.5 * run).then(|| self.give_up(task))
     }
