--- a/src/rules.rs
+++ b/src/rules.rs
@@ -421,7 +421,7 @@
             // Guards against late answers: workers where the task is in time come first, of these the
             // ones with room for it; the index decides among the best there are.
             let over = occupied + t.size.min(slots) - slots - 0.5;
-            let in_time = over.max(0.0) * self.hold / (slots * speed) + 0.5 * run / speed < slack;
+            let in_time = over.max(0.0) * self.hold / (slots * speed) + run / speed < slack;
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0));
             best_tier = best_tier.max(tier);
             scores.push((i, tier, index));
