--- a/src/rules.rs
+++ b/src/rules.rs
@@ -335,8 +335,9 @@
         known.max(least)
     }
 
+    /// Whether a slot is surely free for the task, not just by rounding.
     fn has_room(&self, i: usize, size: f64) -> bool {
-        self.occupied(i) + size <= self.slots(i) + 0.5
+        self.occupied(i) + size <= self.slots(i) + 0.1
     }
 
     /// Time left in which a task must have waited and run to be in time.
