Round room less for tasks of several slots

Cause: tasks of four slots were sent to workers with one probably taken and, bound to their zone, waited there.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -421,7 +421,8 @@
             }
             // Guards against late answers: workers where the task is in time come first, of these the
             // ones with room for it; the index decides among the best there are.
-            let over = occupied + t.size.min(slots) - slots - 0.5;
+            // Half a slot is rounding for a task of one; one that needs several must not miss any.
+            let over = occupied + t.size.min(slots) - slots - 0.5 / t.size;
             let in_time = over.max(0.0) * self.hold / (slots * speed) + run / speed < slack;
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0));
             best_tier = best_tier.max(tier);
