--- a/src/books.rs
+++ b/src/books.rs
@@ -57,6 +57,8 @@
     pub heard: Duration,
     /// Own slots on the worker when it was sent.
     pub ahead: f64,
+    /// The wait in a queue that was expected then.
+    pub queue: f64,
     pub cold: bool,
     pub ending: Option<Ending>,
     pub called_off: bool,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -74,7 +74,7 @@
     arrivals_at: Duration,
     setup: f64,
     others: f64,
-    scores: Vec<(usize, u8, f64)>,
+    scores: Vec<(usize, u8, f64, f64)>,
     sweep_due: bool,
     armed: bool,
     subscribed: bool,
@@ -82,6 +82,7 @@
     ask_failures: u32,
     crowded: bool,
     probes: f64,
+    misjudged: f64,
 }
 
 fn secs(d: Duration) -> f64 {
@@ -186,6 +187,10 @@
         let w = &mut self.workers[i];
         (w.running, w.silent) = (w.running + size, false);
         w.waiting.retain(|x| *x != (task, number));
+        // Guards against queues of others that are not seen: what waits run over their estimate is learned.
+        if a.queue > 0.0 {
+            self.misjudged = (self.misjudged + 0.1 * (wait - a.queue)).max(0.0);
+        }
         // The wait tells what others had there: nothing beyond the free slots, or all that left before.
         let sample = if wait > AT_ONCE {
             (slots + wait * slots * speed / hold - ahead - size).max(0.0)
@@ -401,7 +406,7 @@
 
     /// The worker of the lowest index among those open to the task, ties by chance; and whether the task
     /// has room there (2), would wait but be in time (1), or would be late (0).
-    fn lowest(&mut self, task: usize) -> Option<(usize, u8)> {
+    fn lowest(&mut self, task: usize) -> Option<(usize, u8, f64)> {
         let (lambda, slack, t) = (self.lambda(), self.slack(task), &self.tasks[task]);
         let run = self.runs[t.workload].log.exp();
         let (mut sum, mut count, mut best_tier) = (0.0, 0.0, 0);
@@ -423,13 +428,14 @@
             // ones with room for it; the index decides among the best there are.
             // Half a slot is rounding for a task of one; one that needs several must not miss any.
             let over = occupied + t.size.min(slots) - slots - 0.5 / t.size;
-            let in_time = over.max(0.0) * self.hold / (slots * speed) + run / speed < slack;
+            let queue = if over > 0.0 { over * self.hold / (slots * speed) + self.misjudged } else { 0.0 };
+            let in_time = queue + run / speed < slack;
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0));
             best_tier = best_tier.max(tier);
-            scores.push((i, tier, index));
+            scores.push((i, tier, index, queue));
         }
         let (mut best, mut lowest, mut ties) = (None, f64::INFINITY, 0u64);
-        for &(i, tier, mut index) in scores.iter().filter(|(_, tier, _)| *tier == best_tier) {
+        for &(i, tier, mut index, queue) in scores.iter().filter(|s| s.1 == best_tier) {
             let w = &self.workers[i];
             if w.fresh && count > 0.0 {
                 // A new or returning worker stands at the others' mean until its first completion; the mean
@@ -437,11 +443,11 @@
                 index = if w.n > 0.0 { index.max(sum / count) } else { index.min(sum / count) };
             }
             if index < lowest * (1.0 - 1e-9) {
-                (best, lowest, ties) = (Some((i, tier)), index, 1);
+                (best, lowest, ties) = (Some((i, tier, queue)), index, 1);
             } else if index <= lowest * (1.0 + 1e-9) {
                 ties += 1;
                 if self.chance.0.rand_range(0..ties) == 0 {
-                    best = Some((i, tier));
+                    best = Some((i, tier, queue));
                 }
             }
         }
@@ -548,9 +554,9 @@
         // Queues at workers serve in order, so what waits there delays what is worth more: only the
         // workloads of the highest utility per work may queue, others wait here until there is room.
         match self.lowest(task) {
-            Some((i, 2)) => return Some(self.assign(task, i)),
-            Some((i, 1)) if self.may_queue(task) => return Some(self.assign(task, i)),
-            Some((_, 0)) => return Some(self.give_up(task)),
+            Some((i, 2, _)) => return Some(self.assign(task, i, 0.0)),
+            Some((i, 1, queue)) if self.may_queue(task) => return Some(self.assign(task, i, queue)),
+            Some((_, 0, _)) => return Some(self.give_up(task)),
             _ => {}
         }
         (slack < 0.5 * run).then(|| self.give_up(task))
@@ -565,7 +571,7 @@
         self.density(self.tasks[task].workload) >= QUEUE_SHARE * best
     }
 
-    fn assign(&mut self, task: usize, i: usize) -> Decision {
+    fn assign(&mut self, task: usize, i: usize, queue: f64) -> Decision {
         let now = self.now;
         let work = self.runs[self.tasks[task].workload].mean * self.tasks[task].size;
         let pause = self.pause(i, work);
@@ -578,8 +584,17 @@
         let number = t.assignments.len();
         let (ahead, called_off) = (w.n, false);
         let (started, ending) = (None, None);
-        let a =
-            Assignment { worker: i, sent: now, started, heard: now, ahead, cold: off, ending, called_off };
+        let a = Assignment {
+            worker: i,
+            sent: now,
+            started,
+            heard: now,
+            ahead,
+            queue,
+            cold: off,
+            ending,
+            called_off,
+        };
         t.assignments.push(a);
         w.n += t.size;
         w.used = now;
@@ -591,7 +606,8 @@
 
     /// Looks over all that is out: silence, doomed tasks, hard limits, the list and probes.
     fn sweep(&mut self) {
-        // Tasks that wait here are looked at again, first those of the highest utility per work.
+        self.misjudged *= 0.998; // forgotten in some 12 s, or nothing would queue and be learned from
+                                 // Tasks that wait here are looked at again, first those of the highest utility per work.
         self.passed = [0, 0];
         for line in 0..2 {
             let mut waiting = std::mem::take(&mut self.lines[line]);
