--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,7 +26,7 @@
 const ERROR_STEP: f64 = 0.3; // weight of one ending in that share: quick, since errors return at once
 const BARRED_SHARE: f64 = 0.34; // at most this share of the ready workers is set aside at a time
 const HIDDEN_SPAN: f64 = 2.0; // what others have on a worker is forgotten over this: about a task or two
-const PROBE_SPEND: f64 = 0.006; // what probes may cost a task, as a share of the whole utility
+const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
 const CROSSING: f64 = 20.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
 const COLD_ROOM: f64 = 0.4; // part of a cold budget that is used: tasks run long, schedulers coincide
@@ -191,15 +191,16 @@
         if a.queue > 0.0 {
             self.misjudged = (self.misjudged + 0.1 * (wait - a.queue)).max(0.0);
         }
-        // The wait tells what others had there: nothing beyond the free slots, or all that left before.
+        let kind = &mut self.kinds[w.site.kind];
+        kind.slots = kind.slots.max(w.running);
+        // The wait tells what others had there: all that had to leave before, or at most the free slots,
+        // of which they have some part.
         let sample = if wait > AT_ONCE {
             (slots + wait * slots * speed / hold - ahead - size).max(0.0)
         } else {
-            w.hidden.min((slots - ahead - size).max(0.0))
+            self.hidden(i).min(0.6 * (slots - ahead - size).max(0.0))
         };
-        (w.hidden, w.seen) = (w.hidden + 0.4 * (sample - w.hidden), now);
-        let kind = &mut self.kinds[w.site.kind];
-        kind.slots = kind.slots.max(w.running);
+        self.see(i, sample, 0.4);
     }
 
     pub fn progressed(&mut self, task: usize, number: usize, _share: f64) {
@@ -232,12 +233,10 @@
             }
             // Called off while it waited: whatever was free is taken by others.
             Ending::Cancelled if a.started.is_none() && secs(now - a.sent) > AT_ONCE => {
-                let slots = self.slots(i);
-                let w = &mut self.workers[i];
-                (w.hidden, w.seen) = (w.hidden.max(slots - w.n), now);
+                self.see(i, self.hidden(i).max(self.slots(i) - self.workers[i].n), 1.0);
             }
             // A full worker is as busy as can be: others have what the own tasks do not.
-            Ending::Full => (w.hidden, w.seen) = (w.hidden.max(2.0 * w.weight), now),
+            Ending::Full => self.see(i, self.hidden(i).max(2.0 * self.slots(i)), 1.0),
             _ => {}
         }
         if over {
@@ -261,9 +260,7 @@
         let kind = &mut self.kinds[self.workers[i].site.kind];
         kind.slots = kind.slots.max(free.round());
         let slots = self.slots(i);
-        let w = &mut self.workers[i];
-        let others = ((slots - free).max(0.0) + waiting * 1.3 - w.n).max(0.0);
-        (w.hidden, w.seen) = (w.hidden + 0.6 * (others - w.hidden), self.now);
+        self.see(i, ((slots - free).max(0.0) + waiting * 1.3 - self.workers[i].n).max(0.0), 0.6);
     }
 
     // ---- what follows from what is known ----
@@ -328,12 +325,21 @@
         self.hold += 0.02 * size.min(4.0) * (plain - self.hold);
     }
 
+    /// Slots that others have on a worker: as last seen, fading into their share of the whole fleet.
+    fn hidden(&self, i: usize) -> f64 {
+        let fade = self.fade(self.workers[i].seen, HIDDEN_SPAN);
+        self.workers[i].hidden * fade + self.others * self.slots(i) * (1.0 - fade)
+    }
+
+    fn see(&mut self, i: usize, hidden: f64, weight: f64) {
+        let old = self.hidden(i);
+        (self.workers[i].hidden, self.workers[i].seen) = (old + weight * (hidden - old), self.now);
+    }
+
     /// Slots in use or waited for on a worker, others' included.
     fn occupied(&self, i: usize) -> f64 {
         let w = &self.workers[i];
-        let fade = self.fade(w.seen, HIDDEN_SPAN);
-        let slots = self.slots(i);
-        let known = w.n + w.hidden * fade + self.others * slots * (1.0 - fade);
+        let (slots, known) = (self.slots(i), w.n + self.hidden(i));
         let late = |&(t, k): &(usize, usize)| secs(self.now - self.tasks[t].assignments[k].sent) > AT_ONCE;
         // Served in order: while an own task waits, all slots are taken.
         let least = if w.waiting.front().is_some_and(late) { slots + w.n - w.running } else { 0.0 };
@@ -662,8 +668,7 @@
     fn others_share(&mut self) {
         let lately = |w: &Worker| w.on_list && secs(self.now.saturating_sub(w.seen)) < HIDDEN_SPAN;
         let seen = (0..self.workers.len()).filter(|&i| lately(&self.workers[i]));
-        let (hidden, slots) =
-            seen.fold((0.0, 0.0), |(h, s), i| (h + self.workers[i].hidden, s + self.slots(i)));
+        let (hidden, slots) = seen.fold((0.0, 0.0), |(h, s), i| (h + self.hidden(i), s + self.slots(i)));
         if slots > 0.0 {
             // Guards against a lock-out: a worker not seen lately must look as if it had some room.
             self.others += 0.02 * ((hidden / slots).min(0.5) - self.others);
