--- a/src/rules.rs
+++ b/src/rules.rs
@@ -645,6 +645,7 @@
             self.say.push_back(Decision::Subscribe);
         }
         self.others_share();
+        self.level();
         self.bar();
         self.probe();
     }
@@ -664,6 +665,20 @@
             && (0..self.workers.len()).any(free)
     }
 
+    /// Guards against drift: only run / speed is seen, so the mean speed of the fleet's slots is kept at 1.
+    fn level(&mut self) {
+        let listed = (0..self.workers.len()).filter(|&i| self.workers[i].on_list);
+        let (sum, slots) = listed.fold((0.0, 0.0), |(sum, slots), i| {
+            (sum + self.kinds[self.workers[i].site.kind].speed * self.slots(i), slots + self.slots(i))
+        });
+        let mean = if slots > 0.0 { sum / slots } else { 0.0 };
+        self.kinds.iter_mut().for_each(|kind| kind.speed -= mean);
+        self.hold *= (-mean).exp();
+        for r in &mut self.runs {
+            (r.log, r.mean) = (r.log - mean, r.mean * (-mean).exp());
+        }
+    }
+
     /// Learns what share of the slots others hold on the whole, from the workers seen lately.
     fn others_share(&mut self) {
         let lately = |w: &Worker| w.on_list && secs(self.now.saturating_sub(w.seen)) < HIDDEN_SPAN;
