--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,7 +29,7 @@
 const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
 const CROSSING: f64 = 20.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
-const IN_TIME: f64 = 0.75; // part of the time left that wait and run may take by estimate: both spread widely
+const IN_TIME: f64 = 0.6; // part of the time left that wait and run may take by estimate: both spread widely
 const COLD_ROOM: f64 = 0.4; // part of a cold budget that is used: tasks run long, schedulers coincide
 
 /// The paper's Whittle index (Theorem 1 with holding cost 1 and beta 0) of a worker with `n` in it.
