--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,7 +30,7 @@
 const CROSSING: f64 = 20.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
 const IN_TIME: f64 = 0.6; // part of the time left that wait and run may take by estimate: both spread widely
-const SHORT: f64 = 0.8; // share of slots taken at which capacity counts as short; 0.1 less ends it
+const SHORT: f64 = 0.7; // share of slots taken at which capacity counts as short; 0.1 less ends it
 const COLD_ROOM: f64 = 0.4; // part of a cold budget that is used: tasks run long, schedulers coincide
 
 /// The paper's Whittle index (Theorem 1 with holding cost 1 and beta 0) of a worker with `n` in it.
@@ -560,8 +560,9 @@
     fn place(&mut self, task: usize) -> Option<Decision> {
         let slack = self.slack(task);
         let run = self.runs[self.tasks[task].workload].log.exp();
-        // Queues at workers serve in order, so what waits there delays what is worth more: when capacity is
-        // short only the highest utility per work may queue, the rest waits here until there is room.
+        // Queues at workers serve in order, so what waits there delays what is worth more: only the highest
+        // utility per work may queue, and what needs several slots, which seldom are free at once, while
+        // capacity is not short. The rest waits here until there is room.
         match self.lowest(task) {
             Some((i, 2, _)) => return Some(self.assign(task, i, 0.0)),
             Some((i, 1, queue)) if self.may_queue(task) => return Some(self.assign(task, i, queue)),
@@ -577,7 +578,8 @@
 
     fn may_queue(&self, task: usize) -> bool {
         let best = (0..self.runs.len()).map(|w| self.density(w)).fold(0.0, f64::max);
-        !self.short || self.density(self.tasks[task].workload) >= QUEUE_SHARE * best
+        let large = self.tasks[task].size > 1.0 && !self.short;
+        large || self.density(self.tasks[task].workload) >= QUEUE_SHARE * best
     }
 
     fn assign(&mut self, task: usize, i: usize, queue: f64) -> Decision {
