--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,7 +30,6 @@
 const CROSSING: f64 = 20.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
 const IN_TIME: f64 = 0.6; // part of the time left that wait and run may take by estimate: both spread widely
-const SHORT: f64 = 0.7; // share of slots taken at which capacity counts as short; 0.1 less ends it
 const COLD_ROOM: f64 = 0.4; // part of a cold budget that is used: tasks run long, schedulers coincide
 
 /// The paper's Whittle index (Theorem 1 with holding cost 1 and beta 0) of a worker with `n` in it.
@@ -85,7 +84,6 @@
     crowded: bool,
     probes: f64,
     misjudged: f64,
-    short: bool,
 }
 
 fn secs(d: Duration) -> f64 {
@@ -419,6 +417,7 @@
         let (lambda, slack, t) = (self.lambda(), self.slack(task), &self.tasks[task]);
         let run = self.runs[t.workload].log.exp();
         let (mut sum, mut count, mut best_tier) = (0.0, 0.0, 0);
+        let queues = self.may_queue(task);
         let mut scores = std::mem::take(&mut self.scores);
         scores.clear();
         for i in (0..self.workers.len()).filter(|&i| self.eligible(task, i)) {
@@ -435,8 +434,8 @@
             }
             // Guards against late answers: workers where the task is in time come first, of these the
             // ones with room for it; the index decides among the best there are.
-            // Half a slot is rounding for a task of one; one that needs several must not miss any.
-            let over = occupied + t.size.min(slots) - slots - 0.5 / t.size;
+            // Half a slot is rounding, less for several slots: but what may not queue would wait for ever.
+            let over = occupied + t.size.min(slots) - slots - if queues { 0.5 / t.size } else { 0.5 };
             let queue = if over > 0.0 { over * self.hold / (slots * speed) + self.misjudged } else { 0.0 };
             let in_time = queue + run / speed < IN_TIME * slack;
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0));
@@ -560,9 +559,8 @@
     fn place(&mut self, task: usize) -> Option<Decision> {
         let slack = self.slack(task);
         let run = self.runs[self.tasks[task].workload].log.exp();
-        // Queues at workers serve in order, so what waits there delays what is worth more: only the highest
-        // utility per work may queue, and what needs several slots, which seldom are free at once, while
-        // capacity is not short. The rest waits here until there is room.
+        // Queues at workers serve in order, so what waits there delays what is worth more: only the
+        // workloads of the highest utility per work may queue, others wait here until there is room.
         match self.lowest(task) {
             Some((i, 2, _)) => return Some(self.assign(task, i, 0.0)),
             Some((i, 1, queue)) if self.may_queue(task) => return Some(self.assign(task, i, queue)),
@@ -578,8 +576,7 @@
 
     fn may_queue(&self, task: usize) -> bool {
         let best = (0..self.runs.len()).map(|w| self.density(w)).fold(0.0, f64::max);
-        let large = self.tasks[task].size > 1.0 && !self.short;
-        large || self.density(self.tasks[task].workload) >= QUEUE_SHARE * best
+        self.density(self.tasks[task].workload) >= QUEUE_SHARE * best
     }
 
     fn assign(&mut self, task: usize, i: usize, queue: f64) -> Decision {
@@ -650,7 +647,6 @@
             self.say.push_back(Decision::Subscribe);
         }
         self.others_share();
-        self.look_for_shortage();
         self.level();
         self.bar();
         self.probe();
@@ -685,18 +681,6 @@
         }
     }
 
-    /// Capacity is short when most slots of the ready workers are taken, as far as can be told.
-    fn look_for_shortage(&mut self) {
-        let ready = (0..self.workers.len()).filter(|&i| self.workers[i].ready());
-        let (taken, slots) = ready.fold((0.0, 0.0), |(t, s), i| (t + self.occupied(i), s + self.slots(i)));
-        let short = taken >= slots * if self.short { SHORT - 0.1 } else { SHORT };
-        if short != self.short {
-            self.short = short;
-            let word = if short { "short" } else { "enough" };
-            self.log(format!("capacity {word}: {taken:.1} of {slots:.1} slots taken"));
-        }
-    }
-
     /// Learns what share of the slots others hold on the whole, from the workers seen lately.
     fn others_share(&mut self) {
         let lately = |w: &Worker| w.on_list && secs(self.now.saturating_sub(w.seen)) < HIDDEN_SPAN;
