--- a/src/books.rs
+++ b/src/books.rs
@@ -83,6 +83,7 @@
     pub stage: Stage,
     pub workload: usize,
     pub size: f64,
+    pub utility: f64,
     pub born: Duration,
     pub limit: Duration,
     pub assignments: Vec<Assignment>,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,6 +30,7 @@
 const CROSSING: f64 = 20.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
 const IN_TIME: f64 = 0.6; // part of the time left that wait and run may take by estimate: both spread widely
+const SHARE_SPAN: f64 = 2.0; // a customer may save up its share for this long: arrivals come in clumps
 const COLD_ROOM: f64 = 0.4; // part of a cold budget that is used: tasks run long, schedulers coincide
 
 /// The paper's Whittle index (Theorem 1 with holding cost 1 and beta 0) of a worker with `n` in it.
@@ -84,6 +85,8 @@
     crowded: bool,
     probes: f64,
     misjudged: f64,
+    mine: f64,
+    shares: Vec<(Duration, f64)>,
 }
 
 fn secs(d: Duration) -> f64 {
@@ -99,9 +102,9 @@
         let subscribed = sheet.news == News::Pushed;
         let chance = Chance(Rand64::new(u128::from(seed)));
         // Others' share and the setup time start at guesses that the first answers replace.
-        let (others, setup, sweep_due) = (0.2, hold / 16.0, true);
+        let (others, setup, sweep_due, mine) = (0.2, hold / 16.0, true, 1.0 / sheet.schedulers as f64);
         let times = Rules { now, start: now, arrivals_at: now, ask_at: now, ..Rules::default() };
-        Rules { chance, runs, hold, setup, others, sweep_due, subscribed, sheet, ..times }
+        Rules { chance, runs, hold, setup, others, mine, sweep_due, subscribed, sheet, ..times }
     }
 
     // ---- inputs: they only update what is known ----
@@ -152,11 +155,21 @@
         self.ask_at = self.now + Duration::from_secs_f64(pause);
     }
 
-    pub fn arrived(&mut self, workload: usize, size: f64, left: Duration, _customer: usize) -> usize {
+    pub fn arrived(&mut self, workload: usize, size: f64, left: Duration, customer: usize) -> usize {
         let size = size.max(1.0);
         self.arrivals = self.arrivals * self.fade(self.arrivals_at, RATE_SPAN) + size;
         self.arrivals_at = self.now;
         self.probes = (self.probes + PROBE_SPEND / self.sheet.price_probe.max(1e-4)).min(4.0);
+        // Guards against one customer's rush crowding out the others: beyond the own part of its share, a
+        // task has only the utility that the site gives it there.
+        let mut utility = self.sheet.workloads[workload].utility;
+        if let Some(quota) = self.sheet.quotas.get(customer).map(|q| q * self.mine) {
+            self.shares.resize(self.sheet.quotas.len(), (self.now, 1.0));
+            let (at, left) = self.shares[customer];
+            let left = (left + quota * secs(self.now - at)).min(1.0 + quota * SHARE_SPAN);
+            utility *= if left >= 1.0 { 1.0 } else { self.sheet.beyond_share };
+            self.shares[customer] = (self.now, if left >= 1.0 { left - 1.0 } else { left });
+        }
         let row = &self.sheet.workloads[workload];
         // A client's repeat counts from its first try, which the time left tells.
         let born = self.now.saturating_sub(row.hard_limit.saturating_sub(left));
@@ -164,11 +177,11 @@
         if place == self.tasks.len() {
             let assignments = Vec::with_capacity(self.sheet.most_assignments);
             let (stage, limit) = (Stage::Unused, Duration::ZERO);
-            self.tasks.push(Task { stage, workload, size, born, limit, assignments });
+            self.tasks.push(Task { stage, workload, size, utility, born, limit, assignments });
         }
         let t = &mut self.tasks[place];
         t.assignments.clear();
-        (t.stage, t.workload, t.size) = (Stage::First, workload, size);
+        (t.stage, t.workload, t.size, t.utility) = (Stage::First, workload, size, utility);
         (t.born, t.limit) = (born, self.now + left);
         self.lines[0].push_back(place);
         place
@@ -572,13 +585,14 @@
         (slack < 0.5 * run).then(|| self.give_up(task))
     }
 
-    fn density(&self, workload: usize) -> f64 {
-        self.sheet.workloads[workload].utility / self.runs[workload].mean
+    /// Utility per work of a task, by what its workload usually takes.
+    fn density(&self, task: usize) -> f64 {
+        self.tasks[task].utility / self.runs[self.tasks[task].workload].mean
     }
 
     fn may_queue(&self, task: usize) -> bool {
-        let best = (0..self.runs.len()).map(|w| self.density(w)).fold(0.0, f64::max);
-        self.density(self.tasks[task].workload) >= QUEUE_SHARE * best
+        let rows = self.sheet.workloads.iter().zip(&self.runs);
+        self.density(task) >= QUEUE_SHARE * rows.map(|(row, r)| row.utility / r.mean).fold(0.0, f64::max)
     }
 
     fn assign(&mut self, task: usize, i: usize, queue: f64) -> Decision {
@@ -621,8 +635,7 @@
         self.passed = [0, 0];
         for line in 0..2 {
             let mut waiting = std::mem::take(&mut self.lines[line]);
-            let density = |t: &usize| self.density(self.tasks[*t].workload);
-            waiting.make_contiguous().sort_by(|x, y| density(y).total_cmp(&density(x)));
+            waiting.make_contiguous().sort_by(|x, y| self.density(*y).total_cmp(&self.density(*x)));
             self.lines[line] = waiting;
         }
         self.look_for_silence();
@@ -688,7 +701,10 @@
         let lately = |w: &Worker| w.on_list && secs(self.now.saturating_sub(w.seen)) < HIDDEN_SPAN;
         let seen = (0..self.workers.len()).filter(|&i| lately(&self.workers[i]));
         let (hidden, slots) = seen.fold((0.0, 0.0), |(h, s), i| (h + self.hidden(i), s + self.slots(i)));
+        let own = self.workers.iter().map(|w| w.n).sum::<f64>();
         if slots > 0.0 {
+            // The own part of all traffic, by what is out.
+            self.mine += 0.005 * (own / (own + hidden).max(1.0) - self.mine);
             // Guards against a lock-out: a worker not seen lately must look as if it had some room.
             self.others += 0.02 * ((hidden / slots).min(0.5) - self.others);
         }
