Silence bars a worker for a limited time, like errors

Guards against a worker that paused once and was never used again: with nothing of ours out, nothing could be heard from it.

--- a/src/books.rs
+++ b/src/books.rs
@@ -37,6 +37,13 @@
 }
 
 impl Worker {
+    /// Heard from: it does not stand still.
+    pub fn revive(&mut self) {
+        if self.silent {
+            (self.silent, self.errors, self.barred) = (false, 0.0, None);
+        }
+    }
+
     pub fn ready(&self) -> bool {
         self.on_list && self.condition == Some(Condition::Ready)
     }
@@ -65,6 +72,11 @@
 }
 
 impl Assignment {
+    pub fn new(worker: usize, now: Duration, ahead: f64, queue: f64, cold: bool) -> Self {
+        let (started, ending, called_off) = (None, None, false);
+        Assignment { worker, sent: now, started, heard: now, ahead, queue, cold, ending, called_off }
+    }
+
     pub fn live(&self) -> bool {
         self.ending.is_none() && !self.called_off
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -82,7 +82,6 @@
     subscribed: bool,
     ask_at: Duration,
     ask_failures: u32,
-    crowded: bool,
     probes: f64,
     misjudged: f64,
     mine: f64,
@@ -199,7 +198,8 @@
         let (i, wait, ahead) = (a.worker, secs(now - a.sent), a.ahead);
         self.setup += if a.cold { 0.1 * (wait - self.setup) } else { 0.0 };
         let w = &mut self.workers[i];
-        (w.running, w.silent) = (w.running + size, false);
+        w.running += size;
+        w.revive();
         w.waiting.retain(|x| *x != (task, number));
         // Guards against queues of others that are not seen: what waits run over their estimate is learned.
         if a.queue > 0.0 {
@@ -221,7 +221,7 @@
         if let Some(a) = self.out(task, number) {
             let i = a.worker;
             self.tasks[task].assignments[number].heard = self.now;
-            self.workers[i].silent = false;
+            self.workers[i].revive();
         }
     }
 
@@ -238,7 +238,8 @@
         }
         match ending {
             Ending::Finished => {
-                (w.silent, w.energy, w.fresh) = (false, Energy::Busy, false);
+                w.revive();
+                (w.energy, w.fresh) = (Energy::Busy, false);
                 w.errors -= ERROR_STEP * w.errors;
                 self.learn(i, workload, size, secs(now - a.started.unwrap_or(a.sent)));
             }
@@ -384,7 +385,7 @@
     fn open(&self, i: usize) -> bool {
         let w = &self.workers[i];
         let rests = w.rest > self.now && self.warmth(i) < 1.0;
-        w.ready() && !rests && !w.silent && w.barred.is_none_or(|until| until <= self.now)
+        w.ready() && !rests && w.barred.is_none_or(|until| until <= self.now)
     }
 
     /// Guards against doubled effects: where a task may still be sent.
@@ -606,32 +607,18 @@
             w.energy = Energy::Setup;
         }
         let number = t.assignments.len();
-        let (ahead, called_off) = (w.n, false);
-        let (started, ending) = (None, None);
-        let a = Assignment {
-            worker: i,
-            sent: now,
-            started,
-            heard: now,
-            ahead,
-            queue,
-            cold: off,
-            ending,
-            called_off,
-        };
-        t.assignments.push(a);
-        w.n += t.size;
-        w.used = now;
+        t.assignments.push(Assignment::new(i, now, w.n, queue, off));
+        (w.n, w.used, w.rest) = (w.n + t.size, now, now + pause);
         w.waiting.push_back((task, number));
-        w.rest = now + pause;
         t.stage = Stage::Out;
         Decision::Assign { task, worker: i }
     }
 
     /// Looks over all that is out: silence, doomed tasks, hard limits, the list and probes.
     fn sweep(&mut self) {
-        self.misjudged *= 0.998; // forgotten in some 12 s, or nothing would queue and be learned from
-                                 // Tasks that wait here are looked at again, first those of the highest utility per work.
+        // Forgotten in some 12 s, or nothing would queue and be learned from.
+        self.misjudged *= 0.998;
+        // Tasks that wait here are looked at again, first those of the highest utility per work.
         self.passed = [0, 0];
         for line in 0..2 {
             let mut waiting = std::mem::take(&mut self.lines[line]);
@@ -710,43 +697,28 @@
         }
     }
 
-    /// A worker whose notes are overdue stands still; if many do at once, it is not theirs alone.
+    /// A worker whose notes are overdue stands still: as good as erring.
     fn look_for_silence(&mut self) {
         let Some(gap) = self.sheet.progress_every.map(secs) else { return };
-        let now = self.now;
-        let (ready, most) = self.ready();
-        let mut silent = self.workers.iter().filter(|w| w.on_list && w.silent).count();
         for task in 0..self.tasks.len() {
             for k in 0..self.tasks[task].assignments.len() {
                 let a = self.tasks[task].assignments[k];
-                let late = a.live() && a.started.is_some() && secs(now - a.heard) > gap + NOTE_GRACE;
-                if late && !self.workers[a.worker].silent && silent < most {
-                    silent += 1;
-                    self.workers[a.worker].silent = true;
-                    self.log(format!(
-                        "worker {} silent for {:.2} s, task started",
-                        a.worker,
-                        secs(now - a.heard)
-                    ));
+                let quiet = secs(self.now - a.heard);
+                let w = &mut self.workers[a.worker];
+                if a.live() && a.started.is_some() && quiet > gap + NOTE_GRACE && !w.silent {
+                    (w.silent, w.errors) = (true, 1.0);
+                    self.log(format!("worker {} silent for {quiet:.2} s, task started", a.worker));
                 }
             }
         }
-        if silent >= most && !self.crowded {
-            self.log(format!("{silent} of {ready} workers silent: no more set aside"));
-        }
-        self.crowded = silent >= most;
-    }
-
-    /// Ready workers, and how many of them may be set aside.
-    fn ready(&self) -> (usize, usize) {
-        let ready = self.workers.iter().filter(|w| w.ready()).count();
-        (ready, ((BARRED_SHARE * ready as f64) as usize).max(1))
     }
 
     /// Bars workers that err far too often, a limited share at a time, for longer each time.
     fn bar(&mut self) {
         let now = self.now;
-        let (_, most) = self.ready();
+        let ready = self.workers.iter().filter(|w| w.ready()).count();
+        // If many fail together it is not theirs alone.
+        let most = ((BARRED_SHARE * ready as f64) as usize).max(1);
         let mut barred = self.workers.iter().filter(|w| w.barred.is_some_and(|until| until > now)).count();
         for i in 0..self.workers.len() {
             let w = &mut self.workers[i];
@@ -758,7 +730,7 @@
                 barred += 1;
                 w.spells = (w.spells + 1).min(4);
                 let pause = Duration::from_secs_f64(0.75 * f64::from(1 << w.spells));
-                (w.barred, w.errors) = (Some(now + pause), 0.35);
+                (w.barred, w.errors, w.silent) = (Some(now + pause), 0.35, false);
                 self.log(format!("worker {i} barred for {:.1} s: share of errors {errors:.2}", secs(pause)));
             } else if errors < 0.05 && w.spells > 0 {
                 (w.spells, w.barred) = (0, None);
