--- a/src/rules.rs
+++ b/src/rules.rs
@@ -415,12 +415,14 @@
 
     fn eligible(&self, task: usize, i: usize) -> bool {
         let (t, w) = (&self.tasks[task], &self.workers[i]);
-        // A worker back from being barred proves itself on one task at a time.
-        let trickles = w.spells > 0 && w.errors > 0.2 && w.n > 0.0;
+        let free = |effect: Effect| effect == Effect::Idempotent;
+        let idempotent = free(self.sheet.workloads[t.workload].effect);
+        // A worker back from being barred proves itself on one task at a time that may run again, if any may.
+        let risky = !idempotent && self.sheet.workloads.iter().any(|row| free(row.effect));
+        let trickles = w.spells > 0 && w.errors > 0.2 && (w.n > 0.0 || risky);
         // A task may move back to a worker that it left only waiting, never at once.
         let last = t.assignments.len().wrapping_sub(1);
-        let few = self.sheet.workloads[t.workload].effect != Effect::Idempotent;
-        let left = |a: &Assignment| few && a.ending == Some(Ending::Cancelled) && a.started.is_none();
+        let left = |a: &Assignment| !idempotent && a.ending == Some(Ending::Cancelled) && a.started.is_none();
         let mut tried = t.assignments.iter().enumerate().filter(|(_, a)| a.worker == i);
         !trickles && self.open(i) && self.allowed(task, i) && tried.all(|(k, a)| k != last && left(a))
     }
