--- a/src/rules.rs
+++ b/src/rules.rs
@@ -20,7 +20,9 @@
 const MOVE_AFTER: f64 = 0.06; // a waiting task moves then: a start note had time to come from any zone
 const MEMORY_MARGIN: Duration = Duration::from_millis(50); // a repeat's way to a group that forgets soon
 const LOG_SPREAD: f64 = 0.7; // running times are heavy-tailed: their logarithm spreads by about this
-const OWN_SPEED_AFTER: f64 = 12.0; // completions before a worker's own speed may replace its kind's
+const OWN_SPEED_AFTER: f64 = 6.0; // completions before a worker's own speed may replace its kind's
+const OWN_SPEED_SPAN: f64 = 12.0; // completions it is smoothed over: enough to tell half from full speed
+const FORGET_SPAN: f64 = 8.0; // an own speed is forgotten over this while the worker is not used
 const NOTE_GRACE: f64 = 0.7; // a progress note this late is no common pause
 const ERRORS_BAR: f64 = 0.45; // smoothed share of errors that bars a worker: two on end reach it
 const ERROR_STEP: f64 = 0.3; // weight of one ending in that share: quick, since errors return at once
@@ -304,8 +306,10 @@
     fn speed(&self, i: usize) -> f64 {
         let w = &self.workers[i];
         let clear = w.completions >= OWN_SPEED_AFTER
-            && w.apart.abs() * w.completions.min(30.0).sqrt() > 2.0 * LOG_SPREAD;
-        (self.kinds[w.site.kind].speed + if clear { w.apart } else { 0.0 }).exp()
+            && w.apart.abs() * w.completions.min(OWN_SPEED_SPAN).sqrt() > 2.0 * LOG_SPREAD;
+        // Guards against shunning a worker that was slow for a while: unused, it becomes like its kind.
+        let own = if clear { w.apart * self.fade(w.used, FORGET_SPAN) } else { 0.0 };
+        (self.kinds[w.site.kind].speed + own).exp()
     }
 
     /// Slots of a worker: its registered size, or more if more were seen on one of its kind.
@@ -333,7 +337,7 @@
         if r.seen > 8.0 {
             kind.speed -= 0.02 * off;
             w.completions += 1.0;
-            w.apart += (-off - w.apart) * (1.0 / w.completions).max(1.0 / 30.0);
+            w.apart += (-off - w.apart) * (1.0 / w.completions).max(1.0 / OWN_SPEED_SPAN);
         }
         let plain = run * kind.speed.exp();
         r.mean += (plain - r.mean) * (1.0 / r.seen).max(0.02);
