--- a/src/rules.rs
+++ b/src/rules.rs
@@ -312,10 +312,11 @@
         (self.kinds[w.site.kind].speed + own).exp()
     }
 
-    /// Slots of a worker: its registered size, or more if more were seen on one of its kind.
+    /// Slots of a worker: the most seen at once on one of its kind; before that many were seen, its
+    /// registered size, which may count speed too.
     fn slots(&self, i: usize) -> f64 {
-        let w = &self.workers[i];
-        self.kinds[w.site.kind].slots.max(w.weight).max(1.0)
+        let (seen, weight) = (self.kinds[self.workers[i].site.kind].slots, self.workers[i].weight);
+        if seen >= weight.floor() { seen } else { weight }.max(1.0)
     }
 
     /// Share of its capacity that a worker surely has by now: it climbs evenly from the cold share.
