--- a/src/rules.rs
+++ b/src/rules.rs
@@ -245,9 +245,9 @@
                 w.errors -= ERROR_STEP * w.errors;
                 self.learn(i, workload, size, secs(now - a.started.unwrap_or(a.sent)));
             }
-            Ending::Error | Ending::Reset | Ending::ConnectFailed => {
-                w.errors += ERROR_STEP - ERROR_STEP * w.errors
-            }
+            Ending::Error => w.errors += ERROR_STEP * (1.0 - w.errors),
+            // Guards against sending on to a worker that is down, seconds before the list tells.
+            Ending::Reset | Ending::ConnectFailed => w.errors = w.errors.max(0.5),
             // Called off while it waited: whatever was free is taken by others.
             Ending::Cancelled if a.started.is_none() && secs(now - a.sent) > AT_ONCE => {
                 self.see(i, self.hidden(i).max(self.slots(i) - self.workers[i].n), 1.0);
