--- a/src/rules.rs
+++ b/src/rules.rs
@@ -245,9 +245,9 @@
                 w.errors -= ERROR_STEP * w.errors;
                 self.learn(i, workload, size, secs(now - a.started.unwrap_or(a.sent)));
             }
-            Ending::Error => w.errors += ERROR_STEP * (1.0 - w.errors),
-            // Guards against sending on to a worker that is down, seconds before the list tells.
-            Ending::Reset | Ending::ConnectFailed => w.errors = w.errors.max(0.5),
+            Ending::Error | Ending::Reset | Ending::ConnectFailed => {
+                w.errors += ERROR_STEP - ERROR_STEP * w.errors
+            }
             // Called off while it waited: whatever was free is taken by others.
             Ending::Cancelled if a.started.is_none() && secs(now - a.sent) > AT_ONCE => {
                 self.see(i, self.hidden(i).max(self.slots(i) - self.workers[i].n), 1.0);
@@ -456,7 +456,7 @@
             // Guards against late answers: workers where the task is in time come first, of these the
             // ones with room for it; the index decides among the best there are.
             // Half a slot is rounding, less for several slots: but what may not queue would wait for ever.
-            let over = occupied + t.size.min(slots) - slots - if queues { 0.5 / t.size } else { 0.5 };
+            let over = occupied + t.size.min(slots) - slots - if queues { 0.5 / t.size } else { 0.1 };
             let queue = if over > 0.0 { over * self.hold / (slots * speed) + self.misjudged } else { 0.0 };
             let in_time = queue + run / speed < IN_TIME * slack;
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0));
