--- a/src/rules.rs
+++ b/src/rules.rs
@@ -455,8 +455,16 @@
             }
             // Guards against late answers: workers where the task is in time come first, of these the
             // ones with room for it; the index decides among the best there are.
-            // Half a slot is rounding, less for several slots: but what may not queue would wait for ever.
-            let over = occupied + t.size.min(slots) - slots - if queues { 0.5 / t.size } else { 0.1 };
+            // Half a slot is rounding, less for several slots, which must not miss any. What may not queue
+            // leaves a part free for what is worth more; if it needs several it would wait for ever.
+            let part = if queues {
+                0.5 / t.size
+            } else if t.size > 1.0 {
+                0.5
+            } else {
+                0.1
+            };
+            let over = occupied + t.size.min(slots) - slots - part;
             let queue = if over > 0.0 { over * self.hold / (slots * speed) + self.misjudged } else { 0.0 };
             let in_time = queue + run / speed < IN_TIME * slack;
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0));
