--- a/src/rules.rs
+++ b/src/rules.rs
@@ -457,12 +457,9 @@
             // ones with room for it; the index decides among the best there are.
             // Half a slot is rounding, less for several slots, which must not miss any. What may not queue
             // leaves a part free for what is worth more; if it needs several it would wait for ever.
-            let part = if queues {
-                0.5 / t.size
-            } else if t.size > 1.0 {
-                0.5
-            } else {
-                0.1
+            let part = match (queues, t.size > 1.0) {
+                (true, _) => 0.5 / t.size,
+                (false, several) => 0.5 - if several { 0.0 } else { 0.1 * slots },
             };
             let over = occupied + t.size.min(slots) - slots - part;
             let queue = if over > 0.0 { over * self.hold / (slots * speed) + self.misjudged } else { 0.0 };
