--- a/crates/simhost/src/frame.rs
+++ b/crates/simhost/src/frame.rs
@@ -7,6 +7,13 @@
 
 const ACTION: usize = 24;
 
+/// The most seconds that count as a time: sums of a few never overflow.
+const LONGEST: f64 = 1e12;
+
+pub fn span_of(seconds: f64) -> Option<Duration> {
+    (0.0..LONGEST).contains(&seconds).then(|| Duration::from_secs_f64(seconds))
+}
+
 /// What was wrong with the input, and where after the batch header.
 #[derive(Debug)]
 pub struct Wrong {
@@ -75,8 +82,8 @@
     /// A time in seconds; a negative one counts as zero.
     pub fn span(&self, at: usize) -> Result<Duration, Wrong> {
         let seconds = f64::from_le_bytes(self.take(at)?);
-        Duration::try_from_secs_f64(if seconds < 0.0 { 0.0 } else { seconds })
-            .map_err(|_| Wrong::at(self.base + at, format!("{seconds} is no time")))
+        let wrong = || Wrong::at(self.base + at, format!("{seconds} is no time"));
+        span_of(if seconds < 0.0 { 0.0 } else { seconds }).ok_or_else(wrong)
     }
 
     pub fn address(&self, at: usize) -> Result<[u8; 6], Wrong> {
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -202,9 +202,12 @@
     })
 }
 
-fn answer(hosted: &mut BTreeMap<u32, Instance>, frame: &Frame, header: &Frame) -> Result<Reply, Wrong> {
-    let count = header.u32(8)? as usize;
-    let now: Duration = header.span(12)?;
+fn answer(
+    hosted: &mut BTreeMap<u32, Instance>,
+    frame: &Frame,
+    count: usize,
+    now: Duration,
+) -> Result<Reply, Wrong> {
     let mut reply = Reply::new();
     let mut current: Option<u32> = None;
     let mut order: Vec<u32> = Vec::new();
@@ -266,6 +269,7 @@
     let mut output = BufWriter::with_capacity(1 << 20, io::stdout().lock());
     let mut hosted: BTreeMap<u32, Instance> = BTreeMap::new();
     let mut body: Vec<u8> = Vec::new();
+    let mut last = Duration::ZERO;
     loop {
         let mut head = [0u8; BATCH_HEADER];
         let mut got = 0;
@@ -286,7 +290,13 @@
         if read.map_err(|e| format!("reading input: {e}"))? < length {
             return Err(format!("batch {number}: {} of {length} bytes, then the input ends", body.len()));
         }
-        let reply = answer(&mut hosted, &Frame::over(&body, 0), &header)
+        let count = header.u32(8).map_err(|w| w.to_string())? as usize;
+        let now = header.span(12).map_err(|w| format!("batch {number}, header: {w}"))?;
+        if now < last {
+            return Err(format!("batch {number}: the clock goes back from {last:?} to {now:?}"));
+        }
+        last = now;
+        let reply = answer(&mut hosted, &Frame::over(&body, 0), count, now)
             .map_err(|wrong| format!("batch {number}: {wrong}"))?;
         let sent = reply.write(number, &mut output).and_then(|()| output.flush());
         sent.map_err(|e| format!("writing a reply: {e}"))?;
--- a/crates/simhost/src/sheet.rs
+++ b/crates/simhost/src/sheet.rs
@@ -13,7 +13,7 @@
 
 fn span(of: &Value, path: &str) -> Read<Duration> {
     let seconds = number(of, path)?;
-    Duration::try_from_secs_f64(seconds).map_err(|_| format!("settings: {seconds} at {path} is no time"))
+    crate::frame::span_of(seconds).ok_or_else(|| format!("settings: {seconds} at {path} is no time"))
 }
 
 fn word<'a>(of: &'a Value, path: &str) -> Read<&'a str> {
@@ -86,21 +86,17 @@
         quotas: list(&info, "/tenants").iter().map(quota).collect::<Read<_>>()?,
         may_cancel: flag(&info, "/caps/cancel"),
         may_probe: flag(&info, "/caps/may_probe"),
-        second_copies: flag(&info, "/caps/second_copies"),
         come_back: come_back.transpose()?,
         most_assignments: number(&info, "/caps/most_assignments")?.max(1.0) as usize,
-        progress_every: (progress > 0.0).then(|| Duration::try_from_secs_f64(progress).unwrap_or_default()),
+        progress_every: crate::frame::span_of(progress).filter(|gap| !gap.is_zero()),
         tells_start: flag(&info, "/domain/tells_start"),
         report_free: position("x0").filter(|_| free),
         report_waiting: position("backlog"),
-        drain_grace: span(&info, "/rules/stop_sending_within_s")?,
         overload_factor: number(&info, "/rules/overload_factor")?,
-        fall: span(&info, "/rules/fall_s")?,
         cold_share: number(&info, "/rules/cold_share")?,
         warm_within: span(&info, "/rules/warm_within_s")?,
         price_crossing: optional(&info, "/penalties/cross_zone")?.unwrap_or(0.0),
         price_probe: optional(&info, "/penalties/probe")?.unwrap_or(0.0),
-        price_waste: optional(&info, "/penalties/waste")?.unwrap_or(0.0),
     })
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -97,7 +97,8 @@
 impl Rules {
     pub fn new(sheet: DutySheet, seed: u64, now: Duration) -> Self {
         // Before the first completions a promised time says best how long a task runs.
-        let first = |w: &Workload| Runs { log: secs(w.promised).ln(), mean: secs(w.promised), seen: 0.0 };
+        let guess = |w: &Workload| secs(w.promised).max(0.01);
+        let first = |w: &Workload| Runs { log: guess(w).ln(), mean: guess(w), seen: 0.0 };
         let runs: Vec<Runs> = sheet.workloads.iter().map(first).collect();
         let hold = runs.iter().map(|r| r.mean).sum::<f64>() / runs.len() as f64;
         let subscribed = sheet.news == News::Pushed;
@@ -152,7 +153,8 @@
         self.subscribed = self.sheet.news == News::Pushed;
         self.ask_failures += 1;
         let jitter = 0.75 + 0.5 * self.chance.0.rand_float();
-        let pause = 0.25 * f64::from(1 << self.ask_failures.min(4)) * jitter;
+        let News::Asked { within } = self.sheet.news else { return };
+        let pause = (0.25 * f64::from(1 << self.ask_failures.min(4)) * jitter).min(secs(within) / 2.0);
         self.ask_at = self.now + Duration::from_secs_f64(pause);
     }
 
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -61,7 +61,6 @@
     pub quotas: Vec<f64>,
     pub may_cancel: bool,
     pub may_probe: bool,
-    pub second_copies: bool,
     /// Longest come-back time that clients heed; none where they are not told.
     pub come_back: Option<Duration>,
     pub most_assignments: usize,
@@ -71,17 +70,13 @@
     /// Positions of free slots and of waiting tasks among the values of a probe's report.
     pub report_free: Option<usize>,
     pub report_waiting: Option<usize>,
-    pub drain_grace: Duration,
     pub overload_factor: f64,
-    pub fall: Duration,
     pub cold_share: f64,
     pub warm_within: Duration,
     /// Points lost, as a share of all utility, if every task crosses zones once.
     pub price_crossing: f64,
     /// The same for one probe a task.
     pub price_probe: f64,
-    /// The same for work wasted, as much as was asked for.
-    pub price_waste: f64,
 }
 
 /// A worker's state on the list.
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -31,9 +31,7 @@
         most_assignments: 5,
         progress_every: Some(ms(1000)),
         tells_start: true,
-        drain_grace: ms(500),
         overload_factor: 3.0,
-        fall: ms(2000),
         cold_share: 0.2,
         warm_within: ms(10_000),
         ..DutySheet::default()
