--- a/src/rules.rs
+++ b/src/rules.rs
@@ -441,6 +441,9 @@
         let run = self.runs[t.workload].log.exp();
         let (mut sum, mut count, mut best_tier) = (0.0, 0.0, 0);
         let queues = self.may_queue(task);
+        // A task bound to its group should rather cross than be bound to a small zone that is full.
+        let bound = matches!(self.sheet.workloads[t.workload].effect, Effect::Deduplicated(_));
+        let price = self.sheet.price_crossing * if bound { 0.25 * CROSSING } else { CROSSING };
         let mut scores = std::mem::take(&mut self.scores);
         scores.clear();
         for i in (0..self.workers.len()).filter(|&i| self.eligible(task, i)) {
@@ -450,8 +453,8 @@
             let delta = (1.0 / self.setup.max(1e-3)).max(1.05 * mu);
             let idle = w.n == 0.0 && secs(self.now.saturating_sub(w.used)) > IDLE_WINDOW;
             let energy = if idle { Energy::Off } else { w.energy };
-            let crossing = if w.site.zone == self.sheet.zone { 0.0 } else { self.sheet.price_crossing };
-            let index = whittle(occupied, energy, lambda, mu, delta) * (1.0 + CROSSING * crossing);
+            let crossing = if w.site.zone == self.sheet.zone { 0.0 } else { price };
+            let index = whittle(occupied, energy, lambda, mu, delta) * (1.0 + crossing);
             if !w.fresh {
                 (sum, count) = (sum + index, count + 1.0);
             }
