--- a/src/rules.rs
+++ b/src/rules.rs
@@ -595,7 +595,7 @@
         match self.lowest(task) {
             Some((i, 2, _)) => return Some(self.assign(task, i, 0.0)),
             Some((i, 1, queue)) if self.may_queue(task) => return Some(self.assign(task, i, queue)),
-            Some((_, 0, _)) if slack * IN_TIME < run || self.lines[0].len() > self.workers.len() / 4 => {
+            Some((_, 0, _)) if slack * IN_TIME < run || self.lines[0].len() > 1 + self.workers.len() / 4 => {
                 return Some(self.give_up(task));
             }
             _ => {}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -166,3 +166,35 @@
     }
     assert_snapshot!(desk.trace);
 }
+
+/// Guards against queues at workers that put little utility before much: it waits here until there is room.
+#[test]
+fn low_utility_waits_here_while_high_utility_queues() {
+    let mut sheet = duty(&[Effect::Idempotent, Effect::Idempotent]);
+    sheet.workloads[0].utility = 10.0;
+    let mut desk = Desk::new(sheet, 1);
+    let running = [desk.arrive(0), desk.arrive(0)];
+    running.iter().for_each(|&task| desk.rules.started(task, 0));
+    desk.note("both slots run; one of each workload arrives, the lesser first");
+    let waits = [desk.arrive(1), desk.arrive(0)];
+    desk.until(1200);
+    desk.end(running[0], 0, Ending::Finished);
+    desk.rules.started(waits[1], 0);
+    desk.end(running[1], 0, Ending::Finished);
+    desk.until(1300);
+    assert_snapshot!(desk.trace);
+}
+
+/// Guards against one customer's rush: beyond its share a task has a tenth of the utility and may not queue.
+#[test]
+fn a_customer_beyond_its_share_comes_last() {
+    let mut sheet = duty(&[Effect::Idempotent]);
+    (sheet.quotas, sheet.beyond_share) = (vec![2.0, 2.0], 0.1);
+    let mut desk = Desk::new(sheet, 1);
+    for customer in [0, 0, 0, 0, 0, 1] {
+        let task = desk.rules.arrived(0, 1.0, ms(8000), customer);
+        desk.note(&format!("task {task} of customer {customer}"));
+        desk.pull();
+    }
+    assert_snapshot!(desk.trace);
+}
