--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,8 +16,7 @@
 const RATE_FLOOR: f64 = 0.05; // keeps a and b above zero when nothing arrives
 const SWEEP: Duration = Duration::from_millis(25); // a small part of any promised time
 const LAST_CALL: f64 = 0.1; // final answers come this long before the hard limit: some sweeps
-const AT_ONCE: f64 = 0.04; // a wait below this is a connection and a way across zones, no queue
-const MOVE_AFTER: f64 = 0.06; // a waiting task moves then: a start note had time to come from any zone
+const AT_ONCE: f64 = 0.04; // a shorter wait is a connection and a way across zones; a longer one a queue
 const MEMORY_MARGIN: Duration = Duration::from_millis(50); // a repeat's way to a group that forgets soon
 const LOG_SPREAD: f64 = 0.7; // running times are heavy-tailed: their logarithm spreads by about this
 const OWN_SPEED_AFTER: f64 = 6.0; // completions before a worker's own speed may replace its kind's
@@ -680,7 +679,7 @@
         };
         let free = |i: usize| self.eligible(task, i) && self.has_room(i, t.size);
         self.sheet.tells_start
-            && secs(self.now - a.sent) > MOVE_AFTER
+            && secs(self.now - a.sent) > AT_ONCE
             && t.assignments.len() + 1 < self.sheet.most_assignments
             && self.sheet.workloads[t.workload].effect != Effect::Unrepeatable
             && (0..self.workers.len()).any(free)
