--- a/src/rules.rs
+++ b/src/rules.rs
@@ -733,7 +733,10 @@
     fn bar(&mut self) {
         let now = self.now;
         let ready = self.workers.iter().filter(|w| w.ready()).count();
-        // If many fail together it is not theirs alone.
+        // If many fail together it is not theirs alone: a worker is judged against its fellows.
+        let mean =
+            self.workers.iter().filter(|w| w.ready()).map(|w| w.errors).sum::<f64>() / ready.max(1) as f64;
+        let bar = ERRORS_BAR.max((2.5 * mean).min(0.95));
         let most = ((BARRED_SHARE * ready as f64) as usize).max(1);
         let mut barred = self.workers.iter().filter(|w| w.barred.is_some_and(|until| until > now)).count();
         for i in 0..self.workers.len() {
@@ -742,7 +745,7 @@
             if w.barred.is_some_and(|until| until > now) {
                 continue;
             }
-            if errors > ERRORS_BAR && barred < most {
+            if errors > bar && barred < most {
                 barred += 1;
                 w.spells = (w.spells + 1).min(4);
                 let pause = Duration::from_secs_f64(0.75 * f64::from(1 << w.spells));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -198,3 +198,20 @@
     }
     assert_snapshot!(desk.trace);
 }
+
+/// Guards against barring workers one after the other when all err: it is something they share.
+#[test]
+fn when_all_err_nobody_is_barred() {
+    let mut desk = Desk::new(duty(&[Effect::Unrepeatable]), 4);
+    for _ in 0..4 {
+        let tasks: Vec<usize> = (0..4).map(|_| desk.arrive(0)).collect();
+        for task in tasks {
+            desk.rules.ended(task, 0, Ending::Error, false);
+        }
+        desk.pull();
+        let next = desk.now + 25;
+        desk.until(next);
+    }
+    let barred: Vec<&str> = desk.trace.lines().filter(|l| l.contains("barred")).collect();
+    assert_snapshot!(format!("{} lines, barred: {barred:?}", desk.trace.lines().count()));
+}
