--- a/src/rules.rs
+++ b/src/rules.rs
@@ -14,7 +14,7 @@
 const IDLE_WINDOW: f64 = 5.0; // off after this without an own task: longer than a lull between two
 const RATE_SPAN: f64 = 10.0; // smooths the own rate: long against bursts, short against a day's swing
 const RATE_FLOOR: f64 = 0.05; // keeps a and b above zero when nothing arrives
-const SWEEP: Duration = Duration::from_millis(10); // a small part of any promised time
+const SWEEP: Duration = Duration::from_millis(15); // a small part of any promised time
 const LAST_CALL: f64 = 0.1; // final answers come this long before the hard limit: some sweeps
 const AT_ONCE: f64 = 0.04; // a shorter wait is a connection and a way across zones; a longer one a queue
 const MEMORY_MARGIN: Duration = Duration::from_millis(50); // a repeat's way to a group that forgets soon
