--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,6 +27,9 @@
 const ERROR_STEP: f64 = 0.3; // weight of one ending in that share: quick, since errors return at once
 const BARRED_SHARE: f64 = 0.34; // at most this share of the ready workers is set aside at a time
 const HIDDEN_SPAN: f64 = 2.0; // what others have on a worker is forgotten over this: about a task or two
+const OTHERS_STEP: f64 = 0.05; // weight of one sighting in the others' share: some twenty count
+const MINE_SPAN: f64 = 3.0; // smooths the own part of all traffic: some tasks' time
+const TALLY: f64 = 1.0; // the whole list is added up this often: it changes in seconds
 const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
 const CROSSING: f64 = 40.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
@@ -78,8 +81,14 @@
     setup: f64,
     others: f64,
     scores: Vec<(usize, u8, f64, f64)>,
-    sweep_due: bool,
-    armed: bool,
+    /// When something is next due, and the earliest bell asked for.
+    due: Duration,
+    rings: Option<Duration>,
+    /// Slots and ready workers of the whole list, when they were last added up.
+    tallied: Option<Duration>,
+    fleet: f64,
+    ready: usize,
+    suspects: Vec<usize>,
     subscribed: bool,
     ask_at: Duration,
     ask_failures: u32,
@@ -103,9 +112,9 @@
         let subscribed = sheet.news == News::Pushed;
         let chance = Chance(Rand64::new(u128::from(seed)));
         // Others' share and the setup time start at guesses that the first answers replace.
-        let (others, setup, sweep_due, mine) = (0.2, hold / 16.0, true, 1.0 / sheet.schedulers as f64);
-        let times = Rules { now, start: now, arrivals_at: now, ask_at: now, ..Rules::default() };
-        Rules { chance, runs, hold, setup, others, mine, sweep_due, subscribed, sheet, ..times }
+        let (others, setup, mine) = (0.2, hold / 16.0, 1.0 / sheet.schedulers as f64);
+        let times = Rules { now, start: now, due: now, arrivals_at: now, ask_at: now, ..Rules::default() };
+        Rules { chance, runs, hold, setup, others, mine, subscribed, sheet, ..times }
     }
 
     // ---- inputs: they only update what is known ----
@@ -115,12 +124,12 @@
     }
 
     pub fn bell(&mut self) {
-        self.armed = false;
-        self.sweep_due = true;
+        self.rings = self.rings.filter(|&at| at > self.now);
     }
 
     pub fn list_begins(&mut self, whole: bool) {
         self.ask_failures = 0;
+        (self.tallied, self.due) = (None, self.now);
         self.workers.iter_mut().for_each(|w| w.on_list &= !whole);
     }
 
@@ -155,6 +164,7 @@
         let News::Asked { within } = self.sheet.news else { return };
         let pause = (0.25 * f64::from(1 << self.ask_failures.min(4)) * jitter).min(secs(within) / 2.0);
         self.ask_at = self.now + Duration::from_secs_f64(pause);
+        self.due = self.due.min(self.ask_at);
     }
 
     pub fn arrived(&mut self, workload: usize, size: f64, left: Duration, customer: usize) -> usize {
@@ -247,7 +257,8 @@
                 self.learn(i, workload, size, secs(now - a.started.unwrap_or(a.sent)));
             }
             Ending::Error | Ending::Reset | Ending::ConnectFailed => {
-                w.errors += ERROR_STEP - ERROR_STEP * w.errors
+                w.errors += ERROR_STEP - ERROR_STEP * w.errors;
+                self.suspect(i);
             }
             // Called off while it waited: whatever was free is taken by others.
             Ending::Cancelled if a.started.is_none() && secs(now - a.sent) > AT_ONCE => {
@@ -354,7 +365,10 @@
 
     fn see(&mut self, i: usize, hidden: f64, weight: f64) {
         let old = self.hidden(i);
-        (self.workers[i].hidden, self.workers[i].seen) = (old + weight * (hidden - old), self.now);
+        let new = old + weight * (hidden - old);
+        (self.workers[i].hidden, self.workers[i].seen) = (new, self.now);
+        // Guards against a lock-out: a worker not seen lately must look as if it had some room.
+        self.others += OTHERS_STEP * ((new / self.slots(i)).min(0.5) - self.others);
     }
 
     /// Slots in use or waited for on a worker, others' included.
@@ -497,17 +511,12 @@
 
     pub fn decide(&mut self) -> Option<Decision> {
         loop {
-            if self.sweep_due {
-                self.sweep_due = false;
+            if self.due <= self.now {
                 self.sweep();
             }
             if let Some(said) = self.say.pop_front() {
                 return Some(said);
             }
-            if !self.armed {
-                self.armed = true;
-                return Some(Decision::Wake { after: SWEEP });
-            }
             if let Some(task) = self.loose.pop() {
                 let answer = self.settle(task);
                 if answer.is_some() {
@@ -515,12 +524,13 @@
                 }
                 continue;
             }
-            let line = (0..2).find(|&l| self.passed[l] < self.lines[l].len())?;
+            let Some(line) = (0..2).find(|&l| self.passed[l] < self.lines[l].len()) else { break };
             let task = self.lines[line][self.passed[line]];
             let waits = |t: &Task| t.stage == [Stage::First, Stage::Further][line];
             let decision = if waits(&self.tasks[task]) { self.place(task) } else { None };
             if waits(&self.tasks[task]) {
                 self.passed[line] += 1;
+                self.due = self.due.min(self.now + SWEEP);
             } else {
                 self.lines[line].remove(self.passed[line]);
                 self.forget(task);
@@ -529,6 +539,12 @@
                 return decision;
             }
         }
+        // Only what is due asks for a bell: a scheduler without tasks in hand sleeps.
+        if self.due == Duration::MAX || self.rings.is_some_and(|at| at <= self.due) {
+            return None;
+        }
+        self.rings = Some(self.due);
+        Some(Decision::Wake { after: self.due - self.now })
     }
 
     /// Stops waiting for whatever is still out of a task.
@@ -627,13 +643,15 @@
         (w.n, w.used, w.rest) = (w.n + t.size, now, now + pause);
         w.waiting.push_back((task, number));
         t.stage = Stage::Out;
+        self.due = self.due.min(now + Duration::from_secs_f64(AT_ONCE));
         Decision::Assign { task, worker: i }
     }
 
     /// Looks over all that is out: silence, doomed tasks, hard limits, the list and probes.
     fn sweep(&mut self) {
-        // Forgotten in some 7 s, or nothing would queue and be learned from.
-        self.misjudged *= 0.998;
+        let now = self.now;
+        self.due = Duration::MAX;
+        self.tally();
         // Tasks that wait here are looked at again, first those of the highest utility per work.
         self.passed = [0, 0];
         for line in 0..2 {
@@ -649,23 +667,27 @@
             }
             let row = &self.sheet.workloads[t.workload];
             let waits = t.assignments.iter().all(|a| a.started.is_none());
-            let (limit, run) = (secs(t.limit) - secs(self.now), self.runs[t.workload].log.exp());
+            let (limit, run) = (secs(t.limit) - secs(now) - LAST_CALL, self.runs[t.workload].log.exp());
             let silent = row.effect != Effect::Unrepeatable
                 && t.assignments.iter().any(|a| a.ending.is_none() && self.workers[a.worker].silent);
-            let doomed = waits && self.slack(task) + row.stretch * run < 0.5 * run;
-            if limit < LAST_CALL || doomed {
+            let hope = if waits { self.slack(task) + (row.stretch - 0.5) * run } else { limit };
+            let mut next = limit.min(hope);
+            if next <= 0.0 {
                 let answer = self.give_up(task);
                 self.say.push_back(answer);
             } else if silent || self.should_move(task) {
                 self.call_off(task);
+            } else if waits && row.effect != Effect::Unrepeatable {
+                next = next.min(secs(SWEEP));
             }
+            self.due = self.due.min(now + Duration::from_secs_f64(next.max(0.0)).max(SWEEP));
         }
-        if !self.subscribed && self.ask_at <= self.now {
+        if !self.subscribed && self.ask_at <= now {
             self.subscribed = true;
             self.say.push_back(Decision::Subscribe);
+        } else if !self.subscribed {
+            self.due = self.due.min(self.ask_at);
         }
-        self.others_share();
-        self.level();
         self.bar();
         self.probe();
     }
@@ -679,38 +701,41 @@
         };
         let free = |i: usize| self.eligible(task, i) && self.has_room(i, t.size);
         self.sheet.tells_start
-            && secs(self.now - a.sent) > AT_ONCE
+            && secs(self.now - a.sent) >= AT_ONCE
             && t.assignments.len() + 1 < self.sheet.most_assignments
             && self.sheet.workloads[t.workload].effect != Effect::Unrepeatable
             && (0..self.workers.len()).any(free)
     }
 
+    /// Adds up the whole list, rarely: its slots and ready workers, and the own part of all traffic by what is out.
     /// Guards against drift: only run / speed is seen, so the mean speed of the fleet's slots is kept at 1.
-    fn level(&mut self) {
-        let listed = (0..self.workers.len()).filter(|&i| self.workers[i].on_list);
-        let (sum, slots) = listed.fold((0.0, 0.0), |(sum, slots), i| {
-            (sum + self.kinds[self.workers[i].site.kind].speed * self.slots(i), slots + self.slots(i))
-        });
-        let mean = if slots > 0.0 { sum / slots } else { 0.0 };
+    fn tally(&mut self) {
+        let since = self.tallied.map_or(f64::INFINITY, |at| secs(self.now - at));
+        if since < TALLY {
+            return;
+        }
+        // Forgotten in some 7 s, or nothing would queue and be learned from.
+        self.misjudged *= (-since.min(FORGET_SPAN) / FORGET_SPAN).exp();
+        self.tallied = Some(self.now);
+        let (mut sum, mut own) = (0.0, 0.0);
+        (self.fleet, self.ready) = (0.0, 0);
+        for i in 0..self.workers.len() {
+            let (w, slots) = (&self.workers[i], self.slots(i));
+            own += w.n;
+            if w.on_list {
+                sum += self.kinds[w.site.kind].speed * slots;
+                self.fleet += slots;
+                self.ready += usize::from(w.ready());
+            }
+        }
+        let mean = if self.fleet > 0.0 { sum / self.fleet } else { 0.0 };
         self.kinds.iter_mut().for_each(|kind| kind.speed -= mean);
         self.hold *= (-mean).exp();
         for r in &mut self.runs {
             (r.log, r.mean) = (r.log - mean, r.mean * (-mean).exp());
         }
-    }
-
-    /// Learns what share of the slots others hold on the whole, from the workers seen lately.
-    fn others_share(&mut self) {
-        let lately = |w: &Worker| w.on_list && secs(self.now.saturating_sub(w.seen)) < HIDDEN_SPAN;
-        let seen = (0..self.workers.len()).filter(|&i| lately(&self.workers[i]));
-        let (hidden, slots) = seen.fold((0.0, 0.0), |(h, s), i| (h + self.hidden(i), s + self.slots(i)));
-        let own = self.workers.iter().map(|w| w.n).sum::<f64>();
-        if slots > 0.0 {
-            // The own part of all traffic, by what is out.
-            self.mine += 0.005 * (own / (own + hidden).max(1.0) - self.mine);
-            // Guards against a lock-out: a worker not seen lately must look as if it had some room.
-            self.others += 0.02 * ((hidden / slots).min(0.5) - self.others);
-        }
+        let part = own / (own + self.others * self.fleet).max(1.0);
+        self.mine += (1.0 - (-since / MINE_SPAN).exp()) * (part - self.mine);
     }
 
     /// A worker whose notes are overdue stands still: as good as erring.
@@ -719,43 +744,62 @@
         for task in 0..self.tasks.len() {
             for k in 0..self.tasks[task].assignments.len() {
                 let a = self.tasks[task].assignments[k];
+                if !a.live() || a.started.is_none() || self.workers[a.worker].silent {
+                    continue;
+                }
                 let quiet = secs(self.now - a.heard);
-                let w = &mut self.workers[a.worker];
-                if a.live() && a.started.is_some() && quiet > gap + NOTE_GRACE && !w.silent {
+                if quiet <= gap + NOTE_GRACE {
+                    let overdue = a.heard + Duration::from_secs_f64(gap + NOTE_GRACE) + SWEEP;
+                    self.due = self.due.min(overdue);
+                } else {
+                    let w = &mut self.workers[a.worker];
                     (w.silent, w.errors) = (true, 1.0);
+                    self.suspect(a.worker);
                     self.log(format!("worker {} silent for {quiet:.2} s, task started", a.worker));
                 }
             }
         }
     }
 
+    /// Its errors are judged at the next sweep, which is due now.
+    fn suspect(&mut self, i: usize) {
+        self.due = self.now;
+        if !self.suspects.contains(&i) {
+            self.suspects.push(i);
+        }
+    }
+
     /// Bars workers that err far too often, a limited share at a time, for longer each time.
     fn bar(&mut self) {
         let now = self.now;
-        let ready = self.workers.iter().filter(|w| w.ready()).count();
+        let mut suspects = std::mem::take(&mut self.suspects);
         // If many fail together it is not theirs alone: a worker is judged against its fellows.
-        let mean =
-            self.workers.iter().filter(|w| w.ready()).map(|w| w.errors).sum::<f64>() / ready.max(1) as f64;
-        let bar = ERRORS_BAR.max((2.5 * mean).min(0.95));
-        let most = ((BARRED_SHARE * ready as f64) as usize).max(1);
-        let mut barred = self.workers.iter().filter(|w| w.barred.is_some_and(|until| until > now)).count();
-        for i in 0..self.workers.len() {
+        let sum: f64 =
+            suspects.iter().map(|&i| &self.workers[i]).filter(|w| w.ready()).map(|w| w.errors).sum();
+        let bar = ERRORS_BAR.max((2.5 * sum / self.ready.max(1) as f64).min(0.95));
+        let most = ((BARRED_SHARE * self.ready as f64) as usize).max(1);
+        let is_barred = |w: &Worker| w.barred.is_some_and(|until| until > now);
+        let mut barred = suspects.iter().filter(|&&i| is_barred(&self.workers[i])).count();
+        suspects.retain(|&i| {
             let w = &mut self.workers[i];
             let errors = w.errors;
-            if w.barred.is_some_and(|until| until > now) {
-                continue;
+            if is_barred(w) {
+                return true;
             }
             if errors > bar && barred < most {
                 barred += 1;
                 w.spells = (w.spells + 1).min(4);
                 let pause = Duration::from_secs_f64(0.75 * f64::from(1 << w.spells));
                 (w.barred, w.errors, w.silent) = (Some(now + pause), 0.35, false);
-                self.log(format!("worker {i} barred for {:.1} s: share of errors {errors:.2}", secs(pause)));
+                let line = format!("worker {i} barred for {:.1} s: share of errors {errors:.2}", secs(pause));
+                self.say.push_back(Decision::Log(line));
             } else if errors < 0.05 && w.spells > 0 {
                 (w.spells, w.barred) = (0, None);
-                self.log(format!("worker {i} back: share of errors {errors:.2}"));
+                self.say.push_back(Decision::Log(format!("worker {i} back: share of errors {errors:.2}")));
             }
-        }
+            w.spells > 0 || w.errors > 0.01
+        });
+        self.suspects = suspects;
     }
 
     /// Probes the worker not looked at for longest, as often as own arrivals and the price allow.
@@ -764,6 +808,7 @@
         if !self.sheet.may_probe || !reports || self.probes < 1.0 {
             return;
         }
+        self.due = self.due.min(self.now + SWEEP);
         let stalest = self.workers.iter().enumerate().filter(|(_, w)| w.ready() && !w.probing);
         if let Some((i, _)) = stalest.min_by_key(|(_, w)| w.probed.max(w.seen)) {
             self.probes -= 1.0;
