Score a drawn part of a large list and the workers seen last

Change: a scheduler scores as many workers in its zone and elsewhere as it sees anew in 2 s, and those seen last; a list no longer than that is scored whole. The lowest index decides as before. Without room among the drawn ones the whole list is scored.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,6 +28,7 @@
 const BARRED_SHARE: f64 = 0.34; // at most this share of the ready workers is set aside at a time
 const HIDDEN_SPAN: f64 = 2.0; // what others have on a worker is forgotten over this: about a task or two
 const OTHERS_STEP: f64 = 0.05; // weight of one sighting in the others' share: some twenty count
+const DRAWS: usize = 2; // workers scored at the least: two choices already even out most
 const MINE_SPAN: f64 = 3.0; // smooths the own part of all traffic: some tasks' time
 const TALLY: f64 = 1.0; // the whole list is added up this often: it changes in seconds
 const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
@@ -81,6 +82,10 @@
     setup: f64,
     others: f64,
     scores: Vec<(usize, u8, f64, f64)>,
+    /// Listed workers by zone, those seen last, and the ones a task is scored on.
+    zones: Vec<Vec<usize>>,
+    lately: VecDeque<usize>,
+    drawn: Vec<usize>,
     /// When something is next due, and the earliest bell asked for.
     due: Duration,
     rings: Option<Duration>,
@@ -130,7 +135,10 @@
     pub fn list_begins(&mut self, whole: bool) {
         self.ask_failures = 0;
         (self.tallied, self.due) = (None, self.now);
-        self.workers.iter_mut().for_each(|w| w.on_list &= !whole);
+        if whole {
+            self.workers.iter_mut().for_each(|w| w.on_list = false);
+            self.zones.iter_mut().for_each(Vec::clear);
+        }
     }
 
     pub fn listed(&mut self, i: usize, site: Site, weight: f64, is: Condition, booted: Option<Duration>) {
@@ -147,8 +155,17 @@
         if w.booted != booted || returns {
             (w.fresh, w.errors, w.barred, w.hidden) = (true, 0.0, None, 0.0);
         }
+        let (was_on, old) = (w.on_list, w.site.zone);
         (w.site, w.weight, w.condition, w.booted) = (site, weight, Some(is), booted);
         w.on_list = is != Condition::Gone;
+        if was_on {
+            self.zones[old].retain(|&x| x != i);
+        }
+        if w.on_list {
+            let zones = self.zones.len().max(site.zone + 1);
+            self.zones.resize(zones, Vec::new());
+            self.zones[site.zone].push(i);
+        }
         if starts && self.warmth(i) < 1.0 {
             // Guards against schedulers that learn of a start together sending together.
             let work = self.hold * self.chance.0.rand_float();
@@ -367,6 +384,7 @@
         let old = self.hidden(i);
         let new = old + weight * (hidden - old);
         (self.workers[i].hidden, self.workers[i].seen) = (new, self.now);
+        self.lately.push_front(i);
         // Guards against a lock-out: a worker not seen lately must look as if it had some room.
         self.others += OTHERS_STEP * ((new / self.slots(i)).min(0.5) - self.others);
     }
@@ -447,9 +465,46 @@
         !trickles && self.open(i) && self.allowed(task, i) && tried.all(|(k, a)| k != last && left(a))
     }
 
+    /// The workers that a task is scored on. Guards against schedulers that have seen almost none of a large
+    /// list: they would all find the same few best and crowd them. A scheduler scores as many as it sees anew
+    /// while a view lasts, in its own zone and elsewhere: all of a small list, a part drawn by chance of a large
+    /// one and those seen last.
+    fn draw(&mut self, task: usize, all: bool) {
+        let reach = DRAWS + (self.lambda() * HIDDEN_SPAN) as usize;
+        self.lately.truncate(reach);
+        self.drawn.clear();
+        let listed: usize = self.zones.iter().map(Vec::len).sum();
+        if all || 2 * reach >= listed {
+            self.drawn.extend(0..self.workers.len());
+            return;
+        }
+        // What may have run is bound to its zone, if to any.
+        let t = &self.tasks[task];
+        let bound = t.assignments.iter().find(|a| !a.ending.is_some_and(Ending::proves_never_ran));
+        let home = bound.map_or(self.sheet.zone, |a| self.workers[a.worker].site.zone);
+        let near = self.zones.get(home).map_or(0, Vec::len);
+        self.drawn.extend(&self.lately);
+        for k in 0..2 * reach {
+            let (mut zone, mut at) = (home, self.chance.0.rand_range(0..listed as u64) as usize);
+            if k < reach && near > 0 {
+                at %= near;
+            } else {
+                zone = 0;
+                while at >= self.zones[zone].len() {
+                    (zone, at) = (zone + 1, at - self.zones[zone].len());
+                }
+            }
+            self.drawn.push(self.zones[zone][at]);
+        }
+        // Each once, in a fixed order.
+        self.drawn.sort_unstable();
+        self.drawn.dedup();
+    }
+
     /// The worker of the lowest index among those open to the task, ties by chance; and whether the task
     /// has room there (2), would wait but be in time (1), or would be late (0).
-    fn lowest(&mut self, task: usize) -> Option<(usize, u8, f64)> {
+    fn lowest(&mut self, task: usize, all: bool) -> Option<(usize, u8, f64)> {
+        self.draw(task, all);
         let (lambda, slack, t) = (self.lambda(), self.slack(task), &self.tasks[task]);
         let run = self.runs[t.workload].log.exp();
         let (mut sum, mut count, mut best_tier) = (0.0, 0.0, 0);
@@ -459,7 +514,7 @@
         let price = self.sheet.price_crossing * if bound { 0.25 * CROSSING } else { CROSSING };
         let mut scores = std::mem::take(&mut self.scores);
         scores.clear();
-        for i in (0..self.workers.len()).filter(|&i| self.eligible(task, i)) {
+        for &i in self.drawn.iter().filter(|&&i| self.eligible(task, i)) {
             let (w, slots, speed, occupied) =
                 (&self.workers[i], self.slots(i), self.speed(i), self.occupied(i));
             let mu = slots * speed * self.warmth(i) / self.hold;
@@ -607,7 +662,11 @@
         let run = self.runs[self.tasks[task].workload].log.exp();
         // Queues at workers serve in order, so what waits there delays what is worth more: only the
         // workloads of the highest utility per work may queue, others wait here until there is room.
-        match self.lowest(task) {
+        let mut lowest = self.lowest(task, false);
+        if lowest.is_none_or(|(_, tier, _)| tier < 2) {
+            lowest = self.lowest(task, true);
+        }
+        match lowest {
             Some((i, 2, _)) => return Some(self.assign(task, i, 0.0)),
             Some((i, 1, queue)) if self.may_queue(task) => return Some(self.assign(task, i, queue)),
             Some((_, 0, _)) if slack * IN_TIME < run || self.lines[0].len() > 1 + self.workers.len() / 4 => {
