--- a/src/rules.rs
+++ b/src/rules.rs
@@ -729,7 +729,7 @@
             let (limit, run) = (secs(t.limit) - secs(now) - LAST_CALL, self.runs[t.workload].log.exp());
             let silent = row.effect != Effect::Unrepeatable
                 && t.assignments.iter().any(|a| a.ending.is_none() && self.workers[a.worker].silent);
-            let hope = if waits { self.slack(task) - 0.5 * run } else { limit };
+            let hope = if waits { self.slack(task) - run } else { limit };
             let mut next = limit.min(hope);
             if next <= 0.0 {
                 let answer = self.give_up(task);
