--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,6 +29,7 @@
 const HIDDEN_SPAN: f64 = 2.0; // what others have on a worker is forgotten over this: about a task or two
 const OTHERS_STEP: f64 = 0.05; // weight of one sighting in the others' share: some twenty count
 const DRAWS: usize = 2; // workers scored at the least: two choices already even out most
+const OTHERS_FIRST: f64 = 0.2; // before any sighting: most workers have room
 const MINE_SPAN: f64 = 3.0; // smooths the own part of all traffic: some tasks' time
 const TALLY: f64 = 1.0; // the whole list is added up this often: it changes in seconds
 const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
@@ -80,7 +81,7 @@
     arrivals: f64,
     arrivals_at: Duration,
     setup: f64,
-    others: f64,
+    others: Vec<f64>,
     scores: Vec<(usize, u8, f64, f64)>,
     /// Listed workers by zone, those seen last, and the ones a task is scored on.
     zones: Vec<Vec<usize>>,
@@ -117,9 +118,9 @@
         let subscribed = sheet.news == News::Pushed;
         let chance = Chance(Rand64::new(u128::from(seed)));
         // Others' share and the setup time start at guesses that the first answers replace.
-        let (others, setup, mine) = (0.2, hold / 16.0, 1.0 / sheet.schedulers as f64);
+        let (setup, mine) = (hold / 16.0, 1.0 / sheet.schedulers as f64);
         let times = Rules { now, start: now, due: now, arrivals_at: now, ask_at: now, ..Rules::default() };
-        Rules { chance, runs, hold, setup, others, mine, subscribed, sheet, ..times }
+        Rules { chance, runs, hold, setup, mine, subscribed, sheet, ..times }
     }
 
     // ---- inputs: they only update what is known ----
@@ -164,6 +165,7 @@
         if w.on_list {
             let zones = self.zones.len().max(site.zone + 1);
             self.zones.resize(zones, Vec::new());
+            self.others.resize(zones, OTHERS_FIRST);
             self.zones[site.zone].push(i);
         }
         if starts && self.warmth(i) < 1.0 {
@@ -374,10 +376,11 @@
         self.hold += 0.02 * size.min(4.0) * (plain - self.hold);
     }
 
-    /// Slots that others have on a worker: as last seen, fading into their share of the whole fleet.
+    /// Slots that others have on a worker: as last seen, fading into their share of its zone.
     fn hidden(&self, i: usize) -> f64 {
         let fade = self.fade(self.workers[i].seen, HIDDEN_SPAN);
-        self.workers[i].hidden * fade + self.others * self.slots(i) * (1.0 - fade)
+        let others = self.others[self.workers[i].site.zone];
+        self.workers[i].hidden * fade + others * self.slots(i) * (1.0 - fade)
     }
 
     fn see(&mut self, i: usize, hidden: f64, weight: f64) {
@@ -385,8 +388,8 @@
         let new = old + weight * (hidden - old);
         (self.workers[i].hidden, self.workers[i].seen) = (new, self.now);
         self.lately.push_front(i);
-        // Guards against a lock-out: a worker not seen lately must look as if it had some room.
-        self.others += OTHERS_STEP * ((new / self.slots(i)).min(0.5) - self.others);
+        let (share, others) = (new / self.slots(i), &mut self.others[self.workers[i].site.zone]);
+        *others += OTHERS_STEP * (share.min(1.0) - *others);
     }
 
     /// Slots in use or waited for on a worker, others' included.
@@ -399,9 +402,15 @@
         known.max(least)
     }
 
+    /// The same where room is asked for. Guards against a lock-out: where nothing was seen lately there may be room.
+    fn filled(&self, i: usize, occupied: f64) -> f64 {
+        let beyond = (self.others[self.workers[i].site.zone] - 0.5).max(0.0) * self.slots(i);
+        occupied - beyond * (1.0 - self.fade(self.workers[i].seen, HIDDEN_SPAN))
+    }
+
     /// Whether a slot is surely free for the task, not just by rounding.
     fn has_room(&self, i: usize, size: f64) -> bool {
-        self.occupied(i) + size <= self.slots(i) + 0.1
+        self.filled(i, self.occupied(i)) + size <= self.slots(i) + 0.1
     }
 
     /// Time left in which a task must have waited and run to be in time.
@@ -534,7 +543,7 @@
                 (true, _) => 0.5 / t.size,
                 (false, several) => 0.5 - if several { 0.0 } else { 0.1 * slots },
             };
-            let over = occupied + t.size.min(slots) - slots - part;
+            let over = self.filled(i, occupied) + t.size.min(slots) - slots - part;
             let queue = if over > 0.0 { over * self.hold / (slots * speed) + self.misjudged } else { 0.0 };
             let in_time = queue + run / speed < IN_TIME * slack;
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0));
@@ -776,7 +785,7 @@
         // Forgotten in some 7 s, or nothing would queue and be learned from.
         self.misjudged *= (-since.min(FORGET_SPAN) / FORGET_SPAN).exp();
         self.tallied = Some(self.now);
-        let (mut sum, mut own) = (0.0, 0.0);
+        let (mut sum, mut own, mut others) = (0.0, 0.0, 0.0);
         (self.fleet, self.ready) = (0.0, 0);
         for i in 0..self.workers.len() {
             let (w, slots) = (&self.workers[i], self.slots(i));
@@ -784,6 +793,7 @@
             if w.on_list {
                 sum += self.kinds[w.site.kind].speed * slots;
                 self.fleet += slots;
+                others += self.others[w.site.zone] * slots;
                 self.ready += usize::from(w.ready());
             }
         }
@@ -793,7 +803,7 @@
         for r in &mut self.runs {
             (r.log, r.mean) = (r.log - mean, r.mean * (-mean).exp());
         }
-        let part = own / (own + self.others * self.fleet).max(1.0);
+        let part = own / (own + others).max(1.0);
         self.mine += (1.0 - (-since / MINE_SPAN).exp()) * (part - self.mine);
     }
 
