--- a/src/rules.rs
+++ b/src/rules.rs
@@ -388,8 +388,9 @@
         let new = old + weight * (hidden - old);
         (self.workers[i].hidden, self.workers[i].seen) = (new, self.now);
         self.lately.push_front(i);
+        // Guards against a lock-out: a worker not seen lately must look as if it had some room.
         let (share, others) = (new / self.slots(i), &mut self.others[self.workers[i].site.zone]);
-        *others += OTHERS_STEP * (share.min(1.0) - *others);
+        *others += OTHERS_STEP * (share.min(0.5) - *others);
     }
 
     /// Slots in use or waited for on a worker, others' included.
@@ -402,15 +403,9 @@
         known.max(least)
     }
 
-    /// The same where room is asked for. Guards against a lock-out: where nothing was seen lately there may be room.
-    fn filled(&self, i: usize, occupied: f64) -> f64 {
-        let beyond = (self.others[self.workers[i].site.zone] - 0.5).max(0.0) * self.slots(i);
-        occupied - beyond * (1.0 - self.fade(self.workers[i].seen, HIDDEN_SPAN))
-    }
-
     /// Whether a slot is surely free for the task, not just by rounding.
     fn has_room(&self, i: usize, size: f64) -> bool {
-        self.filled(i, self.occupied(i)) + size <= self.slots(i) + 0.1
+        self.occupied(i) + size <= self.slots(i) + 0.1
     }
 
     /// Time left in which a task must have waited and run to be in time.
@@ -543,7 +538,7 @@
                 (true, _) => 0.5 / t.size,
                 (false, several) => 0.5 - if several { 0.0 } else { 0.1 * slots },
             };
-            let over = self.filled(i, occupied) + t.size.min(slots) - slots - part;
+            let over = occupied + t.size.min(slots) - slots - part;
             let queue = if over > 0.0 { over * self.hold / (slots * speed) + self.misjudged } else { 0.0 };
             let in_time = queue + run / speed < IN_TIME * slack;
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0));
