--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,6 +30,7 @@
 const OTHERS_STEP: f64 = 0.05; // weight of one sighting in the others' share: some twenty count
 const DRAWS: usize = 2; // workers scored at the least: two choices already even out most
 const OTHERS_FIRST: f64 = 0.2; // before any sighting: most workers have room
+const PROBES_SAVED: f64 = 12.0; // probes not sent may be saved up: a zone's workers, about
 const MINE_SPAN: f64 = 3.0; // smooths the own part of all traffic: some tasks' time
 const TALLY: f64 = 1.0; // the whole list is added up this often: it changes in seconds
 const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
@@ -87,6 +88,7 @@
     zones: Vec<Vec<usize>>,
     lately: VecDeque<usize>,
     drawn: Vec<usize>,
+    sparse: bool,
     /// When something is next due, and the earliest bell asked for.
     due: Duration,
     rings: Option<Duration>,
@@ -190,7 +192,7 @@
         let size = size.max(1.0);
         self.arrivals = self.arrivals * self.fade(self.arrivals_at, RATE_SPAN) + size;
         self.arrivals_at = self.now;
-        self.probes = (self.probes + PROBE_SPEND / self.sheet.price_probe.max(1e-4)).min(4.0);
+        self.probes = (self.probes + PROBE_SPEND / self.sheet.price_probe.max(1e-4)).min(PROBES_SAVED);
         // Guards against one customer's rush crowding out the others: beyond the own part of its share, a
         // task has only the utility that the site gives it there.
         let mut utility = self.sheet.workloads[workload].utility;
@@ -478,7 +480,8 @@
         self.lately.truncate(reach);
         self.drawn.clear();
         let listed: usize = self.zones.iter().map(Vec::len).sum();
-        if all || 2 * reach >= listed {
+        self.sparse = 2 * reach < listed;
+        if all || !self.sparse {
             self.drawn.extend(0..self.workers.len());
             return;
         }
@@ -869,11 +872,16 @@
     /// Probes the worker not looked at for longest, as often as own arrivals and the price allow.
     fn probe(&mut self) {
         let reports = self.sheet.report_free.is_some() && self.sheet.report_waiting.is_some();
-        if !self.sheet.may_probe || !reports || self.probes < 1.0 {
+        // Where most workers are out of sight, probes are saved up for tasks that wait for room.
+        let waits = self.lines.iter().any(|line| !line.is_empty());
+        let least = if self.sparse && !waits { PROBES_SAVED } else { 1.0 };
+        if !self.sheet.may_probe || !reports || self.probes < least {
             return;
         }
         self.due = self.due.min(self.now + SWEEP);
-        let stalest = self.workers.iter().enumerate().filter(|(_, w)| w.ready() && !w.probing);
+        // Where most workers are out of sight, only the own zone is looked at.
+        let home = |w: &Worker| !self.sparse || w.site.zone == self.sheet.zone;
+        let stalest = self.workers.iter().enumerate().filter(|(_, w)| w.ready() && !w.probing && home(w));
         if let Some((i, _)) = stalest.min_by_key(|(_, w)| w.probed.max(w.seen)) {
             self.probes -= 1.0;
             (self.workers[i].probing, self.workers[i].probed) = (true, self.now);
