Learn the others' share by zone and kind, uncapped in the index

Cause: among drawn candidates the best kind won nearly always, and a share capped at half never told it was crowded. Where room is asked for, the share still counts half at the most.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -82,7 +82,7 @@
     arrivals: f64,
     arrivals_at: Duration,
     setup: f64,
-    others: Vec<f64>,
+    others: Vec<Vec<f64>>,
     scores: Vec<(usize, u8, f64, f64)>,
     /// Listed workers by zone, those seen last, and the ones a task is scored on.
     zones: Vec<Vec<usize>>,
@@ -152,6 +152,9 @@
         if site.kind >= self.kinds.len() {
             self.kinds.resize(site.kind + 1, Kind::default());
         }
+        let (zones, kinds) = (self.others.len().max(site.zone + 1), self.kinds.len());
+        self.others.resize(zones, Vec::new());
+        self.others.iter_mut().for_each(|zone| zone.resize(kinds, OTHERS_FIRST));
         let w = &mut self.workers[i];
         let returns = w.condition.is_some_and(|c| c != Condition::Ready) && is == Condition::Ready;
         let starts = booted.is_some() && (w.booted != booted || w.condition.is_none());
@@ -167,7 +170,6 @@
         if w.on_list {
             let zones = self.zones.len().max(site.zone + 1);
             self.zones.resize(zones, Vec::new());
-            self.others.resize(zones, OTHERS_FIRST);
             self.zones[site.zone].push(i);
         }
         if starts && self.warmth(i) < 1.0 {
@@ -378,10 +380,11 @@
         self.hold += 0.02 * size.min(4.0) * (plain - self.hold);
     }
 
-    /// Slots that others have on a worker: as last seen, fading into their share of its zone.
+    /// Slots that others have on a worker: as last seen, fading into their share of its zone and kind.
     fn hidden(&self, i: usize) -> f64 {
         let fade = self.fade(self.workers[i].seen, HIDDEN_SPAN);
-        let others = self.others[self.workers[i].site.zone];
+        let Site { zone, kind, .. } = self.workers[i].site;
+        let others = self.others[zone][kind];
         self.workers[i].hidden * fade + others * self.slots(i) * (1.0 - fade)
     }
 
@@ -390,9 +393,9 @@
         let new = old + weight * (hidden - old);
         (self.workers[i].hidden, self.workers[i].seen) = (new, self.now);
         self.lately.push_front(i);
-        // Guards against a lock-out: a worker not seen lately must look as if it had some room.
-        let (share, others) = (new / self.slots(i), &mut self.others[self.workers[i].site.zone]);
-        *others += OTHERS_STEP * (share.min(0.5) - *others);
+        let Site { zone, kind, .. } = self.workers[i].site;
+        let (share, others) = (new / self.slots(i), &mut self.others[zone][kind]);
+        *others += OTHERS_STEP * (share.min(1.0) - *others);
     }
 
     /// Slots in use or waited for on a worker, others' included.
@@ -405,9 +408,16 @@
         known.max(least)
     }
 
+    /// The same where room is asked for. Guards against a lock-out: where nothing was seen lately there may be room.
+    fn filled(&self, i: usize, occupied: f64) -> f64 {
+        let Site { zone, kind, .. } = self.workers[i].site;
+        let beyond = (self.others[zone][kind] - 0.5).max(0.0) * self.slots(i);
+        occupied - beyond * (1.0 - self.fade(self.workers[i].seen, HIDDEN_SPAN))
+    }
+
     /// Whether a slot is surely free for the task, not just by rounding.
     fn has_room(&self, i: usize, size: f64) -> bool {
-        self.occupied(i) + size <= self.slots(i) + 0.1
+        self.filled(i, self.occupied(i)) + size <= self.slots(i) + 0.1
     }
 
     /// Time left in which a task must have waited and run to be in time.
@@ -541,7 +551,7 @@
                 (true, _) => 0.5 / t.size,
                 (false, several) => 0.5 - if several { 0.0 } else { 0.1 * slots },
             };
-            let over = occupied + t.size.min(slots) - slots - part;
+            let over = self.filled(i, occupied) + t.size.min(slots) - slots - part;
             let queue = if over > 0.0 { over * self.hold / (slots * speed) + self.misjudged } else { 0.0 };
             let in_time = queue + run / speed < IN_TIME * slack;
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0));
@@ -791,7 +801,7 @@
             if w.on_list {
                 sum += self.kinds[w.site.kind].speed * slots;
                 self.fleet += slots;
-                others += self.others[w.site.zone] * slots;
+                others += self.others[w.site.zone][w.site.kind] * slots;
                 self.ready += usize::from(w.ready());
             }
         }
