Room as seen comes before room that may be there: crowded zones are left

Told from slow machines by the other four zones, equal and fast with the same kinds. Now a worker with room by its zone's and kind's share comes before one that has room only by the guard.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -519,7 +519,8 @@
     }
 
     /// The worker of the lowest index among those open to the task, ties by chance; and whether the task
-    /// has room there (2), would wait but be in time (1), or would be late (0).
+    /// has room there (3), may have, where nothing was seen lately in a crowded zone (2), would wait but be in
+    /// time (1), or would be late (0).
     fn lowest(&mut self, task: usize, all: bool) -> Option<(usize, u8, f64)> {
         self.draw(task, all);
         let (lambda, slack, t) = (self.lambda(), self.slack(task), &self.tasks[task]);
@@ -551,10 +552,11 @@
                 (true, _) => 0.5 / t.size,
                 (false, several) => 0.5 - if several { 0.0 } else { 0.1 * slots },
             };
-            let over = self.filled(i, occupied) + t.size.min(slots) - slots - part;
+            let beyond = occupied + t.size.min(slots) - slots - part;
+            let over = beyond + self.filled(i, occupied) - occupied;
             let queue = if over > 0.0 { over * self.hold / (slots * speed) + self.misjudged } else { 0.0 };
             let in_time = queue + run / speed < IN_TIME * slack;
-            let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0));
+            let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0) + u8::from(beyond <= 0.0));
             best_tier = best_tier.max(tier);
             scores.push((i, tier, index, queue));
         }
@@ -684,7 +686,7 @@
             lowest = self.lowest(task, true);
         }
         match lowest {
-            Some((i, 2, _)) => return Some(self.assign(task, i, 0.0)),
+            Some((i, 2.., _)) => return Some(self.assign(task, i, 0.0)),
             Some((i, 1, queue)) if self.may_queue(task) => return Some(self.assign(task, i, queue)),
             Some((_, 0, _)) if slack * IN_TIME < run || self.lines[0].len() > 1 + self.workers.len() / 4 => {
                 return Some(self.give_up(task));
