Score the whole list only if nothing drawn may take the task

Cause: in overload each pick scored the whole list again, hundreds of workers whose records are out of the cache.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -682,7 +682,7 @@
         // Queues at workers serve in order, so what waits there delays what is worth more: only the
         // workloads of the highest utility per work may queue, others wait here until there is room.
         let mut lowest = self.lowest(task, false);
-        if lowest.is_none_or(|(_, tier, _)| tier < 2) {
+        if lowest.is_none() {
             lowest = self.lowest(task, true);
         }
         match lowest {
