Draw half as many workers by the own rate; add the list up every 3 s

Cause: the more candidates, the more schedulers that know nothing agree on the best kind, and the more CPU.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,7 +32,7 @@
 const OTHERS_FIRST: f64 = 0.2; // before any sighting: most workers have room
 const PROBES_SAVED: f64 = 12.0; // probes not sent may be saved up: a zone's workers, about
 const MINE_SPAN: f64 = 3.0; // smooths the own part of all traffic: some tasks' time
-const TALLY: f64 = 1.0; // the whole list is added up this often: it changes in seconds
+const TALLY: f64 = 3.0; // the whole list is added up this often: it changes in seconds
 const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
 const CROSSING: f64 = 40.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
@@ -486,7 +486,7 @@
     /// while a view lasts, in its own zone and elsewhere: all of a small list, a part drawn by chance of a large
     /// one and those seen last.
     fn draw(&mut self, task: usize, all: bool) {
-        let reach = DRAWS + (self.lambda() * HIDDEN_SPAN) as usize;
+        let reach = DRAWS + self.lambda() as usize;
         self.lately.truncate(reach);
         self.drawn.clear();
         let listed: usize = self.zones.iter().map(Vec::len).sum();
