--- a/src/books.rs
+++ b/src/books.rs
@@ -64,17 +64,15 @@
     pub heard: Duration,
     /// Own slots on the worker when it was sent.
     pub ahead: f64,
-    /// The wait in a queue that was expected then.
-    pub queue: f64,
     pub cold: bool,
     pub ending: Option<Ending>,
     pub called_off: bool,
 }
 
 impl Assignment {
-    pub fn new(worker: usize, now: Duration, ahead: f64, queue: f64, cold: bool) -> Self {
+    pub fn new(worker: usize, now: Duration, ahead: f64, cold: bool) -> Self {
         let (started, ending, called_off) = (None, None, false);
-        Assignment { worker, sent: now, started, heard: now, ahead, queue, cold, ending, called_off }
+        Assignment { worker, sent: now, started, heard: now, ahead, cold, ending, called_off }
     }
 
     pub fn live(&self) -> bool {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -83,7 +83,7 @@
     arrivals_at: Duration,
     setup: f64,
     others: Vec<Vec<f64>>,
-    scores: Vec<(usize, u8, f64, f64)>,
+    scores: Vec<(usize, u8, f64)>,
     /// Listed workers by zone, those seen last, and the ones a task is scored on.
     zones: Vec<Vec<usize>>,
     lately: VecDeque<usize>,
@@ -101,7 +101,6 @@
     ask_at: Duration,
     ask_failures: u32,
     probes: f64,
-    misjudged: f64,
     mine: f64,
     shares: Vec<(Duration, f64)>,
 }
@@ -237,10 +236,6 @@
         w.running += size;
         w.revive();
         w.waiting.retain(|x| *x != (task, number));
-        // Guards against queues of others that are not seen: what waits run over their estimate is learned.
-        if a.queue > 0.0 {
-            self.misjudged = (self.misjudged + 0.1 * (wait - a.queue)).max(0.0);
-        }
         let kind = &mut self.kinds[w.site.kind];
         kind.slots = kind.slots.max(w.running);
         // The wait tells what others had there: all that had to leave before, or at most the free slots,
@@ -474,11 +469,8 @@
         // A worker back from being barred proves itself on one task at a time that may run again, if any may.
         let risky = !idempotent && self.sheet.workloads.iter().any(|row| free(row.effect));
         let trickles = w.spells > 0 && w.errors > 0.2 && (w.n > 0.0 || risky);
-        // A task may move back to a worker that it left only waiting, never at once.
-        let last = t.assignments.len().wrapping_sub(1);
-        let left = |a: &Assignment| !idempotent && a.ending == Some(Ending::Cancelled) && a.started.is_none();
-        let mut tried = t.assignments.iter().enumerate().filter(|(_, a)| a.worker == i);
-        !trickles && self.open(i) && self.allowed(task, i) && tried.all(|(k, a)| k != last && left(a))
+        let tried = t.assignments.iter().any(|a| a.worker == i);
+        !trickles && self.open(i) && !tried && self.allowed(task, i)
     }
 
     /// The workers that a task is scored on. Guards against schedulers that have seen almost none of a large
@@ -521,7 +513,7 @@
     /// The worker of the lowest index among those open to the task, ties by chance; and whether the task
     /// has room there (3), may have, where nothing was seen lately in a crowded zone (2), would wait but be in
     /// time (1), or would be late (0).
-    fn lowest(&mut self, task: usize, all: bool) -> Option<(usize, u8, f64)> {
+    fn lowest(&mut self, task: usize, all: bool) -> Option<(usize, u8)> {
         self.draw(task, all);
         let (lambda, slack, t) = (self.lambda(), self.slack(task), &self.tasks[task]);
         let run = self.runs[t.workload].log.exp();
@@ -554,14 +546,14 @@
             };
             let beyond = occupied + t.size.min(slots) - slots - part;
             let over = beyond + self.filled(i, occupied) - occupied;
-            let queue = if over > 0.0 { over * self.hold / (slots * speed) + self.misjudged } else { 0.0 };
+            let queue = if over > 0.0 { over * self.hold / (slots * speed) } else { 0.0 };
             let in_time = queue + run / speed < IN_TIME * slack;
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0) + u8::from(beyond <= 0.0));
             best_tier = best_tier.max(tier);
-            scores.push((i, tier, index, queue));
+            scores.push((i, tier, index));
         }
         let (mut best, mut lowest, mut ties) = (None, f64::INFINITY, 0u64);
-        for &(i, tier, mut index, queue) in scores.iter().filter(|s| s.1 == best_tier) {
+        for &(i, tier, mut index) in scores.iter().filter(|s| s.1 == best_tier) {
             let w = &self.workers[i];
             if w.fresh && count > 0.0 {
                 // A new or returning worker stands at the others' mean until its first completion; the mean
@@ -569,11 +561,11 @@
                 index = if w.n > 0.0 { index.max(sum / count) } else { index.min(sum / count) };
             }
             if index < lowest * (1.0 - 1e-9) {
-                (best, lowest, ties) = (Some((i, tier, queue)), index, 1);
+                (best, lowest, ties) = (Some((i, tier)), index, 1);
             } else if index <= lowest * (1.0 + 1e-9) {
                 ties += 1;
                 if self.chance.0.rand_range(0..ties) == 0 {
-                    best = Some((i, tier, queue));
+                    best = Some((i, tier));
                 }
             }
         }
@@ -686,9 +678,9 @@
             lowest = self.lowest(task, true);
         }
         match lowest {
-            Some((i, 2.., _)) => return Some(self.assign(task, i, 0.0)),
-            Some((i, 1, queue)) if self.may_queue(task) => return Some(self.assign(task, i, queue)),
-            Some((_, 0, _)) if slack * IN_TIME < run || self.lines[0].len() > 1 + self.workers.len() / 4 => {
+            Some((i, 2..)) => return Some(self.assign(task, i)),
+            Some((i, 1)) if self.may_queue(task) => return Some(self.assign(task, i)),
+            Some((_, 0)) if slack * IN_TIME < run || self.lines[0].len() > 1 + self.workers.len() / 4 => {
                 return Some(self.give_up(task));
             }
             _ => {}
@@ -706,7 +698,7 @@
         self.density(task) >= QUEUE_SHARE * rows.map(|(row, r)| row.utility / r.mean).fold(0.0, f64::max)
     }
 
-    fn assign(&mut self, task: usize, i: usize, queue: f64) -> Decision {
+    fn assign(&mut self, task: usize, i: usize) -> Decision {
         let now = self.now;
         let work = self.runs[self.tasks[task].workload].mean * self.tasks[task].size;
         let pause = self.pause(i, work);
@@ -717,7 +709,7 @@
             w.energy = Energy::Setup;
         }
         let number = t.assignments.len();
-        t.assignments.push(Assignment::new(i, now, w.n, queue, off));
+        t.assignments.push(Assignment::new(i, now, w.n, off));
         (w.n, w.used, w.rest) = (w.n + t.size, now, now + pause);
         w.waiting.push_back((task, number));
         t.stage = Stage::Out;
@@ -792,8 +784,6 @@
         if since < TALLY {
             return;
         }
-        // Forgotten in some 7 s, or nothing would queue and be learned from.
-        self.misjudged *= (-since.min(FORGET_SPAN) / FORGET_SPAN).exp();
         self.tallied = Some(self.now);
         let (mut sum, mut own, mut others) = (0.0, 0.0, 0.0);
         (self.fleet, self.ready) = (0.0, 0);
