--- a/src/books.rs
+++ b/src/books.rs
@@ -3,6 +3,7 @@
 use crate::terms::{Condition, Ending, Energy, Site};
 use oorandom::Rand64;
 use std::collections::VecDeque;
+use std::ops::{Deref, DerefMut};
 use std::time::Duration;
 
 #[derive(Default)]
@@ -124,3 +125,133 @@
         Chance(Rand64::new(0))
     }
 }
+
+/// Tasks in hand, in places that are used again.
+#[derive(Default)]
+pub struct Slab {
+    tasks: Vec<Task>,
+    unused: Vec<usize>,
+}
+
+impl Slab {
+    /// A place without assignments, an old one where there is one.
+    pub fn open(&mut self, most_assignments: usize) -> usize {
+        let place = self.unused.pop().unwrap_or(self.tasks.len());
+        if place == self.tasks.len() {
+            let assignments = Vec::with_capacity(most_assignments);
+            let (stage, zero) = (Stage::Unused, Duration::ZERO);
+            let (workload, size, utility) = (0, 1.0, 0.0);
+            self.tasks.push(Task { stage, workload, size, utility, born: zero, limit: zero, assignments });
+        }
+        self.tasks[place].assignments.clear();
+        place
+    }
+
+    pub fn close(&mut self, place: usize) {
+        self.tasks[place].stage = Stage::Unused;
+        self.unused.push(place);
+    }
+
+    /// An assignment whose outcome is still to come.
+    pub fn out(&self, task: usize, number: usize) -> Option<&Assignment> {
+        let t = self.tasks.get(task).filter(|t| t.stage != Stage::Unused)?;
+        t.assignments.get(number).filter(|a| a.ending.is_none())
+    }
+}
+
+impl Deref for Slab {
+    type Target = [Task];
+
+    fn deref(&self) -> &[Task] {
+        &self.tasks
+    }
+}
+
+impl DerefMut for Slab {
+    fn deref_mut(&mut self) -> &mut [Task] {
+        &mut self.tasks
+    }
+}
+
+/// The listed workers by zone, in the order in which the list named them.
+#[derive(Default)]
+pub struct Roster {
+    zones: Vec<Vec<usize>>,
+    pub listed: usize,
+}
+
+impl Roster {
+    pub fn clear(&mut self) {
+        self.zones.iter_mut().for_each(Vec::clear);
+        self.listed = 0;
+    }
+
+    pub fn strike(&mut self, worker: usize, zone: usize) {
+        let place = self.zones.get(zone).and_then(|z| z.iter().position(|&x| x == worker));
+        if let Some(place) = place {
+            self.zones[zone].remove(place);
+            self.listed -= 1;
+        }
+    }
+
+    pub fn enter(&mut self, worker: usize, zone: usize) {
+        self.zones.resize(self.zones.len().max(zone + 1), Vec::new());
+        self.zones[zone].push(worker);
+        self.listed += 1;
+    }
+
+    pub fn in_zone(&self, zone: usize) -> usize {
+        self.zones.get(zone).map_or(0, Vec::len)
+    }
+
+    pub fn of(&self, zone: usize, place: usize) -> usize {
+        self.zones[zone][place]
+    }
+
+    /// The worker at this place, counted zone after zone.
+    pub fn at(&self, mut place: usize) -> usize {
+        let mut zone = 0;
+        while place >= self.zones[zone].len() {
+            (place, zone) = (place - self.zones[zone].len(), zone + 1);
+        }
+        self.zones[zone][place]
+    }
+}
+
+/// A count that decays over a span.
+#[derive(Default)]
+pub struct Rate {
+    count: f64,
+    at: Duration,
+}
+
+impl Rate {
+    fn left(&self, now: Duration, span: f64) -> f64 {
+        self.count * (-now.saturating_sub(self.at).as_secs_f64() / span).exp()
+    }
+
+    pub fn add(&mut self, count: f64, now: Duration, span: f64) {
+        (self.count, self.at) = (self.left(now, span) + count, now);
+    }
+
+    pub fn a_second(&self, now: Duration, span: f64) -> f64 {
+        self.left(now, span) / span
+    }
+}
+
+/// What may be taken of something that comes in evenly and is saved up to a limit.
+#[derive(Clone)]
+pub struct Bucket {
+    pub at: Duration,
+    pub left: f64,
+}
+
+impl Bucket {
+    /// Takes one if there is one.
+    pub fn take(&mut self, now: Duration, a_second: f64, most: f64) -> bool {
+        let left = (self.left + a_second * (now - self.at).as_secs_f64()).min(most);
+        let taken = left >= 1.0;
+        (self.at, self.left) = (now, if taken { left - 1.0 } else { left });
+        taken
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,7 +4,7 @@
 //! `ended`, `left`, `probed`, `bell`), which only update what is known, and then pulls `decide` until it
 //! gives `None`. The words of this interface are in `terms.rs`; the reasons are in `docs/design.md`.
 
-use crate::books::{Assignment, Chance, Kind, Runs, Stage, Task, Worker};
+use crate::books::{Assignment, Bucket, Chance, Kind, Rate, Roster, Runs, Slab, Stage, Task, Worker};
 use crate::terms::{Condition, Decision, DutySheet, Effect, Ending, Energy, Group, News, Site, Workload};
 use oorandom::Rand64;
 use std::collections::VecDeque;
@@ -69,23 +69,21 @@
     start: Duration,
     workers: Vec<Worker>,
     kinds: Vec<Kind>,
-    tasks: Vec<Task>,
-    unused: Vec<usize>,
+    tasks: Slab,
     /// First and further assignments wait apart; `passed` were looked at in this pull and left waiting.
     lines: [VecDeque<usize>; 2],
     passed: [usize; 2],
     loose: Vec<usize>,
     say: VecDeque<Decision>,
     runs: Vec<Runs>,
-    /// Mean time a slot is held at speed 1, and the decayed count of slots that arrived.
+    /// Mean time a slot is held at speed 1, and the slots that arrive.
     hold: f64,
-    arrivals: f64,
-    arrivals_at: Duration,
+    arrivals: Rate,
     setup: f64,
     others: Vec<Vec<f64>>,
     scores: Vec<(usize, u8, f64)>,
-    /// Listed workers by zone, those seen last, and the ones a task is scored on.
-    zones: Vec<Vec<usize>>,
+    /// The listed workers, those seen last, and the ones a task is scored on.
+    roster: Roster,
     lately: VecDeque<usize>,
     drawn: Vec<usize>,
     sparse: bool,
@@ -102,7 +100,7 @@
     ask_failures: u32,
     probes: f64,
     mine: f64,
-    shares: Vec<(Duration, f64)>,
+    shares: Vec<Bucket>,
 }
 
 fn secs(d: Duration) -> f64 {
@@ -120,7 +118,7 @@
         let chance = Chance(Rand64::new(u128::from(seed)));
         // Others' share and the setup time start at guesses that the first answers replace.
         let (setup, mine) = (hold / 16.0, 1.0 / sheet.schedulers as f64);
-        let times = Rules { now, start: now, due: now, arrivals_at: now, ask_at: now, ..Rules::default() };
+        let times = Rules { now, start: now, due: now, ask_at: now, ..Rules::default() };
         Rules { chance, runs, hold, setup, mine, subscribed, sheet, ..times }
     }
 
@@ -139,7 +137,7 @@
         (self.tallied, self.due) = (None, self.now);
         if whole {
             self.workers.iter_mut().for_each(|w| w.on_list = false);
-            self.zones.iter_mut().for_each(Vec::clear);
+            self.roster.clear();
         }
     }
 
@@ -160,16 +158,11 @@
         if w.booted != booted || returns {
             (w.fresh, w.errors, w.barred, w.hidden) = (true, 0.0, None, 0.0);
         }
-        let (was_on, old) = (w.on_list, w.site.zone);
+        self.roster.strike(i, w.site.zone);
         (w.site, w.weight, w.condition, w.booted) = (site, weight, Some(is), booted);
         w.on_list = is != Condition::Gone;
-        if was_on {
-            self.zones[old].retain(|&x| x != i);
-        }
         if w.on_list {
-            let zones = self.zones.len().max(site.zone + 1);
-            self.zones.resize(zones, Vec::new());
-            self.zones[site.zone].push(i);
+            self.roster.enter(i, site.zone);
         }
         if starts && self.warmth(i) < 1.0 {
             // Guards against schedulers that learn of a start together sending together.
@@ -191,30 +184,21 @@
 
     pub fn arrived(&mut self, workload: usize, size: f64, left: Duration, customer: usize) -> usize {
         let size = size.max(1.0);
-        self.arrivals = self.arrivals * self.fade(self.arrivals_at, RATE_SPAN) + size;
-        self.arrivals_at = self.now;
+        self.arrivals.add(size, self.now, RATE_SPAN);
         self.probes = (self.probes + PROBE_SPEND / self.sheet.price_probe.max(1e-4)).min(PROBES_SAVED);
         // Guards against one customer's rush crowding out the others: beyond the own part of its share, a
         // task has only the utility that the site gives it there.
         let mut utility = self.sheet.workloads[workload].utility;
         if let Some(quota) = self.sheet.quotas.get(customer).map(|q| q * self.mine) {
-            self.shares.resize(self.sheet.quotas.len(), (self.now, 1.0));
-            let (at, left) = self.shares[customer];
-            let left = (left + quota * secs(self.now - at)).min(1.0 + quota * SHARE_SPAN);
-            utility *= if left >= 1.0 { 1.0 } else { self.sheet.beyond_share };
-            self.shares[customer] = (self.now, if left >= 1.0 { left - 1.0 } else { left });
+            self.shares.resize(self.sheet.quotas.len(), Bucket { at: self.now, left: 1.0 });
+            let within = self.shares[customer].take(self.now, quota, 1.0 + quota * SHARE_SPAN);
+            utility *= if within { 1.0 } else { self.sheet.beyond_share };
         }
         let row = &self.sheet.workloads[workload];
         // A client's repeat counts from its first try, which the time left tells.
         let born = self.now.saturating_sub(row.hard_limit.saturating_sub(left));
-        let place = self.unused.pop().unwrap_or(self.tasks.len());
-        if place == self.tasks.len() {
-            let assignments = Vec::with_capacity(self.sheet.most_assignments);
-            let (stage, limit) = (Stage::Unused, Duration::ZERO);
-            self.tasks.push(Task { stage, workload, size, utility, born, limit, assignments });
-        }
+        let place = self.tasks.open(self.sheet.most_assignments);
         let t = &mut self.tasks[place];
-        t.assignments.clear();
         (t.stage, t.workload, t.size, t.utility) = (Stage::First, workload, size, utility);
         (t.born, t.limit) = (born, self.now + left);
         self.lines[0].push_back(place);
@@ -223,7 +207,7 @@
 
     pub fn started(&mut self, task: usize, number: usize) {
         let now = self.now;
-        let (speed, slots) = match self.out(task, number) {
+        let (speed, slots) = match self.tasks.out(task, number) {
             Some(a) if a.started.is_none() => (self.speed(a.worker), self.slots(a.worker)),
             _ => return,
         };
@@ -249,7 +233,7 @@
     }
 
     pub fn progressed(&mut self, task: usize, number: usize, _share: f64) {
-        if let Some(a) = self.out(task, number) {
+        if let Some(a) = self.tasks.out(task, number) {
             let i = a.worker;
             self.tasks[task].assignments[number].heard = self.now;
             self.workers[i].revive();
@@ -257,7 +241,7 @@
     }
 
     pub fn ended(&mut self, task: usize, number: usize, ending: Ending, over: bool) {
-        let Some(a) = self.out(task, number).copied() else { return };
+        let Some(a) = self.tasks.out(task, number).copied() else { return };
         let (now, i, t) = (self.now, a.worker, &mut self.tasks[task]);
         let (size, workload) = (t.size, t.workload);
         t.assignments[number].ending = Some(ending);
@@ -320,15 +304,10 @@
         (-secs(self.now.saturating_sub(since)) / span).exp()
     }
 
-    fn out(&self, task: usize, number: usize) -> Option<&Assignment> {
-        let t = self.tasks.get(task).filter(|t| t.stage != Stage::Unused)?;
-        t.assignments.get(number).filter(|a| a.ending.is_none())
-    }
-
     /// Own arrivals a second, in slots.
     fn lambda(&self) -> f64 {
         let lived = secs(self.now - self.start) + 0.5;
-        let rate = self.arrivals * self.fade(self.arrivals_at, RATE_SPAN) / RATE_SPAN;
+        let rate = self.arrivals.a_second(self.now, RATE_SPAN);
         (rate / (1.0 - (-lived / RATE_SPAN).exp())).max(RATE_FLOOR)
     }
 
@@ -481,7 +460,7 @@
         let reach = DRAWS + self.lambda() as usize;
         self.lately.truncate(reach);
         self.drawn.clear();
-        let listed: usize = self.zones.iter().map(Vec::len).sum();
+        let listed = self.roster.listed;
         self.sparse = 2 * reach < listed;
         if all || !self.sparse {
             self.drawn.extend(0..self.workers.len());
@@ -491,19 +470,13 @@
         let t = &self.tasks[task];
         let bound = t.assignments.iter().find(|a| !a.ending.is_some_and(Ending::proves_never_ran));
         let home = bound.map_or(self.sheet.zone, |a| self.workers[a.worker].site.zone);
-        let near = self.zones.get(home).map_or(0, Vec::len);
+        let near = self.roster.in_zone(home);
         self.drawn.extend(&self.lately);
         for k in 0..2 * reach {
-            let (mut zone, mut at) = (home, self.chance.0.rand_range(0..listed as u64) as usize);
-            if k < reach && near > 0 {
-                at %= near;
-            } else {
-                zone = 0;
-                while at >= self.zones[zone].len() {
-                    (zone, at) = (zone + 1, at - self.zones[zone].len());
-                }
-            }
-            self.drawn.push(self.zones[zone][at]);
+            let at = self.chance.0.rand_range(0..listed as u64) as usize;
+            let drawn =
+                if k < reach && near > 0 { self.roster.of(home, at % near) } else { self.roster.at(at) };
+            self.drawn.push(drawn);
         }
         // Each once, in a fixed order.
         self.drawn.sort_unstable();
@@ -625,10 +598,9 @@
     /// Frees the place of a task that is over and has nothing out.
     fn forget(&mut self, task: usize) {
         let in_line = self.lines.iter().any(|line| line.contains(&task));
-        let t = &mut self.tasks[task];
+        let t = &self.tasks[task];
         if t.stage == Stage::Over && t.out() == 0 && !in_line {
-            t.stage = Stage::Unused;
-            self.unused.push(task);
+            self.tasks.close(task);
         }
     }
 
