--- a/src/books.rs
+++ b/src/books.rs
@@ -38,13 +38,6 @@
 }
 
 impl Worker {
-    /// Heard from: it does not stand still.
-    pub fn revive(&mut self) {
-        if self.silent {
-            (self.silent, self.errors, self.barred) = (false, 0.0, None);
-        }
-    }
-
     pub fn ready(&self) -> bool {
         self.on_list && self.condition == Some(Condition::Ready)
     }
@@ -104,10 +97,6 @@
     pub fn out(&self) -> usize {
         self.assignments.iter().filter(|a| a.ending.is_none()).count()
     }
-
-    pub fn may_have_run(&self) -> bool {
-        self.assignments.iter().any(|a| !a.ending.is_some_and(Ending::proves_never_ran))
-    }
 }
 
 /// What is learned of a workload: logarithm of the running time at speed 1, its mean, and how often.
@@ -255,3 +244,32 @@
         taken
     }
 }
+
+/// Completions that a worker's own speed is smoothed over: enough to tell half from full speed.
+pub const OWN_SPEED_SPAN: f64 = 12.0;
+
+/// Takes down a run: run times by workload and speeds by kind from their logarithms, so that neither the
+/// mix of workloads nor one very long task passes as speed.
+pub fn learn(w: &mut Worker, kind: &mut Kind, r: &mut Runs, hold: &mut f64, size: f64, run: f64) {
+    let run = run.max(1e-3);
+    let off = run.ln() - (r.log - kind.speed);
+    r.seen += 1.0;
+    r.log += off * (1.0 / r.seen).max(0.03);
+    if r.seen > 8.0 {
+        kind.speed -= 0.02 * off;
+        w.completions += 1.0;
+        w.apart += (-off - w.apart) * (1.0 / w.completions).max(1.0 / OWN_SPEED_SPAN);
+    }
+    let plain = run * kind.speed.exp();
+    r.mean += (plain - r.mean) * (1.0 / r.seen).max(0.02);
+    *hold += 0.02 * size.min(4.0) * (plain - *hold);
+}
+
+/// Moves the speed that counts as 1 by this much, in logarithms: only run / speed is seen, so it would drift.
+pub fn level(kinds: &mut [Kind], runs: &mut [Runs], hold: &mut f64, mean: f64) {
+    kinds.iter_mut().for_each(|kind| kind.speed -= mean);
+    *hold *= (-mean).exp();
+    for r in runs {
+        (r.log, r.mean) = (r.log - mean, r.mean * (-mean).exp());
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,7 +4,10 @@
 //! `ended`, `left`, `probed`, `bell`), which only update what is known, and then pulls `decide` until it
 //! gives `None`. The words of this interface are in `terms.rs`; the reasons are in `docs/design.md`.
 
-use crate::books::{Assignment, Bucket, Chance, Kind, Rate, Roster, Runs, Slab, Stage, Task, Worker};
+use crate::books::{
+    learn, level, Assignment, Bucket, Chance, Kind, Rate, Roster, Runs, Slab, Stage, Task, Worker,
+    OWN_SPEED_SPAN,
+};
 use crate::terms::{Condition, Decision, DutySheet, Effect, Ending, Energy, Group, News, Site, Workload};
 use oorandom::Rand64;
 use std::collections::VecDeque;
@@ -20,7 +23,6 @@
 const MEMORY_MARGIN: Duration = Duration::from_millis(50); // a repeat's way to a group that forgets soon
 const LOG_SPREAD: f64 = 0.7; // running times are heavy-tailed: their logarithm spreads by about this
 const OWN_SPEED_AFTER: f64 = 6.0; // completions before a worker's own speed may replace its kind's
-const OWN_SPEED_SPAN: f64 = 12.0; // completions it is smoothed over: enough to tell half from full speed
 const FORGET_SPAN: f64 = 8.0; // an own speed is forgotten over this while the worker is not used
 const NOTE_GRACE: f64 = 0.7; // a progress note this late is no common pause
 const ERRORS_BAR: f64 = 0.45; // smoothed share of errors that bars a worker: two on end reach it
@@ -107,6 +109,18 @@
     d.as_secs_f64()
 }
 
+/// Heard from: it does not stand still, and what barred it for silence is lifted.
+fn revive(w: &mut Worker) {
+    if w.silent {
+        (w.silent, w.errors, w.barred) = (false, 0.0, None);
+    }
+}
+
+/// The assignments that may have run, or may still: all without an ending that proves they never did.
+fn maybe_ran(t: &Task) -> impl Iterator<Item = &Assignment> {
+    t.assignments.iter().filter(|a| !a.ending.is_some_and(Ending::proves_never_ran))
+}
+
 impl Rules {
     pub fn new(sheet: DutySheet, seed: u64, now: Duration) -> Self {
         // Before the first completions a promised time says best how long a task runs.
@@ -218,7 +232,7 @@
         self.setup += if a.cold { 0.1 * (wait - self.setup) } else { 0.0 };
         let w = &mut self.workers[i];
         w.running += size;
-        w.revive();
+        revive(w);
         w.waiting.retain(|x| *x != (task, number));
         let kind = &mut self.kinds[w.site.kind];
         kind.slots = kind.slots.max(w.running);
@@ -236,7 +250,7 @@
         if let Some(a) = self.tasks.out(task, number) {
             let i = a.worker;
             self.tasks[task].assignments[number].heard = self.now;
-            self.workers[i].revive();
+            revive(&mut self.workers[i]);
         }
     }
 
@@ -253,10 +267,11 @@
         }
         match ending {
             Ending::Finished => {
-                w.revive();
+                revive(w);
                 (w.energy, w.fresh) = (Energy::Busy, false);
                 w.errors -= ERROR_STEP * w.errors;
-                self.learn(i, workload, size, secs(now - a.started.unwrap_or(a.sent)));
+                let (kind, run) = (&mut self.kinds[w.site.kind], secs(now - a.started.unwrap_or(a.sent)));
+                learn(w, kind, &mut self.runs[workload], &mut self.hold, size, run);
             }
             Ending::Error | Ending::Reset | Ending::ConnectFailed => {
                 w.errors += ERROR_STEP - ERROR_STEP * w.errors;
@@ -296,10 +311,6 @@
 
     // ---- what follows from what is known ----
 
-    fn log(&mut self, line: String) {
-        self.say.push_back(Decision::Log(line));
-    }
-
     fn fade(&self, since: Duration, span: f64) -> f64 {
         (-secs(self.now.saturating_sub(since)) / span).exp()
     }
@@ -335,25 +346,6 @@
         (self.sheet.cold_share + (1.0 - self.sheet.cold_share) * age).min(1.0)
     }
 
-    /// Learns run times by workload and speeds by kind from their logarithms, so that neither the mix
-    /// of workloads nor one very long task passes as speed.
-    fn learn(&mut self, i: usize, workload: usize, size: f64, run: f64) {
-        let run = run.max(1e-3);
-        let w = &mut self.workers[i];
-        let (kind, r) = (&mut self.kinds[w.site.kind], &mut self.runs[workload]);
-        let off = run.ln() - (r.log - kind.speed);
-        r.seen += 1.0;
-        r.log += off * (1.0 / r.seen).max(0.03);
-        if r.seen > 8.0 {
-            kind.speed -= 0.02 * off;
-            w.completions += 1.0;
-            w.apart += (-off - w.apart) * (1.0 / w.completions).max(1.0 / OWN_SPEED_SPAN);
-        }
-        let plain = run * kind.speed.exp();
-        r.mean += (plain - r.mean) * (1.0 / r.seen).max(0.02);
-        self.hold += 0.02 * size.min(4.0) * (plain - self.hold);
-    }
-
     /// Slots that others have on a worker: as last seen, fading into their share of its zone and kind.
     fn hidden(&self, i: usize) -> f64 {
         let fade = self.fade(self.workers[i].seen, HIDDEN_SPAN);
@@ -389,11 +381,6 @@
         occupied - beyond * (1.0 - self.fade(self.workers[i].seen, HIDDEN_SPAN))
     }
 
-    /// Whether a slot is surely free for the task, not just by rounding.
-    fn has_room(&self, i: usize, size: f64) -> bool {
-        self.filled(i, self.occupied(i)) + size <= self.slots(i) + 0.1
-    }
-
     /// Time left in which a task must have waited and run to be in time.
     fn slack(&self, task: usize) -> f64 {
         let t = &self.tasks[task];
@@ -424,7 +411,6 @@
         if row.kind.is_some_and(|k| k != site.kind) {
             return false;
         }
-        let mut maybe = t.assignments.iter().filter(|a| !a.ending.is_some_and(Ending::proves_never_ran));
         let within = |a: &Assignment, group: Group| {
             let other = self.workers[a.worker].site;
             let same = match group {
@@ -434,7 +420,7 @@
             };
             same && self.now + MEMORY_MARGIN < a.sent + row.memory
         };
-        maybe.all(|a| match row.effect {
+        maybe_ran(t).all(|a| match row.effect {
             Effect::Idempotent => true,
             Effect::Unrepeatable => false,
             Effect::Deduplicated(group) => within(a, group),
@@ -468,8 +454,7 @@
         }
         // What may have run is bound to its zone, if to any.
         let t = &self.tasks[task];
-        let bound = t.assignments.iter().find(|a| !a.ending.is_some_and(Ending::proves_never_ran));
-        let home = bound.map_or(self.sheet.zone, |a| self.workers[a.worker].site.zone);
+        let home = maybe_ran(t).next().map_or(self.sheet.zone, |a| self.workers[a.worker].site.zone);
         let near = self.roster.in_zone(home);
         self.drawn.extend(&self.lately);
         for k in 0..2 * reach {
@@ -491,7 +476,6 @@
         let (lambda, slack, t) = (self.lambda(), self.slack(task), &self.tasks[task]);
         let run = self.runs[t.workload].log.exp();
         let (mut sum, mut count, mut best_tier) = (0.0, 0.0, 0);
-        let queues = self.may_queue(task);
         // A task bound to its group should rather cross than be bound to a small zone that is full.
         let bound = matches!(self.sheet.workloads[t.workload].effect, Effect::Deduplicated(_));
         let price = self.sheet.price_crossing * if bound { 0.25 * CROSSING } else { CROSSING };
@@ -513,10 +497,7 @@
             // ones with room for it; the index decides among the best there are.
             // Half a slot is rounding, less for several slots, which must not miss any. What may not queue
             // leaves a part free for what is worth more; if it needs several it would wait for ever.
-            let part = match (queues, t.size > 1.0) {
-                (true, _) => 0.5 / t.size,
-                (false, several) => 0.5 - if several { 0.0 } else { 0.1 * slots },
-            };
+            let part = 0.5 / t.size;
             let beyond = occupied + t.size.min(slots) - slots - part;
             let over = beyond + self.filled(i, occupied) - occupied;
             let queue = if over > 0.0 { over * self.hold / (slots * speed) } else { 0.0 };
@@ -609,7 +590,7 @@
         let t = &mut self.tasks[task];
         let harmless = match self.sheet.workloads[t.workload].effect {
             Effect::Idempotent | Effect::Deduplicated(Group::All) => true,
-            _ => !t.may_have_run(),
+            _ => maybe_ran(t).next().is_none(),
         };
         t.stage = Stage::Over;
         self.call_off(task);
@@ -741,7 +722,8 @@
         let Some(a) = t.assignments.last().filter(|a| a.ending.is_none() && a.started.is_none()) else {
             return false;
         };
-        let free = |i: usize| self.eligible(task, i) && self.has_room(i, t.size);
+        let room = |i: usize| self.filled(i, self.occupied(i)) + t.size <= self.slots(i) + 0.1;
+        let free = |i: usize| self.eligible(task, i) && room(i);
         self.sheet.tells_start
             && secs(self.now - a.sent) >= AT_ONCE
             && t.assignments.len() + 1 < self.sheet.most_assignments
@@ -770,11 +752,7 @@
             }
         }
         let mean = if self.fleet > 0.0 { sum / self.fleet } else { 0.0 };
-        self.kinds.iter_mut().for_each(|kind| kind.speed -= mean);
-        self.hold *= (-mean).exp();
-        for r in &mut self.runs {
-            (r.log, r.mean) = (r.log - mean, r.mean * (-mean).exp());
-        }
+        level(&mut self.kinds, &mut self.runs, &mut self.hold, mean);
         let part = own / (own + others).max(1.0);
         self.mine += (1.0 - (-since / MINE_SPAN).exp()) * (part - self.mine);
     }
@@ -796,7 +774,8 @@
                     let w = &mut self.workers[a.worker];
                     (w.silent, w.errors) = (true, 1.0);
                     self.suspect(a.worker);
-                    self.log(format!("worker {} silent for {quiet:.2} s, task started", a.worker));
+                    let line = format!("worker {} silent for {quiet:.2} s, task started", a.worker);
+                    self.say.push_back(Decision::Log(line));
                 }
             }
         }
