Shorter text of the module; the own part of traffic no longer jumps with the list

The cap on the share where room is asked for is an argument of hidden now; silence is looked for in the one pass over tasks. Found on the way: each news of the list set the own part of all traffic to that moment's figure.

--- a/src/books.rs
+++ b/src/books.rs
@@ -273,3 +273,10 @@
         (r.log, r.mean) = (r.log - mean, r.mean * (-mean).exp());
     }
 }
+
+/// Makes room for another zone or kind in a table by both.
+pub fn grow(table: &mut Vec<Vec<f64>>, site: Site, first: f64) {
+    table.resize(table.len().max(site.zone + 1), Vec::new());
+    let zone = &mut table[site.zone];
+    zone.resize(zone.len().max(site.kind + 1), first);
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,11 +4,8 @@
 //! `ended`, `left`, `probed`, `bell`), which only update what is known, and then pulls `decide` until it
 //! gives `None`. The words of this interface are in `terms.rs`; the reasons are in `docs/design.md`.
 
-use crate::books::{
-    learn, level, Assignment, Bucket, Chance, Kind, Rate, Roster, Runs, Slab, Stage, Task, Worker,
-    OWN_SPEED_SPAN,
-};
-use crate::terms::{Condition, Decision, DutySheet, Effect, Ending, Energy, Group, News, Site, Workload};
+use crate::books::*;
+use crate::terms::*;
 use oorandom::Rand64;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -33,7 +30,8 @@
 const DRAWS: usize = 1; // workers scored at the least: two choices already even out most
 const OTHERS_FIRST: f64 = 0.2; // before any sighting: most workers have room
 const PROBES_SAVED: f64 = 12.0; // probes not sent may be saved up: a zone's workers, about
-const MINE_SPAN: f64 = 3.0; // smooths the own part of all traffic: some tasks' time
+const MAY_BE: f64 = 0.5; // where nothing was seen lately there may be room, or nothing would be seen again
+const MINE_STEP: f64 = 0.3; // weight of one tally in the own part of all traffic: what is out swings
 const TALLY: f64 = 3.0; // the whole list is added up this often: it changes in seconds
 const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
 const CROSSING: f64 = 40.0; // weight of the price of crossing zones in the index: a crossing costs a place
@@ -89,12 +87,10 @@
     lately: VecDeque<usize>,
     drawn: Vec<usize>,
     sparse: bool,
-    /// When something is next due, and the earliest bell asked for.
+    /// When something is next due, the earliest bell asked for, and when the list was last added up.
     due: Duration,
     rings: Option<Duration>,
-    /// Slots and ready workers of the whole list, when they were last added up.
     tallied: Option<Duration>,
-    fleet: f64,
     ready: usize,
     suspects: Vec<usize>,
     subscribed: bool,
@@ -129,10 +125,10 @@
         let runs: Vec<Runs> = sheet.workloads.iter().map(first).collect();
         let hold = runs.iter().map(|r| r.mean).sum::<f64>() / runs.len() as f64;
         let subscribed = sheet.news == News::Pushed;
-        let chance = Chance(Rand64::new(u128::from(seed)));
         // Others' share and the setup time start at guesses that the first answers replace.
         let (setup, mine) = (hold / 16.0, 1.0 / sheet.schedulers as f64);
         let times = Rules { now, start: now, due: now, ask_at: now, ..Rules::default() };
+        let chance = Chance(Rand64::new(u128::from(seed)));
         Rules { chance, runs, hold, setup, mine, subscribed, sheet, ..times }
     }
 
@@ -163,9 +159,7 @@
         if site.kind >= self.kinds.len() {
             self.kinds.resize(site.kind + 1, Kind::default());
         }
-        let (zones, kinds) = (self.others.len().max(site.zone + 1), self.kinds.len());
-        self.others.resize(zones, Vec::new());
-        self.others.iter_mut().for_each(|zone| zone.resize(kinds, OTHERS_FIRST));
+        grow(&mut self.others, site, OTHERS_FIRST);
         let w = &mut self.workers[i];
         let returns = w.condition.is_some_and(|c| c != Condition::Ready) && is == Condition::Ready;
         let starts = booted.is_some() && (w.booted != booted || w.condition.is_none());
@@ -200,17 +194,15 @@
         let size = size.max(1.0);
         self.arrivals.add(size, self.now, RATE_SPAN);
         self.probes = (self.probes + PROBE_SPEND / self.sheet.price_probe.max(1e-4)).min(PROBES_SAVED);
-        // Guards against one customer's rush crowding out the others: beyond the own part of its share, a
-        // task has only the utility that the site gives it there.
+        // Guards against one customer's rush: beyond the own part of its share a task has less utility.
         let mut utility = self.sheet.workloads[workload].utility;
         if let Some(quota) = self.sheet.quotas.get(customer).map(|q| q * self.mine) {
             self.shares.resize(self.sheet.quotas.len(), Bucket { at: self.now, left: 1.0 });
             let within = self.shares[customer].take(self.now, quota, 1.0 + quota * SHARE_SPAN);
             utility *= if within { 1.0 } else { self.sheet.beyond_share };
         }
-        let row = &self.sheet.workloads[workload];
         // A client's repeat counts from its first try, which the time left tells.
-        let born = self.now.saturating_sub(row.hard_limit.saturating_sub(left));
+        let born = self.now.saturating_sub(self.sheet.workloads[workload].hard_limit.saturating_sub(left));
         let place = self.tasks.open(self.sheet.most_assignments);
         let t = &mut self.tasks[place];
         (t.stage, t.workload, t.size, t.utility) = (Stage::First, workload, size, utility);
@@ -221,14 +213,10 @@
 
     pub fn started(&mut self, task: usize, number: usize) {
         let now = self.now;
-        let (speed, slots) = match self.tasks.out(task, number) {
-            Some(a) if a.started.is_none() => (self.speed(a.worker), self.slots(a.worker)),
-            _ => return,
-        };
-        let (size, hold) = (self.tasks[task].size, self.hold);
-        let a = &mut self.tasks[task].assignments[number];
-        (a.started, a.heard) = (Some(now), now);
-        let (i, wait, ahead) = (a.worker, secs(now - a.sent), a.ahead);
+        let Some(a) = self.tasks.out(task, number).copied().filter(|a| a.started.is_none()) else { return };
+        let (i, wait, ahead, size) = (a.worker, secs(now - a.sent), a.ahead, self.tasks[task].size);
+        let (speed, slots, out) = (self.speed(i), self.slots(i), &mut self.tasks[task].assignments[number]);
+        (out.started, out.heard) = (Some(now), now);
         self.setup += if a.cold { 0.1 * (wait - self.setup) } else { 0.0 };
         let w = &mut self.workers[i];
         w.running += size;
@@ -236,22 +224,19 @@
         w.waiting.retain(|x| *x != (task, number));
         let kind = &mut self.kinds[w.site.kind];
         kind.slots = kind.slots.max(w.running);
-        // The wait tells what others had there: all that had to leave before, or at most the free slots,
-        // of which they have some part.
+        // The wait tells what others had there: all that had to leave before, or some part of the free slots.
         let sample = if wait > AT_ONCE {
-            (slots + wait * slots * speed / hold - ahead - size).max(0.0)
+            (slots + wait * slots * speed / self.hold - ahead - size).max(0.0)
         } else {
-            self.hidden(i).min(0.6 * (slots - ahead - size).max(0.0))
+            self.hidden(i, 1.0).min(0.6 * (slots - ahead - size).max(0.0))
         };
         self.see(i, sample, 0.4);
     }
 
     pub fn progressed(&mut self, task: usize, number: usize, _share: f64) {
-        if let Some(a) = self.tasks.out(task, number) {
-            let i = a.worker;
-            self.tasks[task].assignments[number].heard = self.now;
-            revive(&mut self.workers[i]);
-        }
+        let Some(i) = self.tasks.out(task, number).map(|a| a.worker) else { return };
+        self.tasks[task].assignments[number].heard = self.now;
+        revive(&mut self.workers[i]);
     }
 
     pub fn ended(&mut self, task: usize, number: usize, ending: Ending, over: bool) {
@@ -259,6 +244,7 @@
         let (now, i, t) = (self.now, a.worker, &mut self.tasks[task]);
         let (size, workload) = (t.size, t.workload);
         t.assignments[number].ending = Some(ending);
+        t.stage = if over { Stage::Over } else { t.stage };
         let w = &mut self.workers[i];
         (w.n, w.used) = ((w.n - size).max(0.0), now);
         w.waiting.retain(|x| *x != (task, number));
@@ -279,15 +265,12 @@
             }
             // Called off while it waited: whatever was free is taken by others.
             Ending::Cancelled if a.started.is_none() && secs(now - a.sent) > AT_ONCE => {
-                self.see(i, self.hidden(i).max(self.slots(i) - self.workers[i].n), 1.0);
+                self.see(i, self.hidden(i, 1.0).max(self.slots(i) - self.workers[i].n), 1.0);
             }
             // A full worker is as busy as can be: others have what the own tasks do not.
-            Ending::Full => self.see(i, self.hidden(i).max(2.0 * self.slots(i)), 1.0),
+            Ending::Full => self.see(i, self.hidden(i, 1.0).max(2.0 * self.slots(i)), 1.0),
             _ => {}
         }
-        if over {
-            self.tasks[task].stage = Stage::Over;
-        }
         self.loose.push(task);
     }
 
@@ -332,8 +315,7 @@
         (self.kinds[w.site.kind].speed + own).exp()
     }
 
-    /// Slots of a worker: the most seen at once on one of its kind; before that many were seen, its
-    /// registered size, which may count speed too.
+    /// Slots of a worker: the most seen at once on its kind; before that its size, which may count speed too.
     fn slots(&self, i: usize) -> f64 {
         let (seen, weight) = (self.kinds[self.workers[i].site.kind].slots, self.workers[i].weight);
         if seen >= weight.floor() { seen } else { weight }.max(1.0)
@@ -346,48 +328,37 @@
         (self.sheet.cold_share + (1.0 - self.sheet.cold_share) * age).min(1.0)
     }
 
-    /// Slots that others have on a worker: as last seen, fading into their share of its zone and kind.
-    fn hidden(&self, i: usize) -> f64 {
-        let fade = self.fade(self.workers[i].seen, HIDDEN_SPAN);
-        let Site { zone, kind, .. } = self.workers[i].site;
-        let others = self.others[zone][kind];
-        self.workers[i].hidden * fade + others * self.slots(i) * (1.0 - fade)
+    /// Slots that others have on a worker: as last seen, fading into their share of its like.
+    fn hidden(&self, i: usize, most: f64) -> f64 {
+        let (w, fade) = (&self.workers[i], self.fade(self.workers[i].seen, HIDDEN_SPAN));
+        let others = self.others[w.site.zone][w.site.kind].min(most);
+        w.hidden * fade + others * self.slots(i) * (1.0 - fade)
     }
 
     fn see(&mut self, i: usize, hidden: f64, weight: f64) {
-        let old = self.hidden(i);
-        let new = old + weight * (hidden - old);
-        (self.workers[i].hidden, self.workers[i].seen) = (new, self.now);
+        let (old, slots) = (self.hidden(i, 1.0), self.slots(i));
+        let w = &mut self.workers[i];
+        (w.hidden, w.seen) = (old + weight * (hidden - old), self.now);
+        let others = &mut self.others[w.site.zone][w.site.kind];
+        *others += OTHERS_STEP * ((w.hidden / slots).min(1.0) - *others);
         self.lately.push_front(i);
-        let Site { zone, kind, .. } = self.workers[i].site;
-        let (share, others) = (new / self.slots(i), &mut self.others[zone][kind]);
-        *others += OTHERS_STEP * (share.min(1.0) - *others);
     }
 
     /// Slots in use or waited for on a worker, others' included.
-    fn occupied(&self, i: usize) -> f64 {
+    fn occupied(&self, i: usize, most: f64) -> f64 {
         let w = &self.workers[i];
-        let (slots, known) = (self.slots(i), w.n + self.hidden(i));
         let late = |&(t, k): &(usize, usize)| secs(self.now - self.tasks[t].assignments[k].sent) > AT_ONCE;
         // Served in order: while an own task waits, all slots are taken.
-        let least = if w.waiting.front().is_some_and(late) { slots + w.n - w.running } else { 0.0 };
-        known.max(least)
-    }
-
-    /// The same where room is asked for. Guards against a lock-out: where nothing was seen lately there may be room.
-    fn filled(&self, i: usize, occupied: f64) -> f64 {
-        let Site { zone, kind, .. } = self.workers[i].site;
-        let beyond = (self.others[zone][kind] - 0.5).max(0.0) * self.slots(i);
-        occupied - beyond * (1.0 - self.fade(self.workers[i].seen, HIDDEN_SPAN))
+        let least = if w.waiting.front().is_some_and(late) { self.slots(i) + w.n - w.running } else { 0.0 };
+        least.max(w.n + self.hidden(i, most))
     }
 
     /// Time left in which a task must have waited and run to be in time.
     fn slack(&self, task: usize) -> f64 {
         let t = &self.tasks[task];
         let row = &self.sheet.workloads[t.workload];
-        let promised =
-            secs(t.born + row.promised) + row.stretch * self.runs[t.workload].log.exp() - secs(self.now);
-        promised.min(secs(t.limit) - secs(self.now) - LAST_CALL)
+        let promised = secs(t.born + row.promised) + row.stretch * self.runs[t.workload].log.exp();
+        promised.min(secs(t.limit) - LAST_CALL) - secs(self.now)
     }
 
     /// Guards against pushing over a cold worker: the own share of its budget needs this long for a work.
@@ -397,12 +368,6 @@
         Duration::from_secs_f64((work / budget).min(secs(s.warm_within)))
     }
 
-    fn open(&self, i: usize) -> bool {
-        let w = &self.workers[i];
-        let rests = w.rest > self.now && self.warmth(i) < 1.0;
-        w.ready() && !rests && w.barred.is_none_or(|until| until <= self.now)
-    }
-
     /// Guards against doubled effects: where a task may still be sent.
     fn allowed(&self, task: usize, i: usize) -> bool {
         let t = &self.tasks[task];
@@ -411,19 +376,13 @@
         if row.kind.is_some_and(|k| k != site.kind) {
             return false;
         }
-        let within = |a: &Assignment, group: Group| {
-            let other = self.workers[a.worker].site;
-            let same = match group {
-                Group::All => true,
-                Group::Zone => other.zone == site.zone,
-                Group::Cell => other.cell == site.cell,
-            };
-            same && self.now + MEMORY_MARGIN < a.sent + row.memory
-        };
         maybe_ran(t).all(|a| match row.effect {
             Effect::Idempotent => true,
             Effect::Unrepeatable => false,
-            Effect::Deduplicated(group) => within(a, group),
+            Effect::Deduplicated(group) => {
+                let still = self.now + MEMORY_MARGIN < a.sent + row.memory;
+                still && group.joins(self.workers[a.worker].site, site)
+            }
         })
     }
 
@@ -434,43 +393,41 @@
         // A worker back from being barred proves itself on one task at a time that may run again, if any may.
         let risky = !idempotent && self.sheet.workloads.iter().any(|row| free(row.effect));
         let trickles = w.spells > 0 && w.errors > 0.2 && (w.n > 0.0 || risky);
+        let rests = w.rest > self.now && self.warmth(i) < 1.0;
+        let barred = w.barred.is_some_and(|until| until > self.now);
         let tried = t.assignments.iter().any(|a| a.worker == i);
-        !trickles && self.open(i) && !tried && self.allowed(task, i)
+        w.ready() && !rests && !barred && !trickles && !tried && self.allowed(task, i)
     }
 
     /// The workers that a task is scored on. Guards against schedulers that have seen almost none of a large
-    /// list: they would all find the same few best and crowd them. A scheduler scores as many as it sees anew
-    /// while a view lasts, in its own zone and elsewhere: all of a small list, a part drawn by chance of a large
-    /// one and those seen last.
+    /// list, which would all crowd the same few best: it scores as many as it sends in a second, drawn by
+    /// chance from its zone and from all, and those seen last; a list hardly longer is scored whole.
     fn draw(&mut self, task: usize, all: bool) {
-        let reach = DRAWS + self.lambda() as usize;
+        let (reach, listed) = (DRAWS + self.lambda() as usize, self.roster.listed);
         self.lately.truncate(reach);
         self.drawn.clear();
-        let listed = self.roster.listed;
         self.sparse = 2 * reach < listed;
         if all || !self.sparse {
             self.drawn.extend(0..self.workers.len());
             return;
         }
         // What may have run is bound to its zone, if to any.
-        let t = &self.tasks[task];
-        let home = maybe_ran(t).next().map_or(self.sheet.zone, |a| self.workers[a.worker].site.zone);
+        let earlier = maybe_ran(&self.tasks[task]).next();
+        let home = earlier.map_or(self.sheet.zone, |a| self.workers[a.worker].site.zone);
         let near = self.roster.in_zone(home);
         self.drawn.extend(&self.lately);
         for k in 0..2 * reach {
             let at = self.chance.0.rand_range(0..listed as u64) as usize;
-            let drawn =
-                if k < reach && near > 0 { self.roster.of(home, at % near) } else { self.roster.at(at) };
-            self.drawn.push(drawn);
+            let own = k < reach && near > 0;
+            self.drawn.push(if own { self.roster.of(home, at % near) } else { self.roster.at(at) });
         }
         // Each once, in a fixed order.
         self.drawn.sort_unstable();
         self.drawn.dedup();
     }
 
-    /// The worker of the lowest index among those open to the task, ties by chance; and whether the task
-    /// has room there (3), may have, where nothing was seen lately in a crowded zone (2), would wait but be in
-    /// time (1), or would be late (0).
+    /// The worker of the lowest index among those open to the task, ties by chance; and whether there is room
+    /// for it (3), may be in a crowded zone (2), or it would wait but be in time (1), or be late (0).
     fn lowest(&mut self, task: usize, all: bool) -> Option<(usize, u8)> {
         self.draw(task, all);
         let (lambda, slack, t) = (self.lambda(), self.slack(task), &self.tasks[task]);
@@ -478,12 +435,12 @@
         let (mut sum, mut count, mut best_tier) = (0.0, 0.0, 0);
         // A task bound to its group should rather cross than be bound to a small zone that is full.
         let bound = matches!(self.sheet.workloads[t.workload].effect, Effect::Deduplicated(_));
-        let price = self.sheet.price_crossing * if bound { 0.25 * CROSSING } else { CROSSING };
+        let price = CROSSING * self.sheet.price_crossing * if bound { 0.25 } else { 1.0 };
         let mut scores = std::mem::take(&mut self.scores);
         scores.clear();
         for &i in self.drawn.iter().filter(|&&i| self.eligible(task, i)) {
-            let (w, slots, speed, occupied) =
-                (&self.workers[i], self.slots(i), self.speed(i), self.occupied(i));
+            let (w, slots, speed) = (&self.workers[i], self.slots(i), self.speed(i));
+            let occupied = self.occupied(i, 1.0);
             let mu = slots * speed * self.warmth(i) / self.hold;
             let delta = (1.0 / self.setup.max(1e-3)).max(1.05 * mu);
             let idle = w.n == 0.0 && secs(self.now.saturating_sub(w.used)) > IDLE_WINDOW;
@@ -493,13 +450,10 @@
             if !w.fresh {
                 (sum, count) = (sum + index, count + 1.0);
             }
-            // Guards against late answers: workers where the task is in time come first, of these the
-            // ones with room for it; the index decides among the best there are.
-            // Half a slot is rounding, less for several slots, which must not miss any. What may not queue
-            // leaves a part free for what is worth more; if it needs several it would wait for ever.
-            let part = 0.5 / t.size;
-            let beyond = occupied + t.size.min(slots) - slots - part;
-            let over = beyond + self.filled(i, occupied) - occupied;
+            // Guards against late answers: first where it is in time, then where it has room; then the index.
+            // Half a slot is rounding, less for several slots, which must not miss any.
+            let needs = t.size.min(slots) - slots - 0.5 / t.size;
+            let (over, beyond) = (self.occupied(i, MAY_BE) + needs, occupied + needs);
             let queue = if over > 0.0 { over * self.hold / (slots * speed) } else { 0.0 };
             let in_time = queue + run / speed < IN_TIME * slack;
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0) + u8::from(beyond <= 0.0));
@@ -510,8 +464,8 @@
         for &(i, tier, mut index) in scores.iter().filter(|s| s.1 == best_tier) {
             let w = &self.workers[i];
             if w.fresh && count > 0.0 {
-                // A new or returning worker stands at the others' mean until its first completion; the mean
-                // is never the lowest, so with nothing of ours it is tried on its own index if that is less.
+                // New or returning, it stands at the others' mean until its first completion; with nothing of
+                // ours it is tried on its own index if that is less, since the mean is never the lowest.
                 index = if w.n > 0.0 { index.max(sum / count) } else { index.min(sum / count) };
             }
             if index < lowest * (1.0 - 1e-9) {
@@ -538,11 +492,10 @@
                 return Some(said);
             }
             if let Some(task) = self.loose.pop() {
-                let answer = self.settle(task);
-                if answer.is_some() {
-                    return answer;
+                match self.settle(task) {
+                    None => continue,
+                    answer => return answer,
                 }
-                continue;
             }
             let Some(line) = (0..2).find(|&l| self.passed[l] < self.lines[l].len()) else { break };
             let task = self.lines[line][self.passed[line]];
@@ -579,8 +532,7 @@
     /// Frees the place of a task that is over and has nothing out.
     fn forget(&mut self, task: usize) {
         let in_line = self.lines.iter().any(|line| line.contains(&task));
-        let t = &self.tasks[task];
-        if t.stage == Stage::Over && t.out() == 0 && !in_line {
+        if self.tasks[task].stage == Stage::Over && self.tasks[task].out() == 0 && !in_line {
             self.tasks.close(task);
         }
     }
@@ -624,21 +576,18 @@
     fn place(&mut self, task: usize) -> Option<Decision> {
         let slack = self.slack(task);
         let run = self.runs[self.tasks[task].workload].log.exp();
-        // Queues at workers serve in order, so what waits there delays what is worth more: only the
-        // workloads of the highest utility per work may queue, others wait here until there is room.
-        let mut lowest = self.lowest(task, false);
-        if lowest.is_none() {
-            lowest = self.lowest(task, true);
-        }
+        // Queues at workers serve in order: only the highest utility per work may queue, the rest waits here.
+        let lowest = match self.lowest(task, false) {
+            None => self.lowest(task, true),
+            found => found,
+        };
+        let many = self.lines[0].len() > 1 + self.workers.len() / 4;
         match lowest {
-            Some((i, 2..)) => return Some(self.assign(task, i)),
-            Some((i, 1)) if self.may_queue(task) => return Some(self.assign(task, i)),
-            Some((_, 0)) if slack * IN_TIME < run || self.lines[0].len() > 1 + self.workers.len() / 4 => {
-                return Some(self.give_up(task));
-            }
-            _ => {}
+            Some((i, 2..)) => Some(self.assign(task, i)),
+            Some((i, 1)) if self.may_queue(task) => Some(self.assign(task, i)),
+            Some((_, 0)) if slack * IN_TIME < run || many => Some(self.give_up(task)),
+            _ => (slack < 0.5 * run).then(|| self.give_up(task)),
         }
-        (slack < 0.5 * run).then(|| self.give_up(task))
     }
 
     /// Utility per work of a task, by what its workload usually takes.
@@ -655,8 +604,7 @@
         let now = self.now;
         let work = self.runs[self.tasks[task].workload].mean * self.tasks[task].size;
         let pause = self.pause(i, work);
-        let t = &mut self.tasks[task];
-        let w = &mut self.workers[i];
+        let (t, w) = (&mut self.tasks[task], &mut self.workers[i]);
         let off = w.n == 0.0 && secs(now.saturating_sub(w.used)) > IDLE_WINDOW;
         if off {
             w.energy = Energy::Setup;
@@ -673,7 +621,7 @@
     /// Looks over all that is out: silence, doomed tasks, hard limits, the list and probes.
     fn sweep(&mut self) {
         let now = self.now;
-        self.due = Duration::MAX;
+        self.due = if self.subscribed { Duration::MAX } else { self.ask_at };
         self.tally();
         // Tasks that wait here are looked at again, first those of the highest utility per work.
         self.passed = [0, 0];
@@ -682,8 +630,10 @@
             waiting.make_contiguous().sort_by(|x, y| self.density(*y).total_cmp(&self.density(*x)));
             self.lines[line] = waiting;
         }
-        self.look_for_silence();
         for task in 0..self.tasks.len() {
+            for k in 0..self.tasks[task].assignments.len() {
+                self.look_for_silence(self.tasks[task].assignments[k]);
+            }
             let t = &self.tasks[task];
             if t.stage != Stage::Out {
                 continue;
@@ -708,21 +658,17 @@
         if !self.subscribed && self.ask_at <= now {
             self.subscribed = true;
             self.say.push_back(Decision::Subscribe);
-        } else if !self.subscribed {
-            self.due = self.due.min(self.ask_at);
         }
         self.bar();
         self.probe();
     }
 
-    /// Guards against waiting behind hidden traffic: a task not started at once, that may be sent again,
-    /// moves on while another worker has room.
+    /// Guards against waiting behind hidden traffic: what has not started at once moves where there is room.
     fn should_move(&self, task: usize) -> bool {
         let t = &self.tasks[task];
-        let Some(a) = t.assignments.last().filter(|a| a.ending.is_none() && a.started.is_none()) else {
-            return false;
-        };
-        let room = |i: usize| self.filled(i, self.occupied(i)) + t.size <= self.slots(i) + 0.1;
+        let last = t.assignments.last().filter(|a| a.ending.is_none() && a.started.is_none());
+        let Some(a) = last else { return false };
+        let room = |i: usize| self.occupied(i, MAY_BE) + t.size <= self.slots(i) + 0.1;
         let free = |i: usize| self.eligible(task, i) && room(i);
         self.sheet.tells_start
             && secs(self.now - a.sent) >= AT_ONCE
@@ -731,62 +677,48 @@
             && (0..self.workers.len()).any(free)
     }
 
-    /// Adds up the whole list, rarely: its slots and ready workers, and the own part of all traffic by what is out.
-    /// Guards against drift: only run / speed is seen, so the mean speed of the fleet's slots is kept at 1.
+    /// Adds up the list, rarely: the ready workers, the own part of all traffic, the mean speed (kept at 1).
     fn tally(&mut self) {
-        let since = self.tallied.map_or(f64::INFINITY, |at| secs(self.now - at));
-        if since < TALLY {
+        if self.tallied.is_some_and(|at| secs(self.now - at) < TALLY) {
             return;
         }
         self.tallied = Some(self.now);
-        let (mut sum, mut own, mut others) = (0.0, 0.0, 0.0);
-        (self.fleet, self.ready) = (0.0, 0);
+        let (mut sum, mut fleet, mut own, mut others) = (0.0, 0.0, 0.0, 0.0);
+        self.ready = 0;
         for i in 0..self.workers.len() {
             let (w, slots) = (&self.workers[i], self.slots(i));
             own += w.n;
             if w.on_list {
                 sum += self.kinds[w.site.kind].speed * slots;
-                self.fleet += slots;
+                fleet += slots;
                 others += self.others[w.site.zone][w.site.kind] * slots;
                 self.ready += usize::from(w.ready());
             }
         }
-        let mean = if self.fleet > 0.0 { sum / self.fleet } else { 0.0 };
-        level(&mut self.kinds, &mut self.runs, &mut self.hold, mean);
-        let part = own / (own + others).max(1.0);
-        self.mine += (1.0 - (-since / MINE_SPAN).exp()) * (part - self.mine);
+        level(&mut self.kinds, &mut self.runs, &mut self.hold, sum / f64::max(fleet, 1.0));
+        self.mine += MINE_STEP * (own / (own + others).max(1.0) - self.mine);
     }
 
-    /// A worker whose notes are overdue stands still: as good as erring.
-    fn look_for_silence(&mut self) {
+    /// A worker whose notes on an assignment are overdue stands still: as good as erring.
+    fn look_for_silence(&mut self, a: Assignment) {
         let Some(gap) = self.sheet.progress_every.map(secs) else { return };
-        for task in 0..self.tasks.len() {
-            for k in 0..self.tasks[task].assignments.len() {
-                let a = self.tasks[task].assignments[k];
-                if !a.live() || a.started.is_none() || self.workers[a.worker].silent {
-                    continue;
-                }
-                let quiet = secs(self.now - a.heard);
-                if quiet <= gap + NOTE_GRACE {
-                    let overdue = a.heard + Duration::from_secs_f64(gap + NOTE_GRACE) + SWEEP;
-                    self.due = self.due.min(overdue);
-                } else {
-                    let w = &mut self.workers[a.worker];
-                    (w.silent, w.errors) = (true, 1.0);
-                    self.suspect(a.worker);
-                    let line = format!("worker {} silent for {quiet:.2} s, task started", a.worker);
-                    self.say.push_back(Decision::Log(line));
-                }
-            }
+        let quiet = secs(self.now - a.heard);
+        if !a.live() || a.started.is_none() || self.workers[a.worker].silent {
+        } else if quiet <= gap + NOTE_GRACE {
+            self.due = self.due.min(a.heard + Duration::from_secs_f64(gap + NOTE_GRACE) + SWEEP);
+        } else {
+            (self.workers[a.worker].silent, self.workers[a.worker].errors) = (true, 1.0);
+            self.suspect(a.worker);
+            let line = format!("worker {} silent for {quiet:.2} s, task started", a.worker);
+            self.say.push_back(Decision::Log(line));
         }
     }
 
     /// Its errors are judged at the next sweep, which is due now.
     fn suspect(&mut self, i: usize) {
         self.due = self.now;
-        if !self.suspects.contains(&i) {
-            self.suspects.push(i);
-        }
+        self.suspects.retain(|&x| x != i);
+        self.suspects.push(i);
     }
 
     /// Bars workers that err far too often, a limited share at a time, for longer each time.
@@ -794,8 +726,7 @@
         let now = self.now;
         let mut suspects = std::mem::take(&mut self.suspects);
         // If many fail together it is not theirs alone: a worker is judged against its fellows.
-        let sum: f64 =
-            suspects.iter().map(|&i| &self.workers[i]).filter(|w| w.ready()).map(|w| w.errors).sum();
+        let sum: f64 = suspects.iter().map(|&i| self.workers[i].errors).sum();
         let bar = ERRORS_BAR.max((2.5 * sum / self.ready.max(1) as f64).min(0.95));
         let most = ((BARRED_SHARE * self.ready as f64) as usize).max(1);
         let is_barred = |w: &Worker| w.barred.is_some_and(|until| until > now);
@@ -824,15 +755,13 @@
 
     /// Probes the worker not looked at for longest, as often as own arrivals and the price allow.
     fn probe(&mut self) {
+        // With most workers out of sight, probes are for tasks that wait for room, and stay in the own zone.
+        let waits = !self.sparse || self.lines.iter().any(|line| !line.is_empty());
         let reports = self.sheet.report_free.is_some() && self.sheet.report_waiting.is_some();
-        // Where most workers are out of sight, probes are saved up for tasks that wait for room.
-        let waits = self.lines.iter().any(|line| !line.is_empty());
-        let least = if self.sparse && !waits { PROBES_SAVED } else { 1.0 };
-        if !self.sheet.may_probe || !reports || self.probes < least {
+        if !self.sheet.may_probe || !reports || self.probes < if waits { 1.0 } else { PROBES_SAVED } {
             return;
         }
         self.due = self.due.min(self.now + SWEEP);
-        // Where most workers are out of sight, only the own zone is looked at.
         let home = |w: &Worker| !self.sparse || w.site.zone == self.sheet.zone;
         let stalest = self.workers.iter().enumerate().filter(|(_, w)| w.ready() && !w.probing && home(w));
         if let Some((i, _)) = stalest.min_by_key(|(_, w)| w.probed.max(w.seen)) {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -24,6 +24,17 @@
     Cell,
 }
 
+impl Group {
+    /// Whether workers at these sites know each other's repeats.
+    pub fn joins(self, one: Site, other: Site) -> bool {
+        match self {
+            Group::All => true,
+            Group::Zone => one.zone == other.zone,
+            Group::Cell => one.cell == other.cell,
+        }
+    }
+}
+
 /// One row of the workload table: only what the decisions read.
 #[derive(Clone, Debug)]
 pub struct Workload {
