Second copies for urgent tasks that wait for several slots

Change: where second copies are allowed, what may queue and needs several slots waits at up to three workers at once, inside its group and memory window; the first start calls the others off.

--- a/crates/simhost/src/sheet.rs
+++ b/crates/simhost/src/sheet.rs
@@ -85,6 +85,7 @@
         beyond_share: optional(&info, "/beyond_share_utility")?.unwrap_or(1.0),
         quotas: list(&info, "/tenants").iter().map(quota).collect::<Read<_>>()?,
         may_cancel: flag(&info, "/caps/cancel"),
+        second_copies: flag(&info, "/caps/second_copies"),
         may_probe: flag(&info, "/caps/may_probe"),
         come_back: come_back.transpose()?,
         most_assignments: number(&info, "/caps/most_assignments")?.max(1.0) as usize,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,6 +31,7 @@
 const OTHERS_FIRST: f64 = 0.2; // before any sighting: most workers have room
 const PROBES_SAVED: f64 = 12.0; // probes not sent may be saved up: a zone's workers, about
 const MAY_BE: f64 = 0.5; // where nothing was seen lately there may be room, or nothing would be seen again
+const COPIES: usize = 3; // copies of a task that wait for several slots at a time
 const MINE_STEP: f64 = 0.3; // weight of one tally in the own part of all traffic: what is out swings
 const TALLY: f64 = 3.0; // the whole list is added up this often: it changes in seconds
 const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
@@ -218,6 +219,7 @@
         let (speed, slots, out) = (self.speed(i), self.slots(i), &mut self.tasks[task].assignments[number]);
         (out.started, out.heard) = (Some(now), now);
         self.setup += if a.cold { 0.1 * (wait - self.setup) } else { 0.0 };
+        self.due = if self.tasks[task].out() > 1 { now } else { self.due };
         let w = &mut self.workers[i];
         w.running += size;
         revive(w);
@@ -641,8 +643,15 @@
             let row = &self.sheet.workloads[t.workload];
             let waits = t.assignments.iter().all(|a| a.started.is_none());
             let (limit, run) = (secs(t.limit) - secs(now) - LAST_CALL, self.runs[t.workload].log.exp());
-            let silent = row.effect != Effect::Unrepeatable
+            let repeatable = row.effect != Effect::Unrepeatable;
+            let silent = repeatable
                 && t.assignments.iter().any(|a| a.ending.is_none() && self.workers[a.worker].silent);
+            // One copy has started: the others need not.
+            let spare = |a: &Assignment| !waits && a.live() && a.started.is_none();
+            for (k, a) in self.tasks[task].assignments.iter_mut().enumerate().filter(|(_, a)| spare(a)) {
+                a.called_off = true;
+                self.say.push_back(Decision::CallOff { task, assignment: k });
+            }
             let hope = if waits { self.slack(task) - run } else { limit };
             let mut next = limit.min(hope);
             if next <= 0.0 {
@@ -650,7 +659,10 @@
                 self.say.push_back(answer);
             } else if silent || self.should_move(task) {
                 self.call_off(task);
-            } else if waits && row.effect != Effect::Unrepeatable {
+            } else if let Some(i) = self.second_copy(task) {
+                let copy = self.assign(task, i);
+                self.say.push_back(copy);
+            } else if waits && repeatable {
                 next = next.min(secs(SWEEP));
             }
             self.due = self.due.min(now + Duration::from_secs_f64(next.max(0.0)).max(SWEEP));
@@ -677,6 +689,23 @@
             && (0..self.workers.len()).any(free)
     }
 
+    /// Guards against waiting for several slots at one worker: what may queue waits at a few at once, where a
+    /// second copy is allowed, until the first of them starts it.
+    fn second_copy(&mut self, task: usize) -> Option<usize> {
+        let t = &self.tasks[task];
+        let last = t.assignments.last().filter(|a| secs(self.now - a.sent) >= AT_ONCE)?;
+        let fits = self.sheet.second_copies
+            && self.sheet.may_cancel
+            && t.size > 1.0
+            && t.out() < COPIES
+            && last.started.is_none();
+        let more = t.assignments.len() < self.sheet.most_assignments && self.may_queue(task);
+        if !fits || !more || t.assignments.iter().any(|a| a.started.is_some()) {
+            return None;
+        }
+        self.lowest(task, false).map(|(i, _)| i)
+    }
+
     /// Adds up the list, rarely: the ready workers, the own part of all traffic, the mean speed (kept at 1).
     fn tally(&mut self) {
         if self.tallied.is_some_and(|at| secs(self.now - at) < TALLY) {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -71,6 +71,8 @@
     /// Tasks a second within each customer's share, over all schedulers.
     pub quotas: Vec<f64>,
     pub may_cancel: bool,
+    /// Two assignments of one task may be out together.
+    pub second_copies: bool,
     pub may_probe: bool,
     /// Longest come-back time that clients heed; none where they are not told.
     pub come_back: Option<Duration>,
