One test for tasks that are stuck; copies only while none runs

Found on rereading: after an error of a started run the further assignment counted as a spare copy and was called off.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -245,6 +245,7 @@
         let Some(a) = self.tasks.out(task, number).copied() else { return };
         let (now, i, t) = (self.now, a.worker, &mut self.tasks[task]);
         let (size, workload) = (t.size, t.workload);
+        let at_once = if ending == Ending::Full { 0.0 } else { AT_ONCE };
         t.assignments[number].ending = Some(ending);
         t.stage = if over { Stage::Over } else { t.stage };
         let w = &mut self.workers[i];
@@ -265,12 +266,10 @@
                 w.errors += ERROR_STEP - ERROR_STEP * w.errors;
                 self.suspect(i);
             }
-            // Called off while it waited: whatever was free is taken by others.
-            Ending::Cancelled if a.started.is_none() && secs(now - a.sent) > AT_ONCE => {
+            // Turned away, or called off while it waited: whatever was free is taken by others.
+            Ending::Full | Ending::Cancelled if a.started.is_none() && secs(now - a.sent) > at_once => {
                 self.see(i, self.hidden(i, 1.0).max(self.slots(i) - self.workers[i].n), 1.0);
             }
-            // A full worker is as busy as can be: others have what the own tasks do not.
-            Ending::Full => self.see(i, self.hidden(i, 1.0).max(2.0 * self.slots(i)), 1.0),
             _ => {}
         }
         self.loose.push(task);
@@ -522,10 +521,11 @@
         Some(Decision::Wake { after: self.due - self.now })
     }
 
-    /// Stops waiting for whatever is still out of a task.
-    fn call_off(&mut self, task: usize) {
+    /// Stops waiting for whatever is still out of a task, or only for what has not started.
+    fn call_off(&mut self, task: usize, all: bool) {
         let out = self.tasks[task].assignments.iter_mut().enumerate();
-        for (assignment, a) in out.filter(|(_, a)| self.sheet.may_cancel && a.live()) {
+        let may = self.sheet.may_cancel;
+        for (assignment, a) in out.filter(|(_, a)| may && a.live() && (all || a.started.is_none())) {
             a.called_off = true;
             self.say.push_back(Decision::CallOff { task, assignment });
         }
@@ -547,7 +547,7 @@
             _ => maybe_ran(t).next().is_none(),
         };
         t.stage = Stage::Over;
-        self.call_off(task);
+        self.call_off(task, true);
         self.forget(task);
         if !harmless {
             return Decision::BreakOff { task };
@@ -559,7 +559,7 @@
     /// After an ending that was not the end: a further assignment, or the final answer at once.
     fn settle(&mut self, task: usize) -> Option<Decision> {
         if self.tasks[task].stage == Stage::Over {
-            self.call_off(task);
+            self.call_off(task, true);
             self.forget(task);
         }
         if self.tasks[task].stage != Stage::Out || self.tasks[task].out() > 0 {
@@ -641,30 +641,31 @@
                 continue;
             }
             let row = &self.sheet.workloads[t.workload];
-            let waits = t.assignments.iter().all(|a| a.started.is_none());
             let (limit, run) = (secs(t.limit) - secs(now) - LAST_CALL, self.runs[t.workload].log.exp());
+            let runs = t.assignments.iter().any(|a| a.live() && a.started.is_some());
             let repeatable = row.effect != Effect::Unrepeatable;
-            let silent = repeatable
-                && t.assignments.iter().any(|a| a.ending.is_none() && self.workers[a.worker].silent);
-            // One copy has started: the others need not.
-            let spare = |a: &Assignment| !waits && a.live() && a.started.is_none();
-            for (k, a) in self.tasks[task].assignments.iter_mut().enumerate().filter(|(_, a)| spare(a)) {
-                a.called_off = true;
-                self.say.push_back(Decision::CallOff { task, assignment: k });
-            }
-            let hope = if waits { self.slack(task) - run } else { limit };
+            let silent = |a: &Assignment| a.ending.is_none() && self.workers[a.worker].silent;
+            let silent = repeatable && t.assignments.iter().any(silent);
+            let (size, stuck) = (t.size, self.stuck(task));
+            let several = stuck && size > 1.0 && self.sheet.second_copies && t.out() < COPIES;
+            let hope = if runs { limit } else { self.slack(task) - run };
             let mut next = limit.min(hope);
             if next <= 0.0 {
                 let answer = self.give_up(task);
                 self.say.push_back(answer);
-            } else if silent || self.should_move(task) {
-                self.call_off(task);
-            } else if let Some(i) = self.second_copy(task) {
-                let copy = self.assign(task, i);
-                self.say.push_back(copy);
-            } else if waits && repeatable {
-                next = next.min(secs(SWEEP));
+            } else if silent || stuck && (0..self.workers.len()).any(|i| self.has_room(task, i)) {
+                self.call_off(task, true);
+            } else if runs {
+                // Of several copies one has started: the others need not.
+                self.call_off(task, false);
+            } else if several && self.may_queue(task) {
+                // Guards against waiting for several slots at one worker: it waits at a few, for the first.
+                if let Some((i, _)) = self.lowest(task, false) {
+                    let copy = self.assign(task, i);
+                    self.say.push_back(copy);
+                }
             }
+            next = if runs || !repeatable { next } else { next.min(secs(SWEEP)) };
             self.due = self.due.min(now + Duration::from_secs_f64(next.max(0.0)).max(SWEEP));
         }
         if !self.subscribed && self.ask_at <= now {
@@ -675,35 +676,18 @@
         self.probe();
     }
 
-    /// Guards against waiting behind hidden traffic: what has not started at once moves where there is room.
-    fn should_move(&self, task: usize) -> bool {
+    /// Guards against waiting behind hidden traffic: what has not started at once, and may be sent again.
+    fn stuck(&self, task: usize) -> bool {
         let t = &self.tasks[task];
-        let last = t.assignments.last().filter(|a| a.ending.is_none() && a.started.is_none());
-        let Some(a) = last else { return false };
-        let room = |i: usize| self.occupied(i, MAY_BE) + t.size <= self.slots(i) + 0.1;
-        let free = |i: usize| self.eligible(task, i) && room(i);
+        let waits = |a: &Assignment| a.ending.is_none() && a.started.is_none();
         self.sheet.tells_start
-            && secs(self.now - a.sent) >= AT_ONCE
+            && t.assignments.last().is_some_and(|a| waits(a) && secs(self.now - a.sent) >= AT_ONCE)
             && t.assignments.len() + 1 < self.sheet.most_assignments
             && self.sheet.workloads[t.workload].effect != Effect::Unrepeatable
-            && (0..self.workers.len()).any(free)
     }
 
-    /// Guards against waiting for several slots at one worker: what may queue waits at a few at once, where a
-    /// second copy is allowed, until the first of them starts it.
-    fn second_copy(&mut self, task: usize) -> Option<usize> {
-        let t = &self.tasks[task];
-        let last = t.assignments.last().filter(|a| secs(self.now - a.sent) >= AT_ONCE)?;
-        let fits = self.sheet.second_copies
-            && self.sheet.may_cancel
-            && t.size > 1.0
-            && t.out() < COPIES
-            && last.started.is_none();
-        let more = t.assignments.len() < self.sheet.most_assignments && self.may_queue(task);
-        if !fits || !more || t.assignments.iter().any(|a| a.started.is_some()) {
-            return None;
-        }
-        self.lowest(task, false).map(|(i, _)| i)
+    fn has_room(&self, task: usize, i: usize) -> bool {
+        self.eligible(task, i) && self.occupied(i, MAY_BE) + self.tasks[task].size <= self.slots(i) + 0.1
     }
 
     /// Adds up the list, rarely: the ready workers, the own part of all traffic, the mean speed (kept at 1).
