--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,7 +27,6 @@
 const BARRED_SHARE: f64 = 0.34; // at most this share of the ready workers is set aside at a time
 const HIDDEN_SPAN: f64 = 2.0; // what others have on a worker is forgotten over this: about a task or two
 const OTHERS_STEP: f64 = 0.05; // weight of one sighting in the others' share: some twenty count
-const DRAWS: usize = 1; // workers scored at the least: two choices already even out most
 const OTHERS_FIRST: f64 = 0.2; // before any sighting: most workers have room
 const PROBES_SAVED: f64 = 12.0; // probes not sent may be saved up: a zone's workers, about
 const MAY_BE: f64 = 0.5; // where nothing was seen lately there may be room, or nothing would be seen again
@@ -224,8 +223,7 @@
         w.running += size;
         revive(w);
         w.waiting.retain(|x| *x != (task, number));
-        let kind = &mut self.kinds[w.site.kind];
-        kind.slots = kind.slots.max(w.running);
+        self.kinds[w.site.kind].slots = self.kinds[w.site.kind].slots.max(w.running);
         // The wait tells what others had there: all that had to leave before, or some part of the free slots.
         let sample = if wait > AT_ONCE {
             (slots + wait * slots * speed / self.hold - ahead - size).max(0.0)
@@ -244,16 +242,14 @@
     pub fn ended(&mut self, task: usize, number: usize, ending: Ending, over: bool) {
         let Some(a) = self.tasks.out(task, number).copied() else { return };
         let (now, i, t) = (self.now, a.worker, &mut self.tasks[task]);
-        let (size, workload) = (t.size, t.workload);
-        let at_once = if ending == Ending::Full { 0.0 } else { AT_ONCE };
+        let (size, workload, full) = (t.size, t.workload, ending == Ending::Full);
+        let waited = a.started.is_none() && secs(now - a.sent) > AT_ONCE;
         t.assignments[number].ending = Some(ending);
         t.stage = if over { Stage::Over } else { t.stage };
         let w = &mut self.workers[i];
         (w.n, w.used) = ((w.n - size).max(0.0), now);
         w.waiting.retain(|x| *x != (task, number));
-        if a.started.is_some() {
-            w.running = (w.running - size).max(0.0);
-        }
+        w.running -= if a.started.is_some() { size.min(w.running) } else { 0.0 };
         match ending {
             Ending::Finished => {
                 revive(w);
@@ -267,7 +263,7 @@
                 self.suspect(i);
             }
             // Turned away, or called off while it waited: whatever was free is taken by others.
-            Ending::Full | Ending::Cancelled if a.started.is_none() && secs(now - a.sent) > at_once => {
+            Ending::Full | Ending::Cancelled if full || waited => {
                 self.see(i, self.hidden(i, 1.0).max(self.slots(i) - self.workers[i].n), 1.0);
             }
             _ => {}
@@ -293,8 +289,6 @@
         self.see(i, ((slots - free).max(0.0) + waiting * 1.3 - self.workers[i].n).max(0.0), 0.6);
     }
 
-    // ---- what follows from what is known ----
-
     fn fade(&self, since: Duration, span: f64) -> f64 {
         (-secs(self.now.saturating_sub(since)) / span).exp()
     }
@@ -404,7 +398,7 @@
     /// list, which would all crowd the same few best: it scores as many as it sends in a second, drawn by
     /// chance from its zone and from all, and those seen last; a list hardly longer is scored whole.
     fn draw(&mut self, task: usize, all: bool) {
-        let (reach, listed) = (DRAWS + self.lambda() as usize, self.roster.listed);
+        let (reach, listed) = (1 + self.lambda() as usize, self.roster.listed);
         self.lately.truncate(reach);
         self.drawn.clear();
         self.sparse = 2 * reach < listed;
@@ -436,7 +430,7 @@
         let (mut sum, mut count, mut best_tier) = (0.0, 0.0, 0);
         // A task bound to its group should rather cross than be bound to a small zone that is full.
         let bound = matches!(self.sheet.workloads[t.workload].effect, Effect::Deduplicated(_));
-        let price = CROSSING * self.sheet.price_crossing * if bound { 0.25 } else { 1.0 };
+        let price = self.sheet.price_crossing * if bound { 0.25 * CROSSING } else { CROSSING };
         let mut scores = std::mem::take(&mut self.scores);
         scores.clear();
         for &i in self.drawn.iter().filter(|&&i| self.eligible(task, i)) {
@@ -482,8 +476,6 @@
         best
     }
 
-    // ---- decisions ----
-
     pub fn decide(&mut self) -> Option<Decision> {
         loop {
             if self.due <= self.now {
@@ -565,8 +557,8 @@
         if self.tasks[task].stage != Stage::Out || self.tasks[task].out() > 0 {
             return None;
         }
-        let more = self.tasks[task].assignments.len() < self.sheet.most_assignments;
-        if !more || self.slack(task) <= 0.0 || !(0..self.workers.len()).any(|i| self.allowed(task, i)) {
+        let more = self.tasks[task].assignments.len() < self.sheet.most_assignments && self.slack(task) > 0.0;
+        if !more || !(0..self.workers.len()).any(|i| self.allowed(task, i)) {
             return Some(self.give_up(task));
         }
         self.tasks[task].stage = Stage::Further;
@@ -579,10 +571,7 @@
         let slack = self.slack(task);
         let run = self.runs[self.tasks[task].workload].log.exp();
         // Queues at workers serve in order: only the highest utility per work may queue, the rest waits here.
-        let lowest = match self.lowest(task, false) {
-            None => self.lowest(task, true),
-            found => found,
-        };
+        let lowest = self.lowest(task, false).or_else(|| self.lowest(task, true));
         let many = self.lines[0].len() > 1 + self.workers.len() / 4;
         match lowest {
             Some((i, 2..)) => Some(self.assign(task, i)),
@@ -624,14 +613,15 @@
     fn sweep(&mut self) {
         let now = self.now;
         self.due = if self.subscribed { Duration::MAX } else { self.ask_at };
-        self.tally();
+        if self.tallied.is_none_or(|at| secs(now - at) >= TALLY) {
+            self.tally();
+        }
         // Tasks that wait here are looked at again, first those of the highest utility per work.
         self.passed = [0, 0];
-        for line in 0..2 {
-            let mut waiting = std::mem::take(&mut self.lines[line]);
-            waiting.make_contiguous().sort_by(|x, y| self.density(*y).total_cmp(&self.density(*x)));
-            self.lines[line] = waiting;
-        }
+        let mut lines = std::mem::take(&mut self.lines);
+        let best_first = |x: &usize, y: &usize| self.density(*y).total_cmp(&self.density(*x));
+        lines.iter_mut().for_each(|line| line.make_contiguous().sort_by(best_first));
+        self.lines = lines;
         for task in 0..self.tasks.len() {
             for k in 0..self.tasks[task].assignments.len() {
                 self.look_for_silence(self.tasks[task].assignments[k]);
@@ -646,8 +636,8 @@
             let repeatable = row.effect != Effect::Unrepeatable;
             let silent = |a: &Assignment| a.ending.is_none() && self.workers[a.worker].silent;
             let silent = repeatable && t.assignments.iter().any(silent);
-            let (size, stuck) = (t.size, self.stuck(task));
-            let several = stuck && size > 1.0 && self.sheet.second_copies && t.out() < COPIES;
+            let stuck = self.stuck(task);
+            let several = stuck && t.size > 1.0 && self.sheet.second_copies && t.out() < COPIES;
             let hope = if runs { limit } else { self.slack(task) - run };
             let mut next = limit.min(hope);
             if next <= 0.0 {
@@ -692,9 +682,6 @@
 
     /// Adds up the list, rarely: the ready workers, the own part of all traffic, the mean speed (kept at 1).
     fn tally(&mut self) {
-        if self.tallied.is_some_and(|at| secs(self.now - at) < TALLY) {
-            return;
-        }
         self.tallied = Some(self.now);
         let (mut sum, mut fleet, mut own, mut others) = (0.0, 0.0, 0.0, 0.0);
         self.ready = 0;
@@ -747,17 +734,14 @@
         suspects.retain(|&i| {
             let w = &mut self.workers[i];
             let errors = w.errors;
-            if is_barred(w) {
-                return true;
-            }
-            if errors > bar && barred < most {
+            if !is_barred(w) && errors > bar && barred < most {
                 barred += 1;
                 w.spells = (w.spells + 1).min(4);
                 let pause = Duration::from_secs_f64(0.75 * f64::from(1 << w.spells));
                 (w.barred, w.errors, w.silent) = (Some(now + pause), 0.35, false);
                 let line = format!("worker {i} barred for {:.1} s: share of errors {errors:.2}", secs(pause));
                 self.say.push_back(Decision::Log(line));
-            } else if errors < 0.05 && w.spells > 0 {
+            } else if !is_barred(w) && errors < 0.05 && w.spells > 0 {
                 (w.spells, w.barred) = (0, None);
                 self.say.push_back(Decision::Log(format!("worker {i} back: share of errors {errors:.2}")));
             }
