--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -46,12 +46,15 @@
     pub rules: Rules,
     pub now: u64,
     pub trace: String,
+    /// Bells asked for.
+    pub bells: usize,
 }
 
 impl Desk {
     /// A scheduler with this many warm workers of two slots: odd ones in zone 1, those from 2 on of kind 1.
     pub fn new(sheet: DutySheet, workers: usize) -> Self {
-        let mut desk = Desk { rules: Rules::new(sheet, 7, ms(1000)), now: 1000, trace: String::new() };
+        let mut desk =
+            Desk { rules: Rules::new(sheet, 7, ms(1000)), now: 1000, trace: String::new(), bells: 0 };
         desk.rules.clock(ms(1000));
         desk.rules.list_begins(true);
         for i in 0..workers {
@@ -112,7 +115,10 @@
     pub fn pull(&mut self) {
         while let Some(decision) = self.rules.decide() {
             let said = match decision {
-                Decision::Wake { .. } => continue,
+                Decision::Wake { .. } => {
+                    self.bells += 1;
+                    continue;
+                }
                 Decision::Assign { task, worker } => format!("task {task} to worker {worker}"),
                 Decision::Shed { task, come_back } => format!("shed task {task}, come back {come_back:?}"),
                 Decision::BreakOff { task } => format!("break off task {task}"),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -215,3 +215,99 @@
     let barred: Vec<&str> = desk.trace.lines().filter(|l| l.contains("barred")).collect();
     assert_snapshot!(format!("{} lines, barred: {barred:?}", desk.trace.lines().count()));
 }
+
+/// Guards against instances that wake in vain: with nothing in hand no bell is asked for.
+#[test]
+fn a_scheduler_without_tasks_sleeps() {
+    let mut desk = Desk::new(duty(&[Effect::Idempotent]), 3);
+    let task = desk.arrive(0);
+    desk.rules.started(task, 0);
+    desk.until(1200);
+    let busy = desk.bells;
+    desk.end(task, 0, Ending::Finished);
+    desk.until(20_000);
+    assert_snapshot!(format!("{busy} bells while it ran, {} in all", desk.bells));
+}
+
+/// Guards against a crowd on the few best of a large list: a rare sender draws from it by chance.
+#[test]
+fn a_large_list_is_drawn_from() {
+    let mut desk = Desk::new(duty(&[Effect::Idempotent]), 60);
+    for _ in 0..12 {
+        let task = desk.arrive(0);
+        desk.rules.started(task, 0);
+        let next = desk.now + 2500;
+        desk.at(next).rules.ended(task, 0, Ending::Finished, true);
+        desk.pull();
+    }
+    assert_snapshot!(desk.trace);
+}
+
+/// Guards against staying in a zone that others have filled: once that is seen, tasks cross.
+#[test]
+fn a_crowded_zone_is_left() {
+    let mut sheet = duty(&[Effect::Idempotent]);
+    sheet.price_crossing = 0.05;
+    let mut desk = Desk::new(sheet, 40);
+    for _ in 0..60 {
+        let task = desk.arrive(0);
+        let number = desk.trace.lines().last().and_then(|l| l.rsplit(' ').next()?.parse::<usize>().ok());
+        let crowded = number.is_some_and(|worker| worker % 2 == 0);
+        desk.rules.ended(task, 0, if crowded { Ending::Full } else { Ending::Finished }, true);
+        let next = desk.now + 300;
+        desk.until(next);
+    }
+    let near = |l: &&str| l.trim_end().ends_with(['0', '2', '4', '6', '8']);
+    let sent: Vec<&str> = desk.trace.lines().filter(|l| l.contains(" to worker ")).collect();
+    let of = |part: &[&str]| part.iter().filter(|l| near(l)).count();
+    assert_snapshot!(format!(
+        "in the own zone {} of the first 10, {} of the last 10",
+        of(&sent[..10]),
+        of(&sent[50..])
+    ));
+}
+
+/// Guards against queues of tasks that are late when they start: given up while that helps the others.
+#[test]
+fn what_has_not_started_in_time_is_given_up() {
+    let mut desk = Desk::new(duty(&[Effect::Idempotent]), 1);
+    for _ in 0..4 {
+        desk.run(0, [400, 400]);
+    }
+    desk.trace.clear();
+    desk.arrive(0);
+    desk.until(desk.now + 3000);
+    assert_snapshot!(desk.trace);
+}
+
+/// Guards against waiting for several slots at one worker: copies wait at a few, one start calls them off.
+#[test]
+fn what_needs_several_slots_waits_at_a_few_workers() {
+    let mut sheet = duty(&[Effect::Deduplicated(Group::Zone)]);
+    sheet.second_copies = true;
+    let mut desk = Desk::new(sheet, 8);
+    for _ in 0..8 {
+        let running = desk.arrive(0);
+        desk.rules.started(running, 0);
+    }
+    desk.trace.clear();
+    let task = desk.rules.arrived(0, 2.0, ms(8000), 0);
+    desk.pull();
+    desk.until(1200);
+    desk.rules.started(task, 1);
+    desk.until(1250);
+    assert_snapshot!(desk.trace);
+}
+
+/// Guards against calling off the further assignment of a task whose first run broke after its start.
+#[test]
+fn a_further_assignment_is_no_spare_copy() {
+    let mut desk = Desk::new(duty(&[Effect::Idempotent]), 3);
+    let task = desk.arrive(0);
+    desk.rules.started(task, 0);
+    desk.end(task, 0, Ending::Reset);
+    desk.until(1030);
+    desk.rules.started(task, 1);
+    desk.until(1500);
+    assert_snapshot!(desk.trace);
+}
