--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -176,6 +176,9 @@
                 Decision::Probe { worker } => {
                     reply.record(1040).raw(&self.addresses[worker]);
                 }
+                Decision::Release { worker } => {
+                    reply.record(1030).raw(&self.addresses[worker]);
+                }
                 Decision::Wake { after } => {
                     reply.record(1090).f64(after.as_secs_f64()).u64(0);
                 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -74,6 +74,7 @@
     lines: [VecDeque<usize>; 2],
     passed: [usize; 2],
     loose: Vec<usize>,
+    idle: Vec<usize>,
     say: VecDeque<Decision>,
     runs: Vec<Runs>,
     /// Mean time a slot is held at speed 1, and the slots that arrive.
@@ -249,6 +250,9 @@
         let w = &mut self.workers[i];
         (w.n, w.used) = ((w.n - size).max(0.0), now);
         w.waiting.retain(|x| *x != (task, number));
+        if w.n == 0.0 {
+            self.idle.push(i);
+        }
         w.running -= if a.started.is_some() { size.min(w.running) } else { 0.0 };
         match ending {
             Ending::Finished => {
@@ -484,6 +488,10 @@
             if let Some(said) = self.say.pop_front() {
                 return Some(said);
             }
+            // Guards against full connection tables: who seldom comes back to a worker keeps no place there.
+            if let Some(worker) = self.idle.pop().filter(|&i| self.sparse && self.workers[i].n == 0.0) {
+                return Some(Decision::Release { worker });
+            }
             if let Some(task) = self.loose.pop() {
                 match self.settle(task) {
                     None => continue,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -165,6 +165,10 @@
     Probe {
         worker: usize,
     },
+    /// Close the idle connections to the worker.
+    Release {
+        worker: usize,
+    },
     /// Ring the bell after this span.
     Wake {
         after: Duration,
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -124,6 +124,7 @@
                 Decision::BreakOff { task } => format!("break off task {task}"),
                 Decision::CallOff { task, assignment } => format!("call off {task}/{assignment}"),
                 Decision::Probe { worker } => format!("probe worker {worker}"),
+                Decision::Release { worker } => format!("release worker {worker}"),
                 Decision::Subscribe => "subscribe".into(),
                 Decision::Log(line) => format!("log: {line}"),
             };
