--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,7 +38,7 @@
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
 const IN_TIME: f64 = 0.6; // part of the time left that wait and run may take by estimate: both spread widely
 const SHARE_SPAN: f64 = 2.0; // a customer may save up its share for this long: arrivals come in clumps
-const COLD_ROOM: f64 = 0.4; // part of a cold budget that is used: tasks run long, schedulers coincide
+const COLD_ROOM: f64 = 0.5; // part of a cold budget that is used: tasks run long, schedulers coincide
 
 /// The paper's Whittle index (Theorem 1 with holding cost 1 and beta 0) of a worker with `n` in it.
 pub fn whittle(n: f64, energy: Energy, lambda: f64, mu: f64, delta: f64) -> f64 {
@@ -363,7 +363,9 @@
     /// Guards against pushing over a cold worker: the own share of its budget needs this long for a work.
     fn pause(&self, i: usize, work: f64) -> Duration {
         let (s, full) = (&self.sheet, self.slots(i) * self.speed(i));
-        let budget = COLD_ROOM * s.overload_factor * self.warmth(i) * full / s.schedulers as f64;
+        // Half of it is split equally, so that who sends little may send at all, half by the own traffic.
+        let part = 0.5 / s.schedulers as f64 + 0.5 * self.mine;
+        let budget = COLD_ROOM * s.overload_factor * self.warmth(i) * full * part;
         Duration::from_secs_f64((work / budget).min(secs(s.warm_within)))
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -130,7 +130,7 @@
     let mut desk = Desk::new(duty(&[Effect::Idempotent]), 1);
     desk.list(0, Condition::Gone, None);
     desk.at(2000).list(0, Condition::Ready, Some(1900));
-    for _ in 0..10 {
+    for _ in 0..30 {
         desk.arrive(0);
         let next = desk.now + 100;
         desk.until(next);
