--- a/src/books.rs
+++ b/src/books.rs
@@ -197,13 +197,16 @@
         self.zones[zone][place]
     }
 
-    /// The worker at this place, counted zone after zone.
-    pub fn at(&self, mut place: usize) -> usize {
-        let mut zone = 0;
-        while place >= self.zones[zone].len() {
-            (place, zone) = (place - self.zones[zone].len(), zone + 1);
+    /// The worker at this place outside of a zone, counted zone after zone.
+    pub fn elsewhere(&self, home: usize, mut place: usize) -> usize {
+        let mut zones = self.zones.iter().enumerate().filter(|(zone, _)| *zone != home);
+        loop {
+            let (_, zone) = zones.next().expect("fewer workers elsewhere than the place asked for");
+            if place < zone.len() {
+                return zone[place];
+            }
+            place -= zone.len();
         }
-        self.zones[zone][place]
     }
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -402,7 +402,7 @@
 
     /// The workers that a task is scored on. Guards against schedulers that have seen almost none of a large
     /// list, which would all crowd the same few best: it scores as many as it sends in a second, drawn by
-    /// chance from its zone and from all, and those seen last; a list hardly longer is scored whole.
+    /// chance in its zone and elsewhere, and those seen last; a list hardly longer is scored whole.
     fn draw(&mut self, task: usize, all: bool) {
         let (reach, listed) = (1 + self.lambda() as usize, self.roster.listed);
         self.lately.truncate(reach);
@@ -417,10 +417,14 @@
         let home = earlier.map_or(self.sheet.zone, |a| self.workers[a.worker].site.zone);
         let near = self.roster.in_zone(home);
         self.drawn.extend(&self.lately);
-        for k in 0..2 * reach {
-            let at = self.chance.0.rand_range(0..listed as u64) as usize;
-            let own = k < reach && near > 0;
-            self.drawn.push(if own { self.roster.of(home, at % near) } else { self.roster.at(at) });
+        let mut chance = |of: usize| self.chance.0.rand_range(0..of as u64) as usize;
+        for _ in 0..reach {
+            if near > 0 {
+                self.drawn.push(self.roster.of(home, chance(near)));
+            }
+            if near < listed {
+                self.drawn.push(self.roster.elsewhere(home, chance(listed - near)));
+            }
         }
         // Each once, in a fixed order.
         self.drawn.sort_unstable();
