--- a/src/books.rs
+++ b/src/books.rs
@@ -189,24 +189,19 @@
         self.listed += 1;
     }
 
-    pub fn in_zone(&self, zone: usize) -> usize {
-        self.zones.get(zone).map_or(0, Vec::len)
-    }
-
-    pub fn of(&self, zone: usize, place: usize) -> usize {
-        self.zones[zone][place]
-    }
-
-    /// The worker at this place outside of a zone, counted zone after zone.
-    pub fn elsewhere(&self, home: usize, mut place: usize) -> usize {
-        let mut zones = self.zones.iter().enumerate().filter(|(zone, _)| *zone != home);
-        loop {
-            let (_, zone) = zones.next().expect("fewer workers elsewhere than the place asked for");
+    /// The worker that a number falls on, counted round and round in a zone, or zone after zone outside of it.
+    pub fn pick(&self, home: usize, inside: bool, number: u64) -> Option<usize> {
+        let near = self.zones.get(home).map_or(0, Vec::len);
+        let among = if inside { near } else { self.listed - near };
+        let mut place = number.checked_rem(among as u64)? as usize;
+        let zones = self.zones.iter().enumerate().filter(|(zone, _)| (*zone == home) == inside);
+        for (_, zone) in zones {
             if place < zone.len() {
-                return zone[place];
+                return Some(zone[place]);
             }
             place -= zone.len();
         }
+        None
     }
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -415,16 +415,9 @@
         // What may have run is bound to its zone, if to any.
         let earlier = maybe_ran(&self.tasks[task]).next();
         let home = earlier.map_or(self.sheet.zone, |a| self.workers[a.worker].site.zone);
-        let near = self.roster.in_zone(home);
         self.drawn.extend(&self.lately);
-        let mut chance = |of: usize| self.chance.0.rand_range(0..of as u64) as usize;
-        for _ in 0..reach {
-            if near > 0 {
-                self.drawn.push(self.roster.of(home, chance(near)));
-            }
-            if near < listed {
-                self.drawn.push(self.roster.elsewhere(home, chance(listed - near)));
-            }
+        for k in 0..2 * reach {
+            self.drawn.extend(self.roster.pick(home, k < reach, self.chance.0.rand_u64()));
         }
         // Each once, in a fixed order.
         self.drawn.sort_unstable();
@@ -473,12 +466,10 @@
                 // ours it is tried on its own index if that is less, since the mean is never the lowest.
                 index = if w.n > 0.0 { index.max(sum / count) } else { index.min(sum / count) };
             }
-            if index < lowest * (1.0 - 1e-9) {
-                (best, lowest, ties) = (Some((i, tier)), index, 1);
-            } else if index <= lowest * (1.0 + 1e-9) {
-                ties += 1;
+            if index <= lowest * (1.0 + 1e-9) {
+                ties = if index < lowest * (1.0 - 1e-9) { 1 } else { ties + 1 };
                 if self.chance.0.rand_range(0..ties) == 0 {
-                    best = Some((i, tier));
+                    (best, lowest) = (Some((i, tier)), index);
                 }
             }
         }
@@ -644,10 +635,9 @@
             if t.stage != Stage::Out {
                 continue;
             }
-            let row = &self.sheet.workloads[t.workload];
             let (limit, run) = (secs(t.limit) - secs(now) - LAST_CALL, self.runs[t.workload].log.exp());
             let runs = t.assignments.iter().any(|a| a.live() && a.started.is_some());
-            let repeatable = row.effect != Effect::Unrepeatable;
+            let repeatable = self.sheet.workloads[t.workload].effect != Effect::Unrepeatable;
             let silent = |a: &Assignment| a.ending.is_none() && self.workers[a.worker].silent;
             let silent = repeatable && t.assignments.iter().any(silent);
             let stuck = self.stuck(task);
@@ -699,15 +689,12 @@
         self.tallied = Some(self.now);
         let (mut sum, mut fleet, mut own, mut others) = (0.0, 0.0, 0.0, 0.0);
         self.ready = 0;
-        for i in 0..self.workers.len() {
+        for i in (0..self.workers.len()).filter(|&i| self.workers[i].on_list) {
             let (w, slots) = (&self.workers[i], self.slots(i));
-            own += w.n;
-            if w.on_list {
-                sum += self.kinds[w.site.kind].speed * slots;
-                fleet += slots;
-                others += self.others[w.site.zone][w.site.kind] * slots;
-                self.ready += usize::from(w.ready());
-            }
+            (own, fleet) = (own + w.n, fleet + slots);
+            sum += self.kinds[w.site.kind].speed * slots;
+            others += self.others[w.site.zone][w.site.kind] * slots;
+            self.ready += usize::from(w.ready());
         }
         level(&mut self.kinds, &mut self.runs, &mut self.hold, sum / f64::max(fleet, 1.0));
         self.mine += MINE_STEP * (own / (own + others).max(1.0) - self.mine);
