--- a/src/rules.rs
+++ b/src/rules.rs
@@ -434,9 +434,6 @@
         // A task bound to its group should rather cross than be bound to a small zone that is full.
         let bound = matches!(self.sheet.workloads[t.workload].effect, Effect::Deduplicated(_));
         let price = self.sheet.price_crossing * if bound { 0.25 * CROSSING } else { CROSSING };
-        // What can't move on is not sent to find out whether there is room.
-        let unrepeatable = self.sheet.workloads[t.workload].effect == Effect::Unrepeatable;
-        let may_be = if unrepeatable { 1.0 } else { MAY_BE };
         let mut scores = std::mem::take(&mut self.scores);
         scores.clear();
         for &i in self.drawn.iter().filter(|&&i| self.eligible(task, i)) {
@@ -454,7 +451,7 @@
             // Guards against late answers: first where it is in time, then where it has room; then the index.
             // Half a slot is rounding, less for several slots, which must not miss any.
             let needs = t.size.min(slots) - slots - 0.5 / t.size;
-            let (over, beyond) = (self.occupied(i, may_be) + needs, occupied + needs);
+            let (over, beyond) = (self.occupied(i, MAY_BE) + needs, occupied + needs);
             let queue = if over > 0.0 { over * self.hold / (slots * speed) } else { 0.0 };
             let in_time = queue + run / speed < IN_TIME * slack;
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0) + u8::from(beyond <= 0.0));
