--- a/src/books.rs
+++ b/src/books.rs
@@ -105,8 +105,6 @@
     pub log: f64,
     pub mean: f64,
     pub seen: f64,
-    /// When the last run was taken down.
-    pub at: Duration,
 }
 
 pub struct Chance(pub Rand64);
@@ -248,19 +246,13 @@
 /// Completions that a worker's own speed is smoothed over: enough to tell half from full speed.
 pub const OWN_SPEED_SPAN: f64 = 12.0;
 
-/// Seconds that running times are smoothed over at the most.
-const RUNS_SPAN: f64 = 8.0;
-
 /// Takes down a run: run times by workload and speeds by kind from their logarithms, so that neither the
 /// mix of workloads nor one very long task passes as speed.
-pub fn learn(w: &mut Worker, kind: &mut Kind, r: &mut Runs, hold: &mut f64, size: f64, run: f64, now: Duration) {
+pub fn learn(w: &mut Worker, kind: &mut Kind, r: &mut Runs, hold: &mut f64, size: f64, run: f64) {
     let run = run.max(1e-3);
     let off = run.ln() - (r.log - kind.speed);
     r.seen += 1.0;
-    // Few runs count more, or what slows all workers for some seconds would be over before it is learned.
-    let fresh = 1.0 - (-(now - r.at).as_secs_f64() / RUNS_SPAN).exp();
-    r.log += off * (1.0 / r.seen).max(0.03).max(fresh);
-    r.at = now;
+    r.log += off * (1.0 / r.seen).max(0.03);
     if r.seen > 8.0 {
         kind.speed -= 0.02 * off;
         w.completions += 1.0;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -122,7 +122,7 @@
     pub fn new(sheet: DutySheet, seed: u64, now: Duration) -> Self {
         // Before the first completions a promised time says best how long a task runs.
         let guess = |w: &Workload| secs(w.promised).max(0.01);
-        let first = |w: &Workload| Runs { log: guess(w).ln(), mean: guess(w), seen: 0.0, at: now };
+        let first = |w: &Workload| Runs { log: guess(w).ln(), mean: guess(w), seen: 0.0 };
         let runs: Vec<Runs> = sheet.workloads.iter().map(first).collect();
         let hold = runs.iter().map(|r| r.mean).sum::<f64>() / runs.len() as f64;
         let subscribed = sheet.news == News::Pushed;
@@ -260,7 +260,7 @@
                 (w.energy, w.fresh) = (Energy::Busy, false);
                 w.errors -= ERROR_STEP * w.errors;
                 let (kind, run) = (&mut self.kinds[w.site.kind], secs(now - a.started.unwrap_or(a.sent)));
-                learn(w, kind, &mut self.runs[workload], &mut self.hold, size, run, now);
+                learn(w, kind, &mut self.runs[workload], &mut self.hold, size, run);
             }
             Ending::Error | Ending::Reset | Ending::ConnectFailed => {
                 w.errors += ERROR_STEP - ERROR_STEP * w.errors;
