--- a/src/rules.rs
+++ b/src/rules.rs
@@ -265,10 +265,6 @@
             Ending::Error | Ending::Reset | Ending::ConnectFailed => {
                 w.errors += ERROR_STEP - ERROR_STEP * w.errors;
                 self.suspect(i);
-                // Guards against lost workers, which look free: like full ones they count against their like.
-                if ending == Ending::ConnectFailed {
-                    self.see(i, self.hidden(i, 1.0).max(self.slots(i)), 1.0);
-                }
             }
             // Turned away, or called off while it waited: whatever was free is taken by others.
             Ending::Full | Ending::Cancelled if full || waited => {
