All assignments of a task may be used to move on

Cause: the last of five or six was kept back for a failure after the move, so a task stuck at a fourth worker waited there until it was given up.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -676,7 +676,7 @@
         let waits = |a: &Assignment| a.ending.is_none() && a.started.is_none();
         self.sheet.tells_start
             && t.assignments.last().is_some_and(|a| waits(a) && secs(self.now - a.sent) >= AT_ONCE)
-            && t.assignments.len() + 1 < self.sheet.most_assignments
+            && t.assignments.len() < self.sheet.most_assignments
             && self.sheet.workloads[t.workload].effect != Effect::Unrepeatable
     }
 
