--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,7 +36,7 @@
 const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
 const CROSSING: f64 = 40.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
-const IN_TIME: f64 = 0.6; // part of the time left that wait and run may take by estimate: both spread widely
+const IN_TIME: f64 = 0.75; // part of the time left that wait and run may take by estimate: both spread widely
 const SHARE_SPAN: f64 = 2.0; // a customer may save up its share for this long: arrivals come in clumps
 const COLD_ROOM: f64 = 0.5; // part of a cold budget that is used: tasks run long, schedulers coincide
 
