--- /dev/null
+++ b/crates/scheduler/src/answering.rs
@@ -0,0 +1,48 @@
+//! An answer, encoded once.
+
+use crate::exchange::Answer;
+use crate::reading::Bad;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderValue, ALLOW, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+pub type Reply = Response<Full<Bytes>>;
+
+fn plain(status: StatusCode, body: Bytes) -> Reply {
+    let mut reply = Response::new(Full::new(body));
+    *reply.status_mut() = status;
+    reply
+}
+
+pub fn answer(answer: Answer) -> Reply {
+    match answer {
+        Answer::Finished(result) => plain(StatusCode::OK, result),
+        Answer::Shed { come_back } => {
+            let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+            if let Some(wait) = come_back {
+                let seconds = HeaderValue::try_from(wait.as_secs_f64().to_string());
+                seconds.into_iter().for_each(|s| drop(reply.headers_mut().insert(RETRY_AFTER, s)));
+            }
+            reply
+        }
+        Answer::BrokenOff => plain(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+    }
+}
+
+pub fn heard() -> Reply {
+    plain(StatusCode::NO_CONTENT, Bytes::new())
+}
+
+/// 500, not 503, where nothing can be decided yet: a 503 is a shed, and only the module sheds.
+pub fn health(able: bool) -> Reply {
+    plain(if able { StatusCode::OK } else { StatusCode::INTERNAL_SERVER_ERROR }, Bytes::new())
+}
+
+pub fn turned_down(bad: &Bad) -> Reply {
+    let mut reply = plain(bad.0, Bytes::new());
+    if bad.0 == StatusCode::METHOD_NOT_ALLOWED {
+        reply.headers_mut().insert(ALLOW, HeaderValue::from_static("GET, POST"));
+    }
+    reply
+}
--- /dev/null
+++ b/crates/scheduler/src/clock.rs
@@ -0,0 +1,33 @@
+//! The module's clock: spans since some days before the start, because workers may be older than us.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// The clock's reading at the start. Workers that are older count as started long ago.
+const AT_START: Duration = Duration::from_secs(10 * 24 * 3600);
+
+#[derive(Clone, Copy)]
+pub struct Clock {
+    origin: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { origin: Instant::now(), unix }
+    }
+
+    pub fn now(&self) -> Duration {
+        AT_START + self.origin.elapsed()
+    }
+
+    pub fn instant(&self, at: Duration) -> Instant {
+        self.origin + at.saturating_sub(AT_START)
+    }
+
+    /// A moment of Unix time on this clock; none if it lies before the clock's beginning.
+    pub fn from_unix_ms(&self, ms: u64) -> Option<Duration> {
+        (AT_START + Duration::from_millis(ms)).checked_sub(self.unix).filter(|at| !at.is_zero())
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/discovery.rs
@@ -0,0 +1,140 @@
+//! Keeps the list of workers: one watch after the other on the discovery agent.
+
+use crate::berth::Words;
+use crate::exchange::Exchange;
+use crate::listing::{self, Listing};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use slog::{info, warn, Logger};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// How long a watch waits for something new: short, so that an agent gone silent is noticed soon.
+const WAIT: Duration = Duration::from_secs(5);
+/// How long the agent, on the own machine, may take for anything else.
+const ANSWER: Duration = Duration::from_secs(1);
+/// Pauses before a new connection: the first short, since a restarted agent is back at once.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// A list of some thousand workers fits; an endless one does not.
+const MOST_LIST: usize = 4 * 1024 * 1024;
+
+pub struct Discovery {
+    pub exchange: Rc<Exchange>,
+    pub words: Words,
+    pub address: SocketAddr,
+    /// Where the module must ask, it says when; else a watch is always wanted.
+    pub asked: bool,
+    pub subscribe: Rc<Notify>,
+    pub index: Option<u64>,
+    pub log: Logger,
+}
+
+struct Agent {
+    sender: SendRequest<Empty<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Discovery {
+    pub async fn keep(mut self) {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            if self.asked {
+                self.subscribe.notified().await;
+            }
+            let (told, why) = self.watch().await;
+            warn!(self.log, "discovery is silent, the list is kept: {why}");
+            if self.asked {
+                // The module says when to ask again.
+                self.exchange.list_failed();
+                continue;
+            }
+            pause = if told { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Watches until something fails; tells whether it was told anything before.
+    async fn watch(&mut self) -> (bool, String) {
+        let mut told = false;
+        let mut agent = match timeout(ANSWER, connect(self.address)).await {
+            Ok(Ok(agent)) => agent,
+            Ok(Err(why)) => return (told, why),
+            Err(_) => return (told, "no connection in time".into()),
+        };
+        loop {
+            let (target, most) = match self.index {
+                Some(index) => {
+                    let wait = WAIT.as_millis();
+                    (format!("/v1/servers?after={index}&wait_ms={wait}"), WAIT + ANSWER)
+                }
+                None => ("/v1/servers".into(), ANSWER),
+            };
+            match timeout(most, ask(&mut agent, self.address, &target)).await {
+                Ok(Ok(body)) => {
+                    told = true;
+                    self.apply(&body);
+                }
+                Ok(Err(why)) => return (told, why),
+                Err(_) => return (told, "no answer in time".into()),
+            }
+        }
+    }
+
+    fn apply(&mut self, body: &[u8]) {
+        match listing::decode(body, &mut self.words) {
+            Ok(listing) => self.adopt(listing),
+            Err(why) => {
+                warn!(self.log, "a list that will not do: {why}");
+                // A whole list next, which cannot build on the one that was passed over.
+                self.index = None;
+            }
+        }
+    }
+
+    pub fn adopt(&mut self, listing: Listing) {
+        self.index = Some(listing.index);
+        if listing.whole || !listing.entries.is_empty() {
+            info!(self.log, "list {}: {} workers named", listing.index, listing.entries.len());
+            self.exchange.list(listing);
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Agent, String> {
+    let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+    let _ = stream.set_nodelay(true);
+    let shaken = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = shaken.map_err(|e| e.to_string())?;
+    let driver = tokio::task::spawn_local(async move {
+        let _ = connection.await;
+    });
+    Ok(Agent { sender, driver })
+}
+
+async fn ask(agent: &mut Agent, address: SocketAddr, target: &str) -> Result<Bytes, String> {
+    agent.sender.ready().await.map_err(|e| e.to_string())?;
+    let message = Request::get(target).header(HOST, address.to_string()).body(Empty::new());
+    let answer = agent.sender.send_request(message.map_err(|e| e.to_string())?).await;
+    let answer = answer.map_err(|e| e.to_string())?;
+    if answer.status() != StatusCode::OK {
+        return Err(format!("answered {}", answer.status().as_u16()));
+    }
+    let body = Limited::new(answer.into_body(), MOST_LIST).collect().await;
+    Ok(body.map_err(|e| e.to_string())?.to_bytes())
+}
--- /dev/null
+++ b/crates/scheduler/src/endings.rs
@@ -0,0 +1,49 @@
+//! Every way in which an assignment, and the connection that carries it, can end.
+
+use tindock::terms::Ending;
+
+/// One value for each way; `None` of a status means that no answer came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Close {
+    /// News: done, with the result.
+    Done,
+    /// News: the worker failed at it.
+    Failed,
+    /// News: handed back unstarted.
+    Returned,
+    /// News: it was killed, or its machine saw the worker die.
+    Lost,
+    /// Answered with a status that means neither taken nor never ran.
+    Odd(u16),
+    /// Answered as turned away, with the mark that it never ran.
+    TurnedAway,
+    /// The connection was turned down, or broke while it came up.
+    NotConnected,
+    /// The connection did not come up in time.
+    DialOverdue,
+    /// It broke before the last byte was written.
+    BrokeUnsent,
+    /// It broke or ended after the last byte, before an answer.
+    BrokeSent,
+    /// The task's hard limit came first.
+    Overdue,
+    /// The module called it off.
+    CalledOff,
+    /// Not a byte was written, and none will be.
+    NeverSent,
+}
+
+impl From<Close> for Ending {
+    fn from(close: Close) -> Ending {
+        match close {
+            Close::Done => Ending::Finished,
+            Close::Failed | Close::Odd(_) => Ending::Error,
+            Close::Returned | Close::TurnedAway => Ending::Full,
+            Close::NotConnected | Close::DialOverdue | Close::BrokeUnsent => Ending::ConnectFailed,
+            Close::Lost | Close::BrokeSent => Ending::Reset,
+            Close::Overdue => Ending::TimedOut,
+            Close::CalledOff => Ending::Cancelled,
+            Close::NeverSent => Ending::Moot,
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/exchange.rs
@@ -0,0 +1,402 @@
+//! Where client side and server side meet. The exchange alone owns the module: it turns what either side
+//! reports into the module's inputs, pulls its decisions and hands them out. It decides nothing itself.
+
+use crate::clock::Clock;
+use crate::endings::Close;
+use crate::listing::{Entry, Listing};
+use crate::news::{News, State as Said};
+use bytes::Bytes;
+use slog::{info, Logger};
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tindock::rules::Rules;
+use tindock::terms::{Condition, Decision};
+use tokio::sync::{mpsc, oneshot, Notify};
+
+/// A task as a client handed it in.
+#[derive(Debug)]
+pub struct Call {
+    pub id: Rc<str>,
+    pub workload: usize,
+    pub customer: usize,
+    pub size: f64,
+    /// How long the client will wait; none where it did not say.
+    pub left: Option<Duration>,
+    pub target: String,
+    pub body: Bytes,
+}
+
+/// The one final answer to a client.
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    Finished(Bytes),
+    Shed { come_back: Option<Duration> },
+    BrokenOff,
+}
+
+/// Names one assignment for as long as the scheduler lives; places are used again, lives are not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Ticket {
+    pub place: usize,
+    pub life: u64,
+    pub number: usize,
+}
+
+/// What the client side is to do.
+#[derive(Debug)]
+pub enum Order {
+    Send {
+        ticket: Ticket,
+        worker: usize,
+        call: Rc<Call>,
+        limit: Duration,
+    },
+    /// Stop waiting: tell the worker where it has taken the task, and report `CalledOff`.
+    CallOff {
+        ticket: Ticket,
+        worker: usize,
+        id: Rc<str>,
+    },
+    /// The limit came: nobody waits for it any more, and nothing is to be reported.
+    Drop {
+        ticket: Ticket,
+    },
+    Probe {
+        worker: usize,
+    },
+    Release {
+        worker: usize,
+    },
+    Subscribe,
+}
+
+/// A client's hold on its task; the answer comes on `answer`.
+pub struct Hold {
+    pub place: usize,
+    pub life: u64,
+    pub answer: oneshot::Receiver<Answer>,
+}
+
+struct Out {
+    worker: usize,
+    over: bool,
+}
+
+struct Hand {
+    call: Rc<Call>,
+    life: u64,
+    limit: Duration,
+    /// Taken away by the final answer.
+    answer: Option<oneshot::Sender<Answer>>,
+    outs: Vec<Out>,
+}
+
+struct Listed {
+    address: SocketAddr,
+    condition: Condition,
+}
+
+struct State {
+    rules: Rules,
+    hands: Vec<Hand>,
+    places: HashMap<Rc<str>, usize>,
+    lives: u64,
+    workers: Vec<Listed>,
+    names: HashMap<Rc<str>, usize>,
+    /// Hard limits of tasks in hand, soonest first.
+    limits: BTreeSet<(Duration, usize, u64)>,
+    bell: Option<Duration>,
+}
+
+pub struct Exchange {
+    state: RefCell<State>,
+    now: Box<dyn Fn() -> Duration>,
+    clock: Clock,
+    hard_limits: Vec<Duration>,
+    orders: mpsc::UnboundedSender<Order>,
+    bell_moved: Notify,
+    log: Logger,
+}
+
+impl Exchange {
+    pub fn new(
+        rules: Rules,
+        hard_limits: Vec<Duration>,
+        clock: Clock,
+        now: Box<dyn Fn() -> Duration>,
+        log: Logger,
+    ) -> (Rc<Self>, mpsc::UnboundedReceiver<Order>) {
+        let (orders, taken) = mpsc::unbounded_channel();
+        let state = State {
+            rules,
+            hands: Vec::new(),
+            places: HashMap::new(),
+            lives: 0,
+            workers: Vec::new(),
+            names: HashMap::new(),
+            limits: BTreeSet::new(),
+            bell: None,
+        };
+        let (state, bell_moved) = (RefCell::new(state), Notify::new());
+        (Rc::new(Exchange { state, now, clock, hard_limits, orders, bell_moved, log }), taken)
+    }
+
+    /// Feeds inputs at the present time, then carries out what the module decides.
+    fn feed<T>(&self, inputs: impl FnOnce(&mut State) -> T) -> T {
+        let mut state = self.state.borrow_mut();
+        let now = (self.now)();
+        state.rules.clock(now);
+        let given = inputs(&mut state);
+        self.pull(&mut state, now);
+        given
+    }
+
+    fn pull(&self, state: &mut State, now: Duration) {
+        while let Some(decision) = state.rules.decide() {
+            match decision {
+                Decision::Assign { task, worker } => {
+                    let hand = &mut state.hands[task];
+                    let ticket = Ticket { place: task, life: hand.life, number: hand.outs.len() };
+                    hand.outs.push(Out { worker, over: false });
+                    let (call, limit) = (hand.call.clone(), hand.limit);
+                    self.order(Order::Send { ticket, worker, call, limit });
+                }
+                Decision::Shed { task, come_back } => state.answer(task, Answer::Shed { come_back }),
+                Decision::BreakOff { task } => state.answer(task, Answer::BrokenOff),
+                Decision::CallOff { task, assignment } => {
+                    let hand = &state.hands[task];
+                    let ticket = Ticket { place: task, life: hand.life, number: assignment };
+                    if let Some(out) = hand.outs.get(assignment).filter(|out| !out.over) {
+                        let id = hand.call.id.clone();
+                        self.order(Order::CallOff { ticket, worker: out.worker, id });
+                    }
+                }
+                Decision::Probe { worker } => self.order(Order::Probe { worker }),
+                Decision::Release { worker } => self.order(Order::Release { worker }),
+                Decision::Wake { after } => {
+                    state.bell = Some(now + after);
+                    self.bell_moved.notify_one();
+                }
+                Decision::Subscribe => self.order(Order::Subscribe),
+                Decision::Log(line) => info!(self.log, "{line}"),
+            }
+        }
+    }
+
+    fn order(&self, order: Order) {
+        // Only a client side that is gone takes no orders: then the process ends.
+        let _ = self.orders.send(order);
+    }
+
+    // ---- the server side ----
+
+    /// A task came in; none if one of that id is in hand already.
+    pub fn arrived(&self, call: Call) -> Option<Hold> {
+        if self.state.borrow().in_hand(&call.id) {
+            return None;
+        }
+        let hard = self.hard_limits[call.workload];
+        let left = call.left.map_or(hard, |left| left.min(hard));
+        let now = (self.now)();
+        let held = self.feed(|state| {
+            let place = state.rules.arrived(call.workload, call.size, left, call.customer);
+            let (answer, answered) = oneshot::channel();
+            state.lives += 1;
+            let (life, limit) = (state.lives, now + left);
+            state.places.insert(call.id.clone(), place);
+            let hand = Hand { call: Rc::new(call), life, limit, answer: Some(answer), outs: Vec::new() };
+            if place == state.hands.len() {
+                state.hands.push(hand);
+            } else {
+                let before = std::mem::replace(&mut state.hands[place], hand);
+                state.limits.remove(&(before.limit, place, before.life));
+                if state.places.get(&before.call.id) == Some(&place) {
+                    state.places.remove(&before.call.id);
+                }
+            }
+            state.limits.insert((limit, place, life));
+            Hold { place, life, answer: answered }
+        });
+        self.bell_moved.notify_one();
+        Some(held)
+    }
+
+    /// The client went away without its answer.
+    pub fn left(&self, place: usize, life: u64) {
+        self.feed(|state| {
+            let hand = &mut state.hands[place];
+            if hand.life == life && hand.answer.take().is_some() {
+                state.rules.left(place);
+            }
+        });
+    }
+
+    /// What a worker tells of a task. Applied once, and only to the assignment that it is about.
+    pub fn news(&self, news: News) {
+        self.feed(|state| {
+            let place = state.places.get(&*news.id).copied();
+            let worker = state.names.get(&*news.from).copied();
+            let (Some(place), Some(worker)) = (place, worker) else { return };
+            // The module sends a task to a worker once, so id and name tell the assignment.
+            let outs = &state.hands[place].outs;
+            let Some(number) = outs.iter().position(|out| out.worker == worker && !out.over) else { return };
+            match news.state {
+                Said::Started => state.rules.started(place, number),
+                Said::Running { share } => state.rules.progressed(place, number, share),
+                Said::Done { result } => state.ended(place, number, Close::Done, Some(result)),
+                Said::Failed => state.ended(place, number, Close::Failed, None),
+                Said::Returned => state.ended(place, number, Close::Returned, None),
+                Said::Lost => state.ended(place, number, Close::Lost, None),
+            }
+        });
+    }
+
+    // ---- the client side ----
+
+    /// How an assignment ended; late words on one that is over count for nothing.
+    pub fn ended(&self, ticket: Ticket, close: Close) {
+        self.feed(|state| {
+            if state.is_out(ticket) {
+                state.ended(ticket.place, ticket.number, close, None);
+            }
+        });
+    }
+
+    /// Asked before the first byte: whether the assignment is still wanted and its worker takes new ones.
+    pub fn still_wanted(&self, ticket: Ticket) -> bool {
+        let state = self.state.borrow();
+        state.is_out(ticket) && {
+            let hand = &state.hands[ticket.place];
+            let worker = hand.outs[ticket.number].worker;
+            hand.answer.is_some() && state.workers[worker].condition == Condition::Ready
+        }
+    }
+
+    pub fn address(&self, worker: usize) -> SocketAddr {
+        self.state.borrow().workers[worker].address
+    }
+
+    pub fn probed(&self, worker: usize, ok: bool, report: &[f64]) {
+        self.feed(|state| state.rules.probed(worker, ok, report));
+    }
+
+    // ---- discovery ----
+
+    pub fn list(&self, listing: Listing) {
+        self.feed(|state| {
+            state.rules.list_begins(listing.whole);
+            if listing.whole {
+                state.workers.iter_mut().for_each(|w| w.condition = Condition::Gone);
+            }
+            for entry in listing.entries {
+                let booted = entry.booted_ms.and_then(|ms| self.clock.from_unix_ms(ms));
+                state.listed(entry, booted);
+            }
+        });
+    }
+
+    pub fn list_failed(&self) {
+        self.feed(|state| state.rules.list_failed());
+    }
+
+    /// Whether any worker was ever listed: only then can anything be decided.
+    pub fn can_decide(&self) -> bool {
+        !self.state.borrow().workers.is_empty()
+    }
+
+    // ---- time ----
+
+    fn next(&self) -> Option<Duration> {
+        let state = self.state.borrow();
+        let limit = state.limits.first().map(|&(at, ..)| at);
+        state.bell.into_iter().chain(limit).min()
+    }
+
+    /// What is due by now: the bell that the module asked for, and hard limits.
+    pub fn ring(&self) {
+        self.feed(|state| {
+            let now = (self.now)();
+            if state.bell.is_some_and(|at| at <= now) {
+                state.bell = None;
+                state.rules.bell();
+            }
+            while let Some(&(at, place, life)) = state.limits.first().filter(|&&(at, ..)| at <= now) {
+                state.limits.remove(&(at, place, life));
+                for number in 0..state.hands[place].outs.len() {
+                    let ticket = Ticket { place, life, number };
+                    if state.is_out(ticket) {
+                        state.ended(place, number, Close::Overdue, None);
+                        self.order(Order::Drop { ticket });
+                    }
+                }
+            }
+        });
+    }
+
+    /// The one timer: sleeps until the next thing is due.
+    pub async fn keep_time(&self) {
+        loop {
+            let due = self.next();
+            let sleep = async {
+                match due {
+                    Some(at) => tokio::time::sleep_until(self.clock.instant(at)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = sleep => self.ring(),
+                () = self.bell_moved.notified() => {}
+            }
+        }
+    }
+
+    pub fn until(&self, at: Duration) -> Duration {
+        at.saturating_sub((self.now)())
+    }
+}
+
+impl State {
+    fn in_hand(&self, id: &str) -> bool {
+        self.places.get(id).is_some_and(|&place| {
+            let hand = &self.hands[place];
+            hand.answer.is_some() || hand.outs.iter().any(|out| !out.over)
+        })
+    }
+
+    fn is_out(&self, ticket: Ticket) -> bool {
+        let hand = self.hands.get(ticket.place).filter(|hand| hand.life == ticket.life);
+        hand.and_then(|hand| hand.outs.get(ticket.number)).is_some_and(|out| !out.over)
+    }
+
+    fn answer(&mut self, place: usize, answer: Answer) {
+        if let Some(client) = self.hands[place].answer.take() {
+            // A client that just went away wants none.
+            let _ = client.send(answer);
+        }
+    }
+
+    fn ended(&mut self, place: usize, number: usize, close: Close, result: Option<Bytes>) {
+        self.hands[place].outs[number].over = true;
+        if let Some(result) = result {
+            self.answer(place, Answer::Finished(result));
+        }
+        let over = self.hands[place].answer.is_none();
+        self.rules.ended(place, number, close.into(), over);
+    }
+
+    fn listed(&mut self, entry: Entry, booted: Option<Duration>) {
+        let fresh = self.workers.len();
+        let at = self.names.get(entry.name.as_str()).copied().unwrap_or(fresh);
+        if at == fresh {
+            let name: Rc<str> = entry.name.into();
+            self.names.insert(name, fresh);
+            self.workers.push(Listed { address: entry.address, condition: entry.condition });
+        }
+        let listed = &mut self.workers[at];
+        (listed.address, listed.condition) = (entry.address, entry.condition);
+        self.rules.listed(at, entry.site, entry.weight, entry.condition, booted);
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,18 @@
+//! The scheduler on sockets, by the stages of a task: `berth` (start), `door`, `reading`, `answering` (server
+//! side), `exchange`, `pool`, `gauge`, `sending` (client side), `news`, `discovery`, `endings`, `stopping`.
+
+pub mod answering;
+pub mod berth;
+pub mod clock;
+pub mod discovery;
+pub mod door;
+pub mod endings;
+pub mod exchange;
+pub mod gauge;
+pub mod listing;
+pub mod news;
+pub mod pool;
+pub mod reading;
+pub mod sending;
+pub mod start;
+pub mod stopping;
--- /dev/null
+++ b/crates/scheduler/src/listing.rs
@@ -0,0 +1,93 @@
+//! A discovery answer, decoded once: the whole list of workers or what changed in it.
+
+use crate::berth::Words;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use tindock::terms::{Condition, Site};
+
+#[derive(Debug, PartialEq)]
+pub struct Listing {
+    pub index: u64,
+    pub whole: bool,
+    pub entries: Vec<Entry>,
+}
+
+#[derive(Debug, PartialEq)]
+pub struct Entry {
+    pub name: String,
+    pub address: SocketAddr,
+    pub site: Site,
+    pub weight: f64,
+    pub condition: Condition,
+    /// When it last started, Unix time in milliseconds; none for long ago.
+    pub booted_ms: Option<u64>,
+}
+
+#[derive(Deserialize)]
+pub struct ListingDoc {
+    index: u64,
+    snapshot: bool,
+    endpoints: Vec<EntryDoc>,
+}
+
+#[derive(Deserialize)]
+struct EntryDoc {
+    name: String,
+    address: String,
+    zone: String,
+    #[serde(rename = "type")]
+    kind: String,
+    group: u32,
+    status: String,
+    weight: f64,
+    since_ms: u64,
+}
+
+/// Guards against a list that names cells, zones or kinds without end: tables are kept by them.
+const MOST_WORDS: usize = 256;
+
+fn place(words: &mut Vec<String>, word: String) -> Result<usize, String> {
+    if let Some(at) = words.iter().position(|w| *w == word) {
+        return Ok(at);
+    }
+    if words.len() >= MOST_WORDS {
+        return Err(format!("{word:?} is one zone or kind too many"));
+    }
+    words.push(word);
+    Ok(words.len() - 1)
+}
+
+impl ListingDoc {
+    /// A list that is wrong anywhere is wrong as a whole.
+    pub fn decode(self, words: &mut Words) -> Result<Listing, String> {
+        let entries = self.endpoints.into_iter().map(|e| e.decode(words)).collect::<Result<_, _>>()?;
+        Ok(Listing { index: self.index, whole: self.snapshot, entries })
+    }
+}
+
+impl EntryDoc {
+    fn decode(self, words: &mut Words) -> Result<Entry, String> {
+        let name = self.name;
+        let condition = match self.status.as_str() {
+            "active" => Condition::Ready,
+            "leaving" => Condition::Draining,
+            "left" => Condition::Gone,
+            other => return Err(format!("worker {name:?} has the unknown status {other:?}")),
+        };
+        let address = self.address.parse();
+        let address = address.map_err(|_| format!("worker {name:?} has no address: {:?}", self.address))?;
+        if !(self.weight.is_finite() && self.weight >= 0.0) {
+            return Err(format!("worker {name:?} weighs {}", self.weight));
+        }
+        let zone = place(&mut words.zones, self.zone)?;
+        let kind = place(&mut words.kinds, self.kind)?;
+        let site = Site { zone, cell: self.group as usize, kind };
+        let booted_ms = Some(self.since_ms).filter(|&ms| ms > 0);
+        Ok(Entry { name, address, site, weight: self.weight, condition, booted_ms })
+    }
+}
+
+pub fn decode(body: &[u8], words: &mut Words) -> Result<Listing, String> {
+    let doc: ListingDoc = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    doc.decode(words)
+}
--- /dev/null
+++ b/crates/scheduler/src/pool.rs
@@ -0,0 +1,126 @@
+//! Connections to workers, one task at a time on each.
+
+use crate::endings::Close;
+use crate::gauge::{Counted, Gauge};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::JoinHandle;
+use tokio::time::{timeout, Instant};
+
+/// The part of the settings' idle time after which a connection is retired: the worker counts from its own
+/// last byte, and a task that crosses its close would end as a reset.
+const RETIRE: f64 = 0.5;
+/// Room for an answer's head in reading.
+const READ_BUFFER: usize = 16 * 1024;
+
+/// A connection to a worker. Dropping it closes the socket, whatever is under way.
+pub struct Line {
+    pub sender: SendRequest<Full<Bytes>>,
+    pub gauge: Rc<Gauge>,
+    address: SocketAddr,
+    driver: JoinHandle<()>,
+    idle_since: Instant,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+pub struct Pool {
+    idle: RefCell<HashMap<usize, Vec<Line>>>,
+    permits: Arc<Semaphore>,
+    dial: Duration,
+    keep: Duration,
+}
+
+impl Pool {
+    pub fn new(most: usize, dial: Duration, keep: Duration) -> Self {
+        let permits = Arc::new(Semaphore::new(most));
+        Pool { idle: RefCell::default(), permits, dial, keep: keep.mul_f64(RETIRE) }
+    }
+
+    /// An idle connection to the worker, the one used last, or a new one.
+    pub async fn line(&self, worker: usize, address: SocketAddr) -> Result<Line, Close> {
+        if let Some(line) = self.take(worker, address) {
+            return Ok(line);
+        }
+        self.dial(address).await
+    }
+
+    fn take(&self, worker: usize, address: SocketAddr) -> Option<Line> {
+        let mut idle = self.idle.borrow_mut();
+        let lines = idle.get_mut(&worker)?;
+        while let Some(line) = lines.pop() {
+            let fresh = line.idle_since.elapsed() < self.keep;
+            if line.address == address && fresh && line.sender.is_ready() {
+                return Some(line);
+            }
+        }
+        None
+    }
+
+    async fn dial(&self, address: SocketAddr) -> Result<Line, Close> {
+        let permit = match self.permits.clone().try_acquire_owned() {
+            Ok(permit) => permit,
+            Err(_) => {
+                // The share of descriptors is used up: the one idle for longest makes room.
+                self.drop_oldest();
+                self.permits.clone().acquire_owned().await.map_err(|_| Close::NeverSent)?
+            }
+        };
+        let stream = timeout(self.dial, TcpStream::connect(address)).await;
+        let stream = stream.map_err(|_| Close::DialOverdue)?.map_err(|_| Close::NotConnected)?;
+        let _ = stream.set_nodelay(true);
+        let gauge = Rc::new(Gauge::default());
+        let mut http = http1::Builder::new();
+        http.max_buf_size(READ_BUFFER);
+        let shaken = http.handshake(Counted::new(stream, gauge.clone())).await;
+        let (sender, connection) = shaken.map_err(|_| Close::NotConnected)?;
+        let driver = tokio::task::spawn_local(async move {
+            // How it ended is told to whoever waits for an answer on it.
+            let _ = connection.await;
+        });
+        Ok(Line { sender, gauge, address, driver, idle_since: Instant::now(), _permit: permit })
+    }
+
+    /// Takes a connection back once its message was answered whole.
+    pub async fn give_back(&self, worker: usize, mut line: Line) {
+        if line.sender.ready().await.is_ok() {
+            line.idle_since = Instant::now();
+            self.idle.borrow_mut().entry(worker).or_default().push(line);
+        }
+    }
+
+    pub fn release(&self, worker: usize) {
+        self.idle.borrow_mut().remove(&worker);
+    }
+
+    fn drop_oldest(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.values_mut().filter(|lines| !lines.is_empty()).min_by_key(|l| l[0].idle_since);
+        oldest.into_iter().for_each(|lines| drop(lines.remove(0)));
+    }
+
+    /// Retires connections that stood idle for long, or were closed by the worker.
+    pub async fn tend(&self) {
+        loop {
+            tokio::time::sleep(self.keep.div_f64(8.0).max(Duration::from_millis(50))).await;
+            self.idle.borrow_mut().retain(|_, lines| {
+                lines.retain(|l| l.idle_since.elapsed() < self.keep && !l.sender.is_closed());
+                !lines.is_empty()
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/reading.rs
@@ -0,0 +1,108 @@
+//! A message from outside, decoded once into what it asks for, or the status that turns it down.
+
+use crate::berth::Words;
+use crate::exchange::Call;
+use crate::news::{self, News};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use std::time::Duration;
+
+pub const MOST_BODY: usize = 64 * 1024;
+/// An id is written into a path at the worker, so it is short and plain.
+const LONGEST_ID: usize = 64;
+
+#[derive(Debug)]
+pub enum Message {
+    Task(Call),
+    News(News),
+    Health,
+}
+
+/// A call that is turned down, and why, for the log.
+#[derive(Debug, PartialEq)]
+pub struct Bad(pub StatusCode, pub String);
+
+fn bad<T>(status: StatusCode, why: impl Into<String>) -> Result<T, Bad> {
+    Err(Bad(status, why.into()))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Bad> {
+    let value = headers.get(name).map(HeaderValue::to_str).transpose();
+    value.map(|v| v.map(str::trim)).or_else(|_| bad(StatusCode::BAD_REQUEST, format!("{name} is no text")))
+}
+
+/// A whole body, no longer than may be.
+pub async fn body<B: Body<Data = Bytes>>(body: B) -> Result<Bytes, Bad>
+where
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    if body.size_hint().lower() > MOST_BODY as u64 {
+        return bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
+    }
+    match Limited::new(body, MOST_BODY).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => {
+            bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
+        }
+        Err(e) => bad(StatusCode::BAD_REQUEST, format!("the body broke off: {e}")),
+    }
+}
+
+pub async fn read(call: Request<Incoming>, words: &Words) -> Result<Message, Bad> {
+    let (head, rest) = call.into_parts();
+    let path = head.uri.path();
+    match path {
+        "/healthz" if head.method == Method::GET => return Ok(Message::Health),
+        "/_jobs/news" if head.method == Method::POST => {
+            let whole = body(rest).await?;
+            return news::decode(&whole).map(Message::News).or_else(|why| bad(StatusCode::BAD_REQUEST, why));
+        }
+        "/healthz" | "/_jobs/news" => return bad(StatusCode::METHOD_NOT_ALLOWED, head.method.as_str()),
+        _ => {}
+    }
+    let first = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+    let Some(workload) = words.workloads.iter().position(|name| name == first) else {
+        return bad(StatusCode::NOT_FOUND, format!("no workload {first:?}"));
+    };
+    if head.method != Method::POST {
+        return bad(StatusCode::METHOD_NOT_ALLOWED, head.method.as_str());
+    }
+    let id = text(&head.headers, "x-trace-id")?.unwrap_or_default();
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if id.is_empty() || id.len() > LONGEST_ID || !id.chars().all(plain) {
+        return bad(StatusCode::BAD_REQUEST, format!("the id {id:?} will not do"));
+    }
+    let left = match text(&head.headers, "x-expires-in-ms")?.map(str::parse) {
+        None => None,
+        Some(Ok(ms)) => Some(Duration::from_millis(ms)),
+        Some(Err(_)) => return bad(StatusCode::BAD_REQUEST, "X-Expires-In-Ms is no whole number"),
+    };
+    let size = size(text(&head.headers, "x-props")?.unwrap_or_default())?;
+    // A customer that is not listed has no share to keep to.
+    let customer = text(&head.headers, "x-customer")?;
+    let customer = words.customers.iter().position(|name| Some(name.as_str()) == customer);
+    let target = head.uri.path_and_query().map_or(path, |whole| whole.as_str()).to_owned();
+    let (id, customer) = (id.into(), customer.unwrap_or(usize::MAX));
+    let body = body(rest).await?;
+    Ok(Message::Task(Call { id, workload, customer, size, left, target, body }))
+}
+
+/// What a task needs of a worker: slots, or units of memory if that is more, since a slot has one.
+fn size(figures: &str) -> Result<f64, Bad> {
+    let mut size: f64 = 1.0;
+    for figure in figures.split(',').map(str::trim).filter(|figure| !figure.is_empty()) {
+        let Some((name, value)) = figure.split_once('=') else {
+            return bad(StatusCode::BAD_REQUEST, format!("X-Props has {figure:?}"));
+        };
+        if matches!(name.trim(), "slots" | "memory") {
+            match value.trim().parse::<f64>() {
+                Ok(value) if value.is_finite() && value >= 0.0 => size = size.max(value),
+                _ => return bad(StatusCode::BAD_REQUEST, format!("X-Props has {figure:?}")),
+            }
+        }
+    }
+    Ok(size)
+}
--- /dev/null
+++ b/crates/scheduler/src/sending.rs
@@ -0,0 +1,200 @@
+//! The client side: carries out the exchange's orders at the workers.
+
+use crate::endings::Close;
+use crate::exchange::{Call, Exchange, Order, Ticket};
+use crate::pool::{Line, Pool};
+use crate::reading;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderValue, HOST};
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::Value;
+use slog::{debug, Logger};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, Notify};
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// How long the word that a task is called off may take before it counts as told.
+const CALL_OFF_WAIT: Duration = Duration::from_millis(250);
+/// How long a probe may take: as long as a task may wait for a connection and some more.
+const PROBE_WAIT: Duration = Duration::from_millis(500);
+const TRACE: &str = "x-trace-id";
+const EXPIRES: &str = "x-expires-in-ms";
+const NEVER_RAN: &str = "x-never-ran";
+
+pub struct Sending {
+    exchange: Rc<Exchange>,
+    pool: Rc<Pool>,
+    /// Names of the values in a load report, in the module's order.
+    reports: Vec<String>,
+    /// Assignments whose 202 has not come.
+    under_way: RefCell<HashMap<Ticket, AbortHandle>>,
+    subscribe: Rc<Notify>,
+    log: Logger,
+}
+
+/// What came back for an assignment.
+enum Taken {
+    Yes,
+    No(Close),
+}
+
+impl Sending {
+    pub fn new(
+        exchange: Rc<Exchange>,
+        pool: Rc<Pool>,
+        reports: Vec<String>,
+        subscribe: Rc<Notify>,
+        log: Logger,
+    ) -> Rc<Self> {
+        Rc::new(Sending { exchange, pool, reports, under_way: RefCell::default(), subscribe, log })
+    }
+
+    pub async fn carry_out(self: Rc<Self>, mut orders: mpsc::UnboundedReceiver<Order>) {
+        while let Some(order) = orders.recv().await {
+            match order {
+                Order::Send { ticket, worker, call, limit } => {
+                    let sent = tokio::task::spawn_local(self.clone().send(ticket, worker, call, limit));
+                    self.under_way.borrow_mut().insert(ticket, sent.abort_handle());
+                }
+                Order::CallOff { ticket, worker, id } => {
+                    if self.close(ticket) {
+                        self.exchange.ended(ticket, Close::CalledOff);
+                    } else {
+                        tokio::task::spawn_local(self.clone().call_off(ticket, worker, id));
+                    }
+                }
+                Order::Drop { ticket } => drop(self.close(ticket)),
+                Order::Probe { worker } => drop(tokio::task::spawn_local(self.clone().probe(worker))),
+                Order::Release { worker } => self.pool.release(worker),
+                Order::Subscribe => self.subscribe.notify_one(),
+            }
+        }
+    }
+
+    /// Closes the connection of an assignment that was not taken yet; false if it was.
+    fn close(&self, ticket: Ticket) -> bool {
+        let under_way = self.under_way.borrow_mut().remove(&ticket);
+        under_way.inspect(AbortHandle::abort).is_some()
+    }
+
+    async fn send(self: Rc<Self>, ticket: Ticket, worker: usize, call: Rc<Call>, limit: Duration) {
+        let taken = self.try_send(ticket, worker, &call, limit).await;
+        self.under_way.borrow_mut().remove(&ticket);
+        if let Taken::No(close) = taken {
+            debug!(self.log, "task {} at worker {worker}: {close:?}", call.id);
+            self.exchange.ended(ticket, close);
+        }
+    }
+
+    async fn try_send(&self, ticket: Ticket, worker: usize, call: &Call, limit: Duration) -> Taken {
+        loop {
+            let address = self.exchange.address(worker);
+            let mut line = match self.pool.line(worker, address).await {
+                Ok(line) => line,
+                Err(close) => return Taken::No(close),
+            };
+            // While the connection came up the worker may have begun to drain, or the task have ended.
+            if !self.exchange.still_wanted(ticket) {
+                self.pool.give_back(worker, line).await;
+                return Taken::No(Close::NeverSent);
+            }
+            let left = self.exchange.until(limit).as_millis() as u64;
+            let mut message = Request::new(Full::new(call.body.clone()));
+            *message.method_mut() = Method::POST;
+            let Ok(target) = call.target.parse() else { return Taken::No(Close::NeverSent) };
+            *message.uri_mut() = target;
+            head(&mut message, address, &call.id);
+            message.headers_mut().insert(EXPIRES, HeaderValue::from(left));
+            line.gauge.begin(call.body.len());
+            match line.sender.try_send_request(message).await {
+                Ok(answer) => {
+                    let taken = judge(&answer);
+                    // From here on the worker has it: closing would no longer call it off.
+                    self.under_way.borrow_mut().remove(&ticket);
+                    self.finish(worker, line, answer).await;
+                    return taken;
+                }
+                // The worker closed an idle connection before a byte was written: that was no send.
+                Err(_) if line.gauge.untouched() => continue,
+                Err(_) if line.gauge.whole() => return Taken::No(Close::BrokeSent),
+                Err(_) => return Taken::No(Close::BrokeUnsent),
+            }
+        }
+    }
+
+    /// Reads an answer to its end, so that the connection can be used again.
+    async fn finish(
+        &self,
+        worker: usize,
+        line: Line,
+        answer: Response<hyper::body::Incoming>,
+    ) -> Option<Bytes> {
+        let body = reading::body(answer.into_body()).await.ok()?;
+        self.pool.give_back(worker, line).await;
+        Some(body)
+    }
+
+    async fn call_off(self: Rc<Self>, ticket: Ticket, worker: usize, id: Rc<str>) {
+        let path = format!("/jobs/{id}");
+        let told = timeout(CALL_OFF_WAIT, self.ask(worker, Method::DELETE, &path, &id));
+        if !matches!(told.await, Ok(Some(_))) {
+            debug!(self.log, "task {id} called off at worker {worker} without an answer");
+        }
+        self.exchange.ended(ticket, Close::CalledOff);
+    }
+
+    async fn probe(self: Rc<Self>, worker: usize) {
+        let path = if self.reports.is_empty() { "/healthz" } else { "/load" };
+        let answer = timeout(PROBE_WAIT, self.ask(worker, Method::GET, path, "")).await.ok().flatten();
+        let ok = answer.as_ref().is_some_and(|(status, _)| *status == StatusCode::OK);
+        let report = answer.filter(|_| ok).and_then(|(_, body)| report(&body, &self.reports));
+        self.exchange.probed(worker, ok, &report.unwrap_or_default());
+    }
+
+    /// A message without a body, and its whole answer.
+    async fn ask(&self, worker: usize, method: Method, path: &str, id: &str) -> Option<(StatusCode, Bytes)> {
+        let address = self.exchange.address(worker);
+        let mut line = self.pool.line(worker, address).await.ok()?;
+        let mut message = Request::new(Full::default());
+        *message.method_mut() = method;
+        *message.uri_mut() = path.parse().ok()?;
+        head(&mut message, address, id);
+        line.gauge.begin(0);
+        let answer = line.sender.send_request(message).await.ok()?;
+        let status = answer.status();
+        Some((status, self.finish(worker, line, answer).await?))
+    }
+}
+
+fn head(message: &mut Request<Full<Bytes>>, address: std::net::SocketAddr, id: &str) {
+    let headers = message.headers_mut();
+    HeaderValue::try_from(address.to_string()).into_iter().for_each(|host| drop(headers.insert(HOST, host)));
+    if !id.is_empty() {
+        HeaderValue::try_from(id).into_iter().for_each(|id| drop(headers.insert(TRACE, id)));
+    }
+}
+
+fn judge<B>(answer: &Response<B>) -> Taken {
+    let status = answer.status();
+    let never = answer.headers().get(NEVER_RAN).is_some_and(|mark| mark == "1");
+    match status {
+        StatusCode::ACCEPTED => Taken::Yes,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never => {
+            Taken::No(Close::TurnedAway)
+        }
+        other => Taken::No(Close::Odd(other.as_u16())),
+    }
+}
+
+/// The values of a load report by name, wherever in it they stand.
+fn report(body: &[u8], names: &[String]) -> Option<Vec<f64>> {
+    let whole: Value = serde_json::from_slice(body).ok()?;
+    let named = whole.get("named_metrics").unwrap_or(&Value::Null);
+    let value = |name: &String| named.get(name).or_else(|| whole.get(name)).and_then(Value::as_f64);
+    names.iter().map(value).collect()
+}
--- /dev/null
+++ b/crates/scheduler/src/start.rs
@@ -0,0 +1,63 @@
+//! Puts the parts together and runs them on one thread until the scheduler was told to stop.
+
+use crate::berth::Berth;
+use crate::clock::Clock;
+use crate::discovery::Discovery;
+use crate::door::Door;
+use crate::exchange::Exchange;
+use crate::pool::Pool;
+use crate::sending::Sending;
+use crate::stopping::Stopping;
+use slog::{info, o, Logger};
+use std::rc::Rc;
+use tindock::rules::Rules;
+use tindock::terms::News;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, LocalSet};
+
+/// Serves until told to stop and all is answered; an error only where it could not start.
+pub fn run(berth: Berth, log: &Logger) -> Result<(), String> {
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_io().enable_time().build().map_err(|e| format!("runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, serve(berth, log))
+}
+
+async fn serve(berth: Berth, log: &Logger) -> Result<(), String> {
+    let listener = TcpListener::bind(berth.listen).await.map_err(|e| format!("{}: {e}", berth.listen))?;
+    let part = |name: &'static str| log.new(o!("part" => name));
+    let clock = Clock::start();
+    let asked = berth.sheet.news != News::Pushed;
+    let hard_limits = berth.sheet.workloads.iter().map(|row| row.hard_limit).collect();
+    let rules = Rules::new(berth.sheet, berth.seed, clock.now());
+    let now = Box::new(move || clock.now());
+    let (exchange, orders) = Exchange::new(rules, hard_limits, clock, now, part("rules"));
+    let subscribe = Rc::new(Notify::new());
+    let mut discovery = Discovery {
+        exchange: exchange.clone(),
+        words: berth.words.clone(),
+        address: berth.discovery,
+        asked,
+        subscribe: subscribe.clone(),
+        index: None,
+        log: part("discovery"),
+    };
+    if let Some(known) = berth.known {
+        discovery.adopt(known);
+    }
+    let pool = Rc::new(Pool::new(berth.for_workers, berth.dial, berth.keep));
+    let reports = berth.words.reports.clone();
+    let sending = Sending::new(exchange.clone(), pool.clone(), reports, subscribe, part("workers"));
+    let stopping = Rc::new(Stopping::default());
+    let words = Rc::new(berth.words);
+    let door = Door::new(exchange.clone(), words, stopping.clone(), berth.for_clients, part("clients"));
+    spawn_local(sending.carry_out(orders));
+    spawn_local(async move { pool.tend().await });
+    spawn_local(async move { exchange.keep_time().await });
+    spawn_local(discovery.keep());
+    spawn_local(door.clone().accept(listener));
+    info!(log, "{} listens on {}", berth.name, berth.listen);
+    let ended = stopping.over(&door).await;
+    info!(log, "{} ends", berth.name);
+    ended.map_err(|e| format!("signals: {e}"))
+}
--- /dev/null
+++ b/crates/scheduler/src/stopping.rs
@@ -0,0 +1,44 @@
+//! The end of a planned restart: answers all that was taken, then ends.
+
+use crate::door::Door;
+use std::cell::Cell;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::time::Instant;
+
+/// Clients learn of the end some tenths of a second late, and go on coming until then.
+const NEWCOMERS: Duration = Duration::from_millis(600);
+/// Nobody came for this long: none are on their way.
+const QUIET: Duration = Duration::from_millis(200);
+const LOOK: Duration = Duration::from_millis(10);
+
+#[derive(Default)]
+pub struct Stopping {
+    asked: Cell<bool>,
+    last: Cell<Option<Instant>>,
+}
+
+impl Stopping {
+    pub fn is_asked(&self) -> bool {
+        self.asked.get()
+    }
+
+    pub fn newcomer(&self) {
+        self.last.set(Some(Instant::now()));
+    }
+
+    /// Ends once the process may end: told to, all answered, and nobody comes any more.
+    pub async fn over(&self, door: &Door) -> std::io::Result<()> {
+        signal(SignalKind::terminate())?.recv().await;
+        self.asked.set(true);
+        let told = Instant::now();
+        door.dismiss_all();
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let quiet = self.last.get().is_none_or(|last| last.elapsed() >= QUIET);
+            if told.elapsed() >= NEWCOMERS && quiet && door.is_empty() {
+                return Ok(());
+            }
+        }
+    }
+}
--- a/crates/simhost/src/sheet.rs
+++ b/crates/sheet/src/lib.rs
@@ -1,19 +1,26 @@
-//! Reads the settings of an instance into the duty sheet; keys it does not know are skipped.
+//! Reads the settings of a deployment into the duty sheet; keys it does not know are skipped.
 
 use serde_json::Value;
 use std::time::Duration;
 use tindock::terms::{DutySheet, Effect, Group, News, Workload};
 
-type Read<T> = Result<T, String>;
+pub type Read<T> = Result<T, String>;
+
+/// The most seconds that count as a time: sums of a few never overflow.
+const LONGEST: f64 = 1e12;
+
+pub fn span_of(seconds: f64) -> Option<Duration> {
+    (0.0..LONGEST).contains(&seconds).then(|| Duration::from_secs_f64(seconds))
+}
 
 fn number(of: &Value, path: &str) -> Read<f64> {
     let found = of.pointer(path).and_then(Value::as_f64).filter(|v| v.is_finite());
     found.ok_or_else(|| format!("settings: no number at {path}"))
 }
 
-fn span(of: &Value, path: &str) -> Read<Duration> {
+pub fn span(of: &Value, path: &str) -> Read<Duration> {
     let seconds = number(of, path)?;
-    crate::frame::span_of(seconds).ok_or_else(|| format!("settings: {seconds} at {path} is no time"))
+    span_of(seconds).ok_or_else(|| format!("settings: {seconds} at {path} is no time"))
 }
 
 fn word<'a>(of: &'a Value, path: &str) -> Read<&'a str> {
@@ -60,44 +67,48 @@
     })
 }
 
-pub fn read(text: &[u8]) -> Read<DutySheet> {
+pub fn read_text(text: &[u8]) -> Read<DutySheet> {
     let info: Value = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
-    let rows = list(&info, "/workloads").len();
+    read(&info)
+}
+
+pub fn read(info: &Value) -> Read<DutySheet> {
+    let rows = list(info, "/workloads").len();
     if rows == 0 {
         return Err("settings: no workloads".into());
     }
-    let reports: Vec<&str> = list(&info, "/reporting/names").iter().filter_map(Value::as_str).collect();
+    let reports: Vec<&str> = list(info, "/reporting/names").iter().filter_map(Value::as_str).collect();
     let position = |name: &str| reports.iter().position(|r| *r == name);
-    let free = optional_word(&info, "/domain/report_x0") == Some("free slots");
-    let news = match word(&info, "/discovery")? {
+    let free = optional_word(info, "/domain/report_x0") == Some("free slots");
+    let news = match word(info, "/discovery")? {
         "automatic" => News::Pushed,
-        "subscribe" => News::Asked { within: span(&info, "/rules/must_ask_in_s")? },
+        "subscribe" => News::Asked { within: span(info, "/rules/must_ask_in_s")? },
         other => return Err(format!("settings: unknown discovery {other:?}")),
     };
     let quota = |t: &Value| optional(t, "/quota_per_s").map(|q| q.unwrap_or(f64::INFINITY));
-    let progress = optional(&info, "/domain/progress_s")?.unwrap_or(0.0);
-    let come_back = flag(&info, "/caps/retry_after").then(|| span(&info, "/caps/max_retry_after_s"));
+    let progress = optional(info, "/domain/progress_s")?.unwrap_or(0.0);
+    let come_back = flag(info, "/caps/retry_after").then(|| span(info, "/caps/max_retry_after_s"));
     Ok(DutySheet {
-        workloads: (0..rows).map(|row| workload(&info, row)).collect::<Read<_>>()?,
-        schedulers: number(&info, "/instances")?.max(1.0) as usize,
-        zone: number(&info, "/zone")? as usize,
+        workloads: (0..rows).map(|row| workload(info, row)).collect::<Read<_>>()?,
+        schedulers: number(info, "/instances")?.max(1.0) as usize,
+        zone: number(info, "/zone")? as usize,
         news,
-        beyond_share: optional(&info, "/beyond_share_utility")?.unwrap_or(1.0),
-        quotas: list(&info, "/tenants").iter().map(quota).collect::<Read<_>>()?,
-        may_cancel: flag(&info, "/caps/cancel"),
-        second_copies: flag(&info, "/caps/second_copies"),
-        may_probe: flag(&info, "/caps/may_probe"),
+        beyond_share: optional(info, "/beyond_share_utility")?.unwrap_or(1.0),
+        quotas: list(info, "/tenants").iter().map(quota).collect::<Read<_>>()?,
+        may_cancel: flag(info, "/caps/cancel"),
+        second_copies: flag(info, "/caps/second_copies"),
+        may_probe: flag(info, "/caps/may_probe"),
         come_back: come_back.transpose()?,
-        most_assignments: number(&info, "/caps/most_assignments")?.max(1.0) as usize,
-        progress_every: crate::frame::span_of(progress).filter(|gap| !gap.is_zero()),
-        tells_start: flag(&info, "/domain/tells_start"),
+        most_assignments: number(info, "/caps/most_assignments")?.max(1.0) as usize,
+        progress_every: span_of(progress).filter(|gap| !gap.is_zero()),
+        tells_start: flag(info, "/domain/tells_start"),
         report_free: position("x0").filter(|_| free),
         report_waiting: position("backlog"),
-        overload_factor: number(&info, "/rules/overload_factor")?,
-        cold_share: number(&info, "/rules/cold_share")?,
-        warm_within: span(&info, "/rules/warm_within_s")?,
-        price_crossing: optional(&info, "/penalties/cross_zone")?.unwrap_or(0.0),
-        price_probe: optional(&info, "/penalties/probe")?.unwrap_or(0.0),
+        overload_factor: number(info, "/rules/overload_factor")?,
+        cold_share: number(info, "/rules/cold_share")?,
+        warm_within: span(info, "/rules/warm_within_s")?,
+        price_crossing: optional(info, "/penalties/cross_zone")?.unwrap_or(0.0),
+        price_probe: optional(info, "/penalties/probe")?.unwrap_or(0.0),
     })
 }
 
--- a/crates/simhost/src/frame.rs
+++ b/crates/simhost/src/frame.rs
@@ -4,16 +4,10 @@
 use std::io::{self, Write};
 use std::ops::Range;
 use std::time::Duration;
+use tindock_sheet::span_of;
 
 const ACTION: usize = 24;
 
-/// The most seconds that count as a time: sums of a few never overflow.
-const LONGEST: f64 = 1e12;
-
-pub fn span_of(seconds: f64) -> Option<Duration> {
-    (0.0..LONGEST).contains(&seconds).then(|| Duration::from_secs_f64(seconds))
-}
-
 /// What was wrong with the input, and where after the batch header.
 #[derive(Debug)]
 pub struct Wrong {
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -2,7 +2,6 @@
 //! indices, keeps the instances apart, encodes replies. It decides nothing.
 
 mod frame;
-mod sheet;
 
 use frame::{Frame, Reply, Wrong};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -231,7 +230,7 @@
         let number = current.ok_or_else(|| Wrong::at(at, "event before any About".into()))?;
         if code == 1000 {
             let info = frame.tail_text(at + 10)?;
-            let sheet = sheet::read(info).map_err(|why| Wrong::at(at + 10, why))?;
+            let sheet = tindock_sheet::read_text(info).map_err(|why| Wrong::at(at + 10, why))?;
             let instance = Instance {
                 workloads: sheet.workloads.len(),
                 rules: Rules::new(sheet, frame.u64(at + 2)?, now),
