--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -6,6 +6,7 @@
 use crate::listing::{Entry, Listing};
 use crate::news::{News, State as Said};
 use bytes::Bytes;
+use hyper::header::HeaderMap;
 use slog::{info, Logger};
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
@@ -26,6 +27,8 @@
     /// How long the client will wait; none where it did not say.
     pub left: Option<Duration>,
     pub target: String,
+    /// Those of its headers that are meant for the worker.
+    pub headers: HeaderMap,
     pub body: Bytes,
 }
 
--- a/crates/scheduler/src/reading.rs
+++ b/crates/scheduler/src/reading.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use std::time::Duration;
 
@@ -86,8 +86,36 @@
     let customer = words.customers.iter().position(|name| Some(name.as_str()) == customer);
     let target = head.uri.path_and_query().map_or(path, |whole| whole.as_str()).to_owned();
     let (id, customer) = (id.into(), customer.unwrap_or(usize::MAX));
+    let headers = passed_on(head.headers);
     let body = body(rest).await?;
-    Ok(Message::Task(Call { id, workload, customer, size, left, target, body }))
+    Ok(Message::Task(Call { id, workload, customer, size, left, target, headers, body }))
+}
+
+/// What concerns one connection only, and what is written anew for each assignment.
+const OWN_HEADERS: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+    header::CONTENT_LENGTH,
+    header::HOST,
+];
+
+/// Guards against effects done twice at the worker: a deduplicated task carries its mark in a header, so all
+/// headers go on that are meant for the other end.
+fn passed_on(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(',').map(|name| name.trim().to_owned()))
+        .collect();
+    OWN_HEADERS.iter().for_each(|name| drop(headers.remove(name)));
+    named.iter().for_each(|name| drop(headers.remove(name.as_str())));
+    headers
 }
 
 /// What a task needs of a worker: slots, or units of memory if that is more, since a slot has one.
--- a/crates/scheduler/src/sending.rs
+++ b/crates/scheduler/src/sending.rs
@@ -108,6 +108,7 @@
             *message.method_mut() = Method::POST;
             let Ok(target) = call.target.parse() else { return Taken::No(Close::NeverSent) };
             *message.uri_mut() = target;
+            *message.headers_mut() = call.headers.clone();
             head(&mut message, address, &call.id);
             message.headers_mut().insert(EXPIRES, HeaderValue::from(left));
             line.gauge.begin(call.body.len());
