Load reports are read in the text form that workers give

A probe that printed the answers to /load showed 'TEXT backlog=0, x0=3.819': the page names no form, and sending.rs read JSON only, so the module never saw a free slot. loads.rs now reads both forms.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,5 +1,5 @@
 //! The scheduler on sockets, by the stages of a task: `berth` (start), `door`, `reading`, `answering` (server
-//! side), `exchange`, `pool`, `gauge`, `sending` (client side), `news`, `discovery`, `endings`, `stopping`.
+//! side), `exchange`, `pool`, `gauge`, `sending` (client side), `loads`, `news`, `discovery`, `endings`, `stopping`.
 
 pub mod answering;
 pub mod berth;
@@ -10,6 +10,7 @@
 pub mod exchange;
 pub mod gauge;
 pub mod listing;
+pub mod loads;
 pub mod news;
 pub mod pool;
 pub mod reading;
--- a/crates/scheduler/src/sending.rs
+++ b/crates/scheduler/src/sending.rs
@@ -2,14 +2,14 @@
 
 use crate::endings::Close;
 use crate::exchange::{Call, Exchange, Order, Ticket};
+use crate::loads;
 use crate::pool::{Line, Pool};
 use crate::reading;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderValue, HOST};
 use hyper::{Method, Request, Response, StatusCode};
-use serde_json::Value;
-use slog::{debug, Logger};
+use slog::{debug, info, Logger};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -86,7 +86,7 @@
         let taken = self.try_send(ticket, worker, &call, limit).await;
         self.under_way.borrow_mut().remove(&ticket);
         if let Taken::No(close) = taken {
-            debug!(self.log, "task {} at worker {worker}: {close:?}", call.id);
+            info!(self.log, "task {} at worker {worker}: {close:?}", call.id);
             self.exchange.ended(ticket, close);
         }
     }
@@ -153,7 +153,7 @@
         let path = if self.reports.is_empty() { "/healthz" } else { "/load" };
         let answer = timeout(PROBE_WAIT, self.ask(worker, Method::GET, path, "")).await.ok().flatten();
         let ok = answer.as_ref().is_some_and(|(status, _)| *status == StatusCode::OK);
-        let report = answer.filter(|_| ok).and_then(|(_, body)| report(&body, &self.reports));
+        let report = answer.filter(|_| ok).and_then(|(_, body)| loads::decode(&body, &self.reports));
         self.exchange.probed(worker, ok, &report.unwrap_or_default());
     }
 
@@ -191,11 +191,3 @@
         other => Taken::No(Close::Odd(other.as_u16())),
     }
 }
-
-/// The values of a load report by name, wherever in it they stand.
-fn report(body: &[u8], names: &[String]) -> Option<Vec<f64>> {
-    let whole: Value = serde_json::from_slice(body).ok()?;
-    let named = whole.get("named_metrics").unwrap_or(&Value::Null);
-    let value = |name: &String| named.get(name).or_else(|| whole.get(name)).and_then(Value::as_f64);
-    names.iter().map(value).collect()
-}
