--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -19,7 +19,7 @@
 use tokio::time::timeout;
 
 /// How long a watch waits for something new: short, so that an agent gone silent is noticed soon.
-const WAIT: Duration = Duration::from_secs(5);
+const WAIT: Duration = Duration::from_millis(2500);
 /// How long the agent, on the own machine, may take for anything else.
 const ANSWER: Duration = Duration::from_secs(1);
 /// Pauses before a new connection: the first short, since a restarted agent is back at once.
@@ -58,7 +58,7 @@
                 self.subscribe.notified().await;
             }
             let (told, why) = self.watch().await;
-            warn!(self.log, "discovery is silent, the list is kept: {why}");
+            warn!(self.log, "discovery failed, the list is kept: {why}");
             if self.asked {
                 // The module says when to ask again.
                 self.exchange.list_failed();
@@ -86,27 +86,20 @@
                 None => ("/v1/servers".into(), ANSWER),
             };
             match timeout(most, ask(&mut agent, self.address, &target)).await {
-                Ok(Ok(body)) => {
-                    told = true;
-                    self.apply(&body);
-                }
+                // Guards against a loop without pause on a list that stays wrong.
+                Ok(Ok(body)) => match listing::decode(&body, &mut self.words) {
+                    Ok(listing) => {
+                        told = true;
+                        self.adopt(listing);
+                    }
+                    Err(why) => return (false, format!("a list that will not do: {why}")),
+                },
                 Ok(Err(why)) => return (told, why),
                 Err(_) => return (told, "no answer in time".into()),
             }
         }
     }
 
-    fn apply(&mut self, body: &[u8]) {
-        match listing::decode(body, &mut self.words) {
-            Ok(listing) => self.adopt(listing),
-            Err(why) => {
-                warn!(self.log, "a list that will not do: {why}");
-                // A whole list next, which cannot build on the one that was passed over.
-                self.index = None;
-            }
-        }
-    }
-
     pub fn adopt(&mut self, listing: Listing) {
         self.index = Some(listing.index);
         if listing.whole || !listing.entries.is_empty() {
--- a/crates/scheduler/src/door.rs
+++ b/crates/scheduler/src/door.rs
@@ -23,6 +23,8 @@
 
 /// A peer that sends no whole head for this long loses its connection: it would hold a descriptor for ever.
 const SILENCE: Duration = Duration::from_secs(60);
+/// The same while stopping, which would otherwise wait for it.
+const LAST_SILENCE: Duration = Duration::from_secs(1);
 /// The same for a body that has begun.
 const BODY_SILENCE: Duration = Duration::from_secs(10);
 /// When no descriptor is left, some connection ends within this time.
@@ -36,6 +38,10 @@
     /// Busy with a message since it was read until it was answered.
     busy: Cell<bool>,
     used: Cell<Option<Instant>>,
+    /// Has sent no message yet.
+    mute: Cell<bool>,
+    /// Told news last: a worker, without whose words tasks in hand do not end.
+    worker: Cell<bool>,
     leave: Notify,
     leaving: Cell<bool>,
 }
@@ -115,7 +121,7 @@
     fn dismiss_idle(&self) {
         let guests = self.guests.borrow();
         let idle = guests.values().filter(|g| !g.busy.get() && !g.leaving.get());
-        if let Some(guest) = idle.min_by_key(|g| g.used.get()) {
+        if let Some(guest) = idle.min_by_key(|g| (g.worker.get(), g.used.get())) {
             guest.ask_to_leave();
         }
     }
@@ -125,8 +131,9 @@
         self.guests.borrow().values().for_each(|guest| guest.ask_to_leave());
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.guests.borrow().is_empty()
+    /// Nobody is here but some that have not said anything.
+    pub fn is_quiet(&self) -> bool {
+        self.guests.borrow().values().all(|guest| guest.mute.get())
     }
 
     async fn attend(self: Rc<Self>, stream: TcpStream) {
@@ -135,20 +142,23 @@
         self.next.set(number + 1);
         let guest = Rc::new(Guest::default());
         guest.used.set(Some(Instant::now()));
+        guest.mute.set(true);
         self.guests.borrow_mut().insert(number, guest.clone());
         let service = service_fn(|call: Request<Incoming>| {
             let (door, guest) = (self.clone(), guest.clone());
             async move {
                 guest.busy.set(true);
-                let reply = door.reply(call).await;
+                guest.mute.set(false);
+                let reply = door.reply(call, &guest.worker).await;
                 guest.busy.set(false);
                 guest.used.set(Some(Instant::now()));
                 Ok::<Reply, Infallible>(reply)
             }
         });
+        let silence = if self.stopping.is_asked() { LAST_SILENCE } else { SILENCE };
         let mut http = http1::Builder::new();
         http.timer(TokioTimer::new())
-            .header_read_timeout(SILENCE)
+            .header_read_timeout(silence)
             .max_buf_size(READ_BUFFER)
             .keep_alive(!self.stopping.is_asked());
         let mut connection = pin!(http.serve_connection(TokioIo::new(stream), service));
@@ -160,19 +170,24 @@
                     }
                     break;
                 }
-                () = guest.leave.notified() => connection.as_mut().graceful_shutdown(),
+                // Guards against peers that connect and say nothing: hyper would wait for their first message.
+                () = guest.leave.notified() => match guest.mute.get() && !self.stopping.is_asked() {
+                    true => break,
+                    false => connection.as_mut().graceful_shutdown(),
+                },
             }
         }
         self.guests.borrow_mut().remove(&number);
         self.gone.notify_one();
     }
 
-    async fn reply(&self, call: Request<Incoming>) -> Reply {
+    async fn reply(&self, call: Request<Incoming>, worker: &Cell<bool>) -> Reply {
         let read = tokio::time::timeout(BODY_SILENCE, reading::read(call, &self.words));
         let late = || Bad(hyper::StatusCode::BAD_REQUEST, "the body came too slowly".into());
         match read.await.unwrap_or_else(|_| Err(late())) {
             Ok(Message::Health) => answering::health(self.exchange.can_decide()),
             Ok(Message::News(news)) => {
+                worker.set(true);
                 self.exchange.news(news);
                 answering::heard()
             }
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -58,9 +58,11 @@
 }
 
 impl ListingDoc {
-    /// A list that is wrong anywhere is wrong as a whole.
+    /// A list that is wrong anywhere is wrong as a whole, and leaves no words behind.
     pub fn decode(self, words: &mut Words) -> Result<Listing, String> {
-        let entries = self.endpoints.into_iter().map(|e| e.decode(words)).collect::<Result<_, _>>()?;
+        let mut now = words.clone();
+        let entries = self.endpoints.into_iter().map(|e| e.decode(&mut now)).collect::<Result<_, _>>()?;
+        *words = now;
         Ok(Listing { index: self.index, whole: self.snapshot, entries })
     }
 }
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -1,20 +1,30 @@
 //! The scheduler as a process: its configuration, its log, its exit code.
 
 use slog::{o, Drain, Logger};
+use std::sync::mpsc;
+use std::time::Duration;
 use tindock_scheduler::{berth, start};
 
 /// Lines that may wait for the log's reader; beyond that they are dropped, and their number is told.
 const LINES_WAITING: usize = 4096;
+/// How long the end of the process waits for lines to be written.
+const LAST_LINES: Duration = Duration::from_millis(100);
 
 fn serve() -> Result<(), String> {
     let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG names no configuration")?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
     let berth = berth::read(&text).map_err(|why| format!("{path}: {why}"))?;
     let lines = slog_term::PlainDecorator::new(std::io::stdout());
-    let drain = slog_term::FullFormat::new(lines).build().fuse();
-    let (drain, _guard) = slog_async::Async::new(drain).chan_size(LINES_WAITING).build_with_guard();
-    let log = Logger::root(drain.fuse(), o!());
-    start::run(berth, &log)
+    // Lines that cannot be written or must not wait are lost: no log may block or end the scheduler.
+    let drain = slog_term::FullFormat::new(lines).build().ignore_res();
+    let (drain, rest) = slog_async::Async::new(drain).chan_size(LINES_WAITING).build_with_guard();
+    let log = Logger::root(drain.ignore_res(), o!());
+    let served = start::run(berth, &log);
+    // The lines still waiting are written by a thread of their own, which the end does not wait for long.
+    let (written, all) = mpsc::channel::<()>();
+    std::thread::spawn(move || drop((rest, written)));
+    let _ = all.recv_timeout(LAST_LINES);
+    served
 }
 
 fn main() {
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -29,6 +29,8 @@
     address: SocketAddr,
     driver: JoinHandle<()>,
     idle_since: Instant,
+    /// Whether it carried a message before.
+    pub used: bool,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -92,13 +94,13 @@
             // How it ended is told to whoever waits for an answer on it.
             let _ = connection.await;
         });
-        Ok(Line { sender, gauge, address, driver, idle_since: Instant::now(), _permit: permit })
+        Ok(Line { sender, gauge, address, driver, idle_since: Instant::now(), used: false, _permit: permit })
     }
 
     /// Takes a connection back once its message was answered whole.
     pub async fn give_back(&self, worker: usize, mut line: Line) {
         if line.sender.ready().await.is_ok() {
-            line.idle_since = Instant::now();
+            (line.idle_since, line.used) = (Instant::now(), true);
             self.idle.borrow_mut().entry(worker).or_default().push(line);
         }
     }
--- a/crates/scheduler/src/sending.rs
+++ b/crates/scheduler/src/sending.rs
@@ -83,8 +83,11 @@
     }
 
     async fn send(self: Rc<Self>, ticket: Ticket, worker: usize, call: Rc<Call>, limit: Duration) {
-        let taken = self.try_send(ticket, worker, &call, limit).await;
+        // Guards against a worker that says nothing and holds a connection for ever: news of the end may have
+        // come without the 202, and then nobody closes it.
+        let taken = timeout(self.exchange.until(limit), self.try_send(ticket, worker, &call, limit)).await;
         self.under_way.borrow_mut().remove(&ticket);
+        let taken = taken.unwrap_or(Taken::No(Close::Overdue));
         if let Taken::No(close) = taken {
             info!(self.log, "task {} at worker {worker}: {close:?}", call.id);
             self.exchange.ended(ticket, close);
@@ -121,7 +124,7 @@
                     return taken;
                 }
                 // The worker closed an idle connection before a byte was written: that was no send.
-                Err(_) if line.gauge.untouched() => continue,
+                Err(_) if line.gauge.untouched() && line.used => continue,
                 Err(_) if line.gauge.whole() => return Taken::No(Close::BrokeSent),
                 Err(_) => return Taken::No(Close::BrokeUnsent),
             }
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -45,6 +45,8 @@
     if let Some(known) = berth.known {
         discovery.adopt(known);
     }
+    // Without a known list nothing else would make the module ask for one.
+    exchange.ring();
     let pool = Rc::new(Pool::new(berth.for_workers, berth.dial, berth.keep));
     let reports = berth.words.reports.clone();
     let sending = Sending::new(exchange.clone(), pool.clone(), reports, subscribe, part("workers"));
@@ -55,8 +57,9 @@
     spawn_local(async move { pool.tend().await });
     spawn_local(async move { exchange.keep_time().await });
     spawn_local(discovery.keep());
+    let listens = listener.local_addr().map_err(|e| e.to_string())?;
+    info!(log, "{} listens on {listens}", berth.name);
     spawn_local(door.clone().accept(listener));
-    info!(log, "{} listens on {}", berth.name, berth.listen);
     let ended = stopping.over(&door).await;
     info!(log, "{} ends", berth.name);
     ended.map_err(|e| format!("signals: {e}"))
--- a/crates/scheduler/src/stopping.rs
+++ b/crates/scheduler/src/stopping.rs
@@ -36,7 +36,7 @@
         loop {
             tokio::time::sleep(LOOK).await;
             let quiet = self.last.get().is_none_or(|last| last.elapsed() >= QUIET);
-            if told.elapsed() >= NEWCOMERS && quiet && door.is_empty() {
+            if told.elapsed() >= NEWCOMERS && quiet && door.is_quiet() {
                 return Ok(());
             }
         }
--- /dev/null
+++ b/crates/scheduler/tests/sockets.rs
@@ -0,0 +1,399 @@
+//! The scheduler as a process, between stand-ins for clients, workers and discovery on 127.0.0.1. Nothing
+//! here waits for a span of time to pass: each step waits for what the other side does.
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+/// A step that takes this long has failed.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One end of a connection that speaks HTTP/1.1 by hand.
+struct Peer(BufReader<TcpStream>);
+
+#[derive(Debug)]
+struct Message {
+    first: String,
+    headers: String,
+    body: String,
+}
+
+impl Message {
+    fn header(&self, name: &str) -> Option<&str> {
+        let line = self.headers.lines().find(|line| line.starts_with(&format!("{name}:")))?;
+        Some(line[name.len() + 1..].trim())
+    }
+}
+
+impl Peer {
+    fn over(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Peer(BufReader::new(stream))
+    }
+
+    fn connect(to: SocketAddr) -> Self {
+        Self::over(TcpStream::connect(to).expect("a connection"))
+    }
+
+    fn accept(listener: &TcpListener) -> Self {
+        let began = Instant::now();
+        listener.set_nonblocking(true).expect("a listener that does not wait for ever");
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).expect("a stream that waits");
+                    return Self::over(stream);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock && began.elapsed() < PATIENCE => {
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+                Err(e) => panic!("no connection: {e}"),
+            }
+        }
+    }
+
+    fn write(&mut self, text: &str) -> &mut Self {
+        self.0.get_mut().write_all(text.as_bytes()).expect("room to write");
+        self
+    }
+
+    /// The next message; none at the connection's end.
+    fn try_read(&mut self) -> Option<Message> {
+        let (mut first, mut headers) = (String::new(), String::new());
+        match self.0.read_line(&mut first) {
+            Ok(0) => return None,
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => return None,
+            read => drop(read.expect("a first line or the end")),
+        }
+        while !headers.ends_with("\r\n\r\n") && headers != "\r\n" {
+            self.0.read_line(&mut headers).expect("a head");
+        }
+        let mut message =
+            Message { first: first.trim().into(), headers: headers.to_lowercase(), body: String::new() };
+        let length = message.header("content-length").map_or(0, |n| n.parse().expect("a length"));
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).expect("a body");
+        message.body = String::from_utf8(body).expect("text");
+        Some(message)
+    }
+
+    fn read(&mut self) -> Message {
+        self.try_read().expect("a message, not the end")
+    }
+
+    fn post(&mut self, path: &str, id: &str, body: &str) -> &mut Self {
+        let length = body.len();
+        self.write(&format!(
+            "POST {path} HTTP/1.1\r\nHost: service\r\nX-Trace-Id: {id}\r\nX-Expires-In-Ms: 15000\r\n\
+             Idempotency-Key: mark-{id}\r\nContent-Length: {length}\r\n\r\n{body}"
+        ))
+    }
+
+    fn taken(&mut self) {
+        self.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    }
+}
+
+const SETTINGS: &str = r#"{"instances": 1, "zone": 0, "discovery": "automatic", "areas": ["here"], "skus": ["one"],
+ "caps": {"cancel": true, "most_assignments": 3, "dial_timeout_s": 5, "keepalive_s": 300, "retry_after": true,
+          "max_retry_after_s": 0.5},
+ "rules": {"cold_share": 0.3, "overload_factor": 3.0, "warm_within_s": 8.0},
+ "domain": {"class_stretch": [2.0, 2.0]},
+ "workloads": [
+  {"name": "plan", "effect": "retryable", "hard_limit_s": 15, "promised_time_s": 3, "utility": 1},
+  {"name": "release", "effect": "fragile", "hard_limit_s": 15, "promised_time_s": 3, "utility": 1}]}"#;
+
+struct Scheduler {
+    child: Child,
+    address: SocketAddr,
+    log: BufReader<std::process::ChildStdout>,
+}
+
+fn spawn(folder: &str, config: &str) -> Child {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{folder}.json"));
+    std::fs::write(&path, config).expect("a configuration");
+    let bin = env!("CARGO_BIN_EXE_tindock");
+    let mut command = Command::new(bin);
+    command.env("GW_CONFIG", path).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command.spawn().expect("a scheduler")
+}
+
+fn entry(name: &str, address: SocketAddr, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"here","type":"one","group":1,"status":"{status}","weight":2,"since_ms":0}}"#
+    )
+}
+
+fn config(discovery: SocketAddr, entries: &[String], sockets: usize) -> String {
+    let entries = entries.join(",");
+    format!(
+        r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+ "limits":{{"sockets":{sockets}}},"known":{{"index":41,"snapshot":true,"endpoints":[{entries}]}},"settings":{SETTINGS}}}"#
+    )
+}
+
+impl Scheduler {
+    fn start(name: &str, discovery: SocketAddr, entries: &[String]) -> Self {
+        Self::with_sockets(name, discovery, entries, 1024)
+    }
+
+    fn with_sockets(name: &str, discovery: SocketAddr, entries: &[String], sockets: usize) -> Self {
+        let mut child = spawn(name, &config(discovery, entries, sockets));
+        let log = BufReader::new(child.stdout.take().expect("its log"));
+        let address = ([0, 0, 0, 0], 0).into();
+        let mut scheduler = Scheduler { child, address, log };
+        let line = scheduler.line("listens on ");
+        let address = line.split("listens on ").nth(1).expect("an address");
+        scheduler.address = address.trim().parse().expect("an address");
+        scheduler
+    }
+
+    /// Reads the log up to a line that has these words.
+    fn line(&mut self, words: &str) -> String {
+        loop {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).expect("a log") > 0, "the log ends before {words:?}");
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    fn news(&self, text: &str) -> String {
+        let mut worker = Peer::connect(self.address);
+        worker.write(&format!(
+            "POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: {}\r\n\r\n{text}",
+            text.len()
+        ));
+        worker.read().first
+    }
+
+    fn done(&self, id: &str, from: &str, result: &str) {
+        let told =
+            self.news(&format!(r#"{{"id":"{id}","from":"{from}","state":"done","result":"{result}"}}"#));
+        assert_eq!(told, "HTTP/1.1 204 No Content");
+    }
+}
+
+impl Drop for Scheduler {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("its address");
+    (listener, address)
+}
+
+/// A scheduler with one worker and a discovery that says nothing.
+fn one_worker(name: &str) -> (Scheduler, TcpListener, TcpListener) {
+    let ((worker, at), (discovery, agent)) = (listener(), listener());
+    (Scheduler::start(name, agent, &[entry("w0", at, "active")]), worker, discovery)
+}
+
+/// Guards against effects done twice: the mark that the worker knows a repeat by goes on with the task.
+#[test]
+fn a_task_goes_on_as_it_came_and_its_result_comes_back() {
+    let (scheduler, worker, _discovery) = one_worker("as-it-came");
+    let mut client = Peer::connect(scheduler.address);
+    client.post("/plan/7f3a?x=%20y", "a1", "the body");
+    let mut line = Peer::accept(&worker);
+    let task = line.read();
+    assert_eq!(task.first, "POST /plan/7f3a?x=%20y HTTP/1.1");
+    assert_eq!((task.header("x-trace-id"), task.body.as_str()), (Some("a1"), "the body"));
+    assert_eq!(task.header("idempotency-key"), Some("mark-a1"));
+    let left: u64 = task.header("x-expires-in-ms").expect("time left").parse().expect("a number");
+    assert!((1..=15000).contains(&left), "{left} ms");
+    line.taken();
+    scheduler.done("a1", "w0", "the result");
+    let answer = client.read();
+    assert_eq!((answer.first.as_str(), answer.body.as_str()), ("HTTP/1.1 200 OK", "the result"));
+    // The same connections serve the next one; its end comes before the 202.
+    client.post("/plan", "a2", "");
+    line.read();
+    scheduler.done("a2", "w0", "early");
+    assert_eq!(client.read().body, "early");
+}
+
+/// Guards against a shed reply, which invites a repeat, for what may have run.
+#[test]
+fn what_broke_after_its_last_byte_may_have_run() {
+    let (scheduler, worker, _discovery) = one_worker("may-have-run");
+    let mut client = Peer::connect(scheduler.address);
+    client.post("/release", "b1", "x");
+    let mut line = Peer::accept(&worker);
+    line.read();
+    drop(line);
+    assert_eq!(client.read().first, "HTTP/1.1 500 Internal Server Error");
+}
+
+/// Guards against giving up what never ran: nobody listens there, so trying again is harmless.
+#[test]
+fn what_was_never_connected_never_ran() {
+    let (scheduler, worker, _discovery) = one_worker("never-ran");
+    drop(worker);
+    let mut client = Peer::connect(scheduler.address);
+    client.post("/release", "c1", "x");
+    let answer = client.read();
+    assert_eq!(answer.first, "HTTP/1.1 503 Service Unavailable");
+    assert_eq!(answer.header("retry-after"), Some("0.5"));
+}
+
+/// Guards against a reset where the worker closed a connection that stood idle: nothing was written, so the
+/// same assignment takes a new connection.
+#[test]
+fn a_connection_closed_while_idle_costs_no_assignment() {
+    let (scheduler, worker, _discovery) = one_worker("idle-close");
+    let mut client = Peer::connect(scheduler.address);
+    for id in ["d1", "d2", "d3"] {
+        client.post("/release", id, "x");
+        let mut line = Peer::accept(&worker);
+        line.read();
+        line.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        drop(line);
+        scheduler.done(id, "w0", id);
+        assert_eq!(client.read().body, id);
+    }
+}
+
+/// Guards against work for nobody, by the two ways to call off: the connection before the 202, DELETE after it.
+#[test]
+fn what_a_client_leaves_is_called_off_at_the_worker() {
+    let (scheduler, worker, _discovery) = one_worker("left");
+    let mut client = Peer::connect(scheduler.address);
+    client.post("/plan", "e1", "x");
+    let mut line = Peer::accept(&worker);
+    line.read();
+    drop(client);
+    assert!(line.try_read().is_none(), "the connection is closed");
+    let mut client = Peer::connect(scheduler.address);
+    client.post("/plan", "e2", "x");
+    let mut line = Peer::accept(&worker);
+    line.read();
+    line.taken();
+    // The answer to news is behind the 202 in the scheduler's own order of things.
+    assert_eq!(scheduler.news(r#"{"id":"e2","from":"w0","state":"started"}"#), "HTTP/1.1 204 No Content");
+    drop(client);
+    assert_eq!(line.read().first, "DELETE /jobs/e2 HTTP/1.1");
+}
+
+/// Guards against an end by bad calls, and against news that workers would tell again and again.
+#[test]
+fn bad_calls_are_turned_down() {
+    let (scheduler, _worker, _discovery) = one_worker("bad-calls");
+    let ask = |text: &str| Peer::connect(scheduler.address).write(text).read().first;
+    let post = |path: &str, more: &str| ask(&format!("POST {path} HTTP/1.1\r\nHost: s\r\n{more}\r\n"));
+    assert_eq!(ask("GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n"), "HTTP/1.1 200 OK");
+    assert_eq!(ask("nonsense\r\n\r\n"), "HTTP/1.1 400 Bad Request");
+    assert_eq!(post("/plan", "Content-Length: 0\r\n"), "HTTP/1.1 400 Bad Request");
+    assert_eq!(post("/plan", "X-Trace-Id: a/b\r\n"), "HTTP/1.1 400 Bad Request");
+    assert_eq!(post("/plan", "X-Trace-Id: a\r\nX-Expires-In-Ms: soon\r\n"), "HTTP/1.1 400 Bad Request");
+    assert_eq!(post("/plan", "X-Trace-Id: a\r\nX-Props: slots=NaN\r\n"), "HTTP/1.1 400 Bad Request");
+    assert_eq!(post("/nowhere", "X-Trace-Id: a\r\n"), "HTTP/1.1 404 Not Found");
+    assert_eq!(ask("GET /plan HTTP/1.1\r\nHost: s\r\n\r\n"), "HTTP/1.1 405 Method Not Allowed");
+    assert_eq!(post("/healthz", ""), "HTTP/1.1 405 Method Not Allowed");
+    let long = "X-Trace-Id: a\r\nContent-Length: 65537\r\n";
+    assert_eq!(post("/plan", long), "HTTP/1.1 413 Payload Too Large");
+    for wrong in
+        ["", "{", "[]", r#"{"id":"a","from":"w0","state":"odd"}"#, r#"{"id":"a","from":"w0","state":"done"}"#]
+    {
+        assert_eq!(scheduler.news(wrong), "HTTP/1.1 400 Bad Request");
+    }
+    let unknown = r#"{"id":"a","from":"nobody","state":"done","result":"r"}"#;
+    assert_eq!(scheduler.news(unknown), "HTTP/1.1 204 No Content");
+}
+
+/// Guards against a list lost to a bad answer: it changes nothing, and the next one counts.
+#[test]
+fn a_bad_list_changes_nothing_and_a_drain_is_kept() {
+    let ((worker, at), (other, beside), (discovery, agent)) = (listener(), listener(), listener());
+    let mut scheduler = Scheduler::start("lists", agent, &[entry("w0", at, "active")]);
+    let answer = |watch: &mut Peer, body: &str| {
+        watch.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    };
+    let mut watch = Peer::accept(&discovery);
+    assert!(watch.read().first.starts_with("GET /v1/servers?after=41&wait_ms="));
+    let wrong = entry("w0", at, "unheard-of");
+    answer(&mut watch, &format!(r#"{{"index":42,"snapshot":true,"endpoints":[{wrong}]}}"#));
+    scheduler.line("the list is kept");
+    let mut client = Peer::connect(scheduler.address);
+    client.post("/plan", "f1", "x");
+    let mut line = Peer::accept(&worker);
+    line.read();
+    line.taken();
+    let mut watch = Peer::accept(&discovery);
+    assert!(watch.read().first.starts_with("GET /v1/servers?after=41&wait_ms="));
+    let (drains, comes) = (entry("w0", at, "leaving"), entry("w1", beside, "active"));
+    answer(&mut watch, &format!(r#"{{"index":43,"snapshot":false,"endpoints":[{drains},{comes}]}}"#));
+    // The next watch comes after the answer was taken in.
+    assert!(watch.read().first.starts_with("GET /v1/servers?after=43&wait_ms="));
+    let mut client = Peer::connect(scheduler.address);
+    client.post("/plan", "f3", "x");
+    assert_eq!(Peer::accept(&other).read().first, "POST /plan HTTP/1.1");
+}
+
+/// Guards against a planned restart that loses what was taken, or turns newcomers away too early.
+#[test]
+fn a_stop_answers_all_that_was_taken() {
+    let (mut scheduler, worker, _discovery) = one_worker("stop");
+    let mut idle = Peer::connect(scheduler.address);
+    idle.write("GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n").read();
+    let _mute = Peer::connect(scheduler.address);
+    let mut client = Peer::connect(scheduler.address);
+    client.post("/release", "g1", "x");
+    let mut line = Peer::accept(&worker);
+    line.read();
+    line.taken();
+    let id = scheduler.child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+    assert!(idle.try_read().is_none(), "an idle connection is closed");
+    let mut late = Peer::connect(scheduler.address);
+    late.post("/release", "g2", "x");
+    line.read();
+    line.taken();
+    scheduler.done("g2", "w0", "late");
+    scheduler.done("g1", "w0", "in hand");
+    for (client, result) in [(&mut late, "late"), (&mut client, "in hand")] {
+        let answer = client.read();
+        assert_eq!((answer.body.as_str(), answer.header("connection")), (result, Some("close")));
+    }
+    assert!(scheduler.child.wait().expect("its end").success());
+}
+
+/// Guards against a door shut by peers that hold connections and say nothing.
+#[test]
+fn idle_connections_make_room_for_others() {
+    let ((_worker, at), (_discovery, agent)) = (listener(), listener());
+    let scheduler = Scheduler::with_sockets("room", agent, &[entry("w0", at, "active")], 64);
+    let mut silent: Vec<Peer> = (0..100).map(|_| Peer::connect(scheduler.address)).collect();
+    let mut client = Peer::connect(scheduler.address);
+    client.write("GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n");
+    assert_eq!(client.read().first, "HTTP/1.1 200 OK");
+    assert!(silent[0].try_read().is_none(), "the one idle for longest was closed");
+}
+
+/// Guards against a start on a configuration that will not do, and against more than one line about it.
+#[test]
+fn a_bad_configuration_ends_the_start() {
+    let good = config(([127, 0, 0, 1], 1).into(), &[], 1024);
+    let bad = [
+        String::new(),
+        good.replace("\"retryable\"", "\"sometimes\""),
+        good.replace("127.0.0.1:0", "nowhere"),
+        good.replace("8c1f30d27a5be964", "chance"),
+        good.replace("\"sockets\":1024", "\"sockets\":8"),
+        good.replace("\"keepalive_s\": 300", "\"keepalive_s\": -1"),
+    ];
+    for (number, text) in bad.iter().enumerate() {
+        assert!(number == 0 || *text != good, "case {number} changes something");
+        let Output { status, stderr, .. } =
+            spawn(&format!("bad-{number}"), text).wait_with_output().expect("an end");
+        let stderr = String::from_utf8_lossy(&stderr);
+        assert_eq!((status.code(), stderr.lines().count()), (Some(1), 1), "case {number}: {stderr}");
+        assert!(stderr.starts_with("tindock: "), "{stderr}");
+    }
+}
