Idle connections to a worker that leaves a call unanswered are dropped; one start time

A machine that vanishes leaves open connections silent. What is written to them may have run, while a new connection never comes up and proves that nothing ran. So a call that a worker leaves unanswered for 250 ms drops the idle connections to it (sending.rs, Unanswered).

--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -100,7 +100,7 @@
         }
     }
 
-    pub fn adopt(&mut self, listing: Listing) {
+    fn adopt(&mut self, listing: Listing) {
         self.index = Some(listing.index);
         if listing.whole || !listing.entries.is_empty() {
             info!(self.log, "list {}: {} workers named", listing.index, listing.entries.len());
--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -147,10 +147,19 @@
         (Rc::new(Exchange { state, now, clock, hard_limits, orders, bell_moved, log }), taken)
     }
 
+    /// The start: the list as it was last had, at the very time that the module was made. Guards against
+    /// workers that count as new because they are named a moment after the start.
+    pub fn begin(&self, began: Duration, known: Option<Listing>) {
+        self.feed_at(began, |state| known.into_iter().for_each(|known| self.take_list(state, known)));
+    }
+
     /// Feeds inputs at the present time, then carries out what the module decides.
     fn feed<T>(&self, inputs: impl FnOnce(&mut State) -> T) -> T {
+        self.feed_at((self.now)(), inputs)
+    }
+
+    fn feed_at<T>(&self, now: Duration, inputs: impl FnOnce(&mut State) -> T) -> T {
         let mut state = self.state.borrow_mut();
-        let now = (self.now)();
         state.rules.clock(now);
         let given = inputs(&mut state);
         self.pull(&mut state, now);
@@ -289,16 +298,18 @@
     // ---- discovery ----
 
     pub fn list(&self, listing: Listing) {
-        self.feed(|state| {
-            state.rules.list_begins(listing.whole);
-            if listing.whole {
-                state.workers.iter_mut().for_each(|w| w.condition = Condition::Gone);
-            }
-            for entry in listing.entries {
-                let booted = entry.booted_ms.and_then(|ms| self.clock.from_unix_ms(ms));
-                state.listed(entry, booted);
-            }
-        });
+        self.feed(|state| self.take_list(state, listing));
+    }
+
+    fn take_list(&self, state: &mut State, listing: Listing) {
+        state.rules.list_begins(listing.whole);
+        if listing.whole {
+            state.workers.iter_mut().for_each(|w| w.condition = Condition::Gone);
+        }
+        for entry in listing.entries {
+            let booted = entry.booted_ms.and_then(|ms| self.clock.from_unix_ms(ms));
+            state.listed(entry, booted);
+        }
     }
 
     pub fn list_failed(&self) {
--- a/crates/scheduler/src/sending.rs
+++ b/crates/scheduler/src/sending.rs
@@ -16,12 +16,14 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, Notify};
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// How long the word that a task is called off may take before it counts as told.
-const CALL_OFF_WAIT: Duration = Duration::from_millis(250);
+const CALL_OFF_WAIT: Duration = Duration::from_millis(300);
 /// How long a probe may take: as long as a task may wait for a connection and some more.
 const PROBE_WAIT: Duration = Duration::from_millis(500);
+/// A worker that did not answer for this long may be cut off, and the idle connections to it with it.
+const CUT_OFF: Duration = Duration::from_millis(250);
 const TRACE: &str = "x-trace-id";
 const EXPIRES: &str = "x-expires-in-ms";
 const NEVER_RAN: &str = "x-never-ran";
@@ -37,6 +39,28 @@
     log: Logger,
 }
 
+/// Counts how long a worker leaves something unanswered. Guards against a machine that vanished: what is
+/// written to its open connections may have run, while a new one never comes up, so that nothing ran.
+struct Unanswered<'a> {
+    pool: &'a Pool,
+    worker: usize,
+    since: Instant,
+}
+
+impl Unanswered<'_> {
+    fn answered(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if self.since.elapsed() >= CUT_OFF {
+            self.pool.release(self.worker);
+        }
+    }
+}
+
 /// What came back for an assignment.
 enum Taken {
     Yes,
@@ -115,8 +139,10 @@
             head(&mut message, address, &call.id);
             message.headers_mut().insert(EXPIRES, HeaderValue::from(left));
             line.gauge.begin(call.body.len());
+            let unanswered = Unanswered { pool: &self.pool, worker, since: Instant::now() };
             match line.sender.try_send_request(message).await {
                 Ok(answer) => {
+                    unanswered.answered();
                     let taken = judge(&answer);
                     // From here on the worker has it: closing would no longer call it off.
                     self.under_way.borrow_mut().remove(&ticket);
@@ -169,7 +195,9 @@
         *message.uri_mut() = path.parse().ok()?;
         head(&mut message, address, id);
         line.gauge.begin(0);
+        let unanswered = Unanswered { pool: &self.pool, worker, since: Instant::now() };
         let answer = line.sender.send_request(message).await.ok()?;
+        unanswered.answered();
         let status = answer.status();
         Some((status, self.finish(worker, line, answer).await?))
     }
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -29,24 +29,21 @@
     let clock = Clock::start();
     let asked = berth.sheet.news != News::Pushed;
     let hard_limits = berth.sheet.workloads.iter().map(|row| row.hard_limit).collect();
-    let rules = Rules::new(berth.sheet, berth.seed, clock.now());
+    let began = clock.now();
+    let rules = Rules::new(berth.sheet, berth.seed, began);
     let now = Box::new(move || clock.now());
     let (exchange, orders) = Exchange::new(rules, hard_limits, clock, now, part("rules"));
     let subscribe = Rc::new(Notify::new());
-    let mut discovery = Discovery {
+    let discovery = Discovery {
         exchange: exchange.clone(),
         words: berth.words.clone(),
         address: berth.discovery,
         asked,
         subscribe: subscribe.clone(),
-        index: None,
+        index: berth.known.as_ref().map(|known| known.index),
         log: part("discovery"),
     };
-    if let Some(known) = berth.known {
-        discovery.adopt(known);
-    }
-    // Without a known list nothing else would make the module ask for one.
-    exchange.ring();
+    exchange.begin(began, berth.known);
     let pool = Rc::new(Pool::new(berth.for_workers, berth.dial, berth.keep));
     let reports = berth.words.reports.clone();
     let sending = Sending::new(exchange.clone(), pool.clone(), reports, subscribe, part("workers"));
--- a/crates/scheduler/tests/exchange.rs
+++ b/crates/scheduler/tests/exchange.rs
@@ -48,8 +48,10 @@
         let (exchange, orders) =
             Exchange::new(rules, hard, Clock::start(), Box::new(move || reads.get()), log);
         let (holds, tickets, trace) = (Vec::new(), Vec::new(), String::new());
+        let entries = (0..workers).map(|w| entry(w, Condition::Ready)).collect();
+        exchange.begin(now.get(), (workers > 0).then_some(Listing { index: 1, whole: true, entries }));
         let mut floor = Floor { exchange, orders, now, holds, tickets, trace };
-        floor.list((0..workers).map(|w| entry(w, Condition::Ready)).collect(), true);
+        floor.look();
         floor
     }
 
@@ -215,8 +217,6 @@
 fn a_list_that_must_be_asked_for_is_asked_for() {
     let news = News::Asked { within: ms(10_000) };
     let mut floor = Floor::new(DutySheet { news, ..duty(&[Effect::Idempotent]) }, 0);
-    floor.exchange.ring();
-    floor.look();
     floor.exchange.list_failed();
     floor.note("the watch failed");
     floor.pass(2000);
--- a/crates/scheduler/tests/sockets.rs
+++ b/crates/scheduler/tests/sockets.rs
@@ -83,9 +83,13 @@
     }
 
     fn post(&mut self, path: &str, id: &str, body: &str) -> &mut Self {
+        self.post_within(15000, path, id, body)
+    }
+
+    fn post_within(&mut self, ms: u64, path: &str, id: &str, body: &str) -> &mut Self {
         let length = body.len();
         self.write(&format!(
-            "POST {path} HTTP/1.1\r\nHost: service\r\nX-Trace-Id: {id}\r\nX-Expires-In-Ms: 15000\r\n\
+            "POST {path} HTTP/1.1\r\nHost: service\r\nX-Trace-Id: {id}\r\nX-Expires-In-Ms: {ms}\r\n\
              Idempotency-Key: mark-{id}\r\nContent-Length: {length}\r\n\r\n{body}"
         ))
     }
@@ -237,7 +241,7 @@
     let (scheduler, worker, _discovery) = one_worker("never-ran");
     drop(worker);
     let mut client = Peer::connect(scheduler.address);
-    client.post("/release", "c1", "x");
+    client.post_within(2000, "/release", "c1", "x");
     let answer = client.read();
     assert_eq!(answer.first, "HTTP/1.1 503 Service Unavailable");
     assert_eq!(answer.header("retry-after"), Some("0.5"));
@@ -281,6 +285,28 @@
     assert_eq!(line.read().first, "DELETE /jobs/e2 HTTP/1.1");
 }
 
+/// Guards against tasks written to the open connections of a machine that vanished, where they may have run.
+#[test]
+fn a_worker_that_leaves_a_call_unanswered_loses_its_idle_connections() {
+    let (scheduler, worker, _discovery) = one_worker("cut-off");
+    let mut clients = [(); 2].map(|()| Peer::connect(scheduler.address));
+    clients[0].post("/plan", "h1", "x");
+    let mut first = Peer::accept(&worker);
+    first.read();
+    clients[1].post("/plan", "h2", "x");
+    let mut second = Peer::accept(&worker);
+    second.read();
+    second.taken();
+    first.taken();
+    scheduler.news(r#"{"id":"h1","from":"w0","state":"started"}"#);
+    let [gone, _stays] = clients;
+    drop(gone);
+    // One carries the call-off, which is not answered; the other is idle. Both are closed.
+    for mut line in [first, second] {
+        while line.try_read().is_some() {}
+    }
+}
+
 /// Guards against an end by bad calls, and against news that workers would tell again and again.
 #[test]
 fn bad_calls_are_turned_down() {
