A burst of connections no longer passes the limit at the door

Seen: the test of silent peers failed in two runs of three, waiting for the oldest connection to be closed. Checked: the order of accepting (as connected) and the closing of mute peers (works). Wrong: door.rs counted a guest when its own task first ran; a hundred connections that wait are accepted in one go before any such task, so none was asked to leave. Guests now count from accept.

--- a/crates/scheduler/src/door.rs
+++ b/crates/scheduler/src/door.rs
@@ -97,7 +97,9 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     self.stopping.newcomer();
-                    tokio::task::spawn_local(self.clone().attend(stream));
+                    // Guards against a burst that passes the limit: who is accepted counts from here on.
+                    let number = self.enter();
+                    tokio::task::spawn_local(self.clone().attend(stream, number));
                 }
                 Err(e) => {
                     // Guards against a loop without pause, and an end, when descriptors have run out.
@@ -136,14 +138,19 @@
         self.guests.borrow().values().all(|guest| guest.mute.get())
     }
 
-    async fn attend(self: Rc<Self>, stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
+    fn enter(&self) -> u64 {
         let number = self.next.get();
         self.next.set(number + 1);
-        let guest = Rc::new(Guest::default());
+        let guest = Guest::default();
         guest.used.set(Some(Instant::now()));
         guest.mute.set(true);
-        self.guests.borrow_mut().insert(number, guest.clone());
+        self.guests.borrow_mut().insert(number, Rc::new(guest));
+        number
+    }
+
+    async fn attend(self: Rc<Self>, stream: TcpStream, number: u64) {
+        let _ = stream.set_nodelay(true);
+        let Some(guest) = self.guests.borrow().get(&number).cloned() else { return };
         let service = service_fn(|call: Request<Incoming>| {
             let (door, guest) = (self.clone(), guest.clone());
             async move {
