--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -52,13 +52,17 @@
 
 impl Discovery {
     pub async fn keep(mut self) {
-        let mut pause = FIRST_PAUSE;
+        let (mut pause, mut failing) = (FIRST_PAUSE, false);
         loop {
             if self.asked {
                 self.subscribe.notified().await;
             }
             let (told, why) = self.watch().await;
-            warn!(self.log, "discovery failed, the list is kept: {why}");
+            // One line when it begins, not one for each try.
+            if told || !failing {
+                warn!(self.log, "discovery failed, the list is kept: {why}");
+            }
+            failing = true;
             if self.asked {
                 // The module says when to ask again.
                 self.exchange.list_failed();
