--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -246,6 +246,18 @@
         });
     }
 
+    /// The process ends: what is still unanswered is broken off, and called off as if its client had left.
+    pub fn close(&self) {
+        self.feed(|state| {
+            for place in 0..state.hands.len() {
+                if state.hands[place].answer.is_some() {
+                    state.answer(place, Answer::BrokenOff);
+                    state.rules.left(place);
+                }
+            }
+        });
+    }
+
     /// What a worker tells of a task. Applied once, and only to the assignment that it is about.
     pub fn news(&self, news: News) {
         self.feed(|state| {
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -37,10 +37,17 @@
     zone: String,
     #[serde(rename = "type")]
     kind: String,
+    #[serde(default)]
     group: u32,
     status: String,
+    #[serde(default = "usual_weight")]
     weight: f64,
-    since_ms: u64,
+    #[serde(default)]
+    since_ms: i64,
+}
+
+fn usual_weight() -> f64 {
+    1.0
 }
 
 /// Guards against a list that names cells, zones or kinds without end: tables are kept by them.
@@ -84,7 +91,7 @@
         let zone = place(&mut words.zones, self.zone)?;
         let kind = place(&mut words.kinds, self.kind)?;
         let site = Site { zone, cell: self.group as usize, kind };
-        let booted_ms = Some(self.since_ms).filter(|&ms| ms > 0);
+        let booted_ms = u64::try_from(self.since_ms).ok().filter(|&ms| ms > 0);
         Ok(Entry { name, address, site, weight: self.weight, condition, booted_ms })
     }
 }
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -52,12 +52,13 @@
     let door = Door::new(exchange.clone(), words, stopping.clone(), berth.for_clients, part("clients"));
     spawn_local(sending.carry_out(orders));
     spawn_local(async move { pool.tend().await });
-    spawn_local(async move { exchange.keep_time().await });
+    let timer = exchange.clone();
+    spawn_local(async move { timer.keep_time().await });
     spawn_local(discovery.keep());
     let listens = listener.local_addr().map_err(|e| e.to_string())?;
     info!(log, "{} listens on {listens}", berth.name);
     spawn_local(door.clone().accept(listener));
-    let ended = stopping.over(&door).await;
+    let ended = stopping.over(&door, &exchange).await;
     info!(log, "{} ends", berth.name);
     ended.map_err(|e| format!("signals: {e}"))
 }
--- a/crates/scheduler/tests/exchange.rs
+++ b/crates/scheduler/tests/exchange.rs
@@ -182,6 +182,21 @@
     assert_snapshot!(floor.trace);
 }
 
+/// Guards against tasks that end with the process: each has its answer before that, and its worker is told.
+#[test]
+fn what_is_unanswered_at_the_end_is_broken_off() {
+    let mut floor = Floor::new(duty(&[Effect::Unrepeatable]), 2);
+    floor.arrive("a");
+    floor.news(r#"{"id":"a","from":"w1","state":"started"}"#);
+    floor.arrive("b");
+    floor.news(r#"{"id":"b","from":"w0","state":"done","result":"in time"}"#);
+    floor.note("the process ends");
+    floor.exchange.close();
+    floor.exchange.close();
+    floor.look();
+    assert_snapshot!(floor.trace);
+}
+
 /// Guards against sends that were decided before a drain, a call-off or the final answer, and not yet begun.
 #[test]
 fn what_is_not_begun_is_asked_about_again() {
