--- a/crates/scheduler/src/gauge.rs
+++ b/crates/scheduler/src/gauge.rs
@@ -3,7 +3,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
-use std::io::{Error, IoSlice};
+use std::io::Error;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -80,6 +80,7 @@
     }
 }
 
+// Vectored writes stay off, as by default: hyper then hands over one slice at a time, and all of it is counted.
 impl Write for Counted {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<Result<usize, Error>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
@@ -89,16 +90,6 @@
         written
     }
 
-    // Vectored writes stay off (the default): hyper then hands over one slice at a time, all of it counted.
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context,
-        bufs: &[IoSlice],
-    ) -> Poll<Result<usize, Error>> {
-        let first = bufs.iter().find(|slice| !slice.is_empty());
-        self.poll_write(cx, first.map_or(&[], |slice| slice))
-    }
-
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Result<(), Error>> {
         Pin::new(&mut self.stream).poll_flush(cx)
     }
--- /dev/null
+++ b/crates/scheduler/tests/decoding.rs
@@ -0,0 +1,68 @@
+//! What comes from outside is decoded once, and what goes out is counted.
+
+use insta::assert_snapshot;
+use tindock_scheduler::berth::Words;
+use tindock_scheduler::gauge::Gauge;
+use tindock_scheduler::{listing, loads};
+
+/// Guards against tasks of several slots shed for want of a report: workers write it as text or as JSON.
+#[test]
+fn load_reports_are_read_in_either_form() {
+    let names = ["backlog".to_string(), "x0".to_string()];
+    let read = |body: &str| loads::decode(body.as_bytes(), &names);
+    assert_eq!(read("TEXT x0=3.8, backlog=0\n"), Some(vec![0.0, 3.8]));
+    assert_eq!(read(r#"JSON {"named_metrics": {"backlog": 2, "x0": 1}}"#), Some(vec![2.0, 1.0]));
+    assert_eq!(read(r#"{"backlog": 2, "x0": 1.5}"#), Some(vec![2.0, 1.5]));
+    for wrong in
+        ["", "TEXT backlog=0", "TEXT backlog=0, x0=much", "TEXT backlog=0, x0=NaN", "JSON {", "\u{0}"]
+    {
+        assert_eq!(read(wrong), None, "{wrong:?}");
+    }
+}
+
+/// Guards against a list that is taken in by half: wrong anywhere, it is turned down, and its words forgotten.
+#[test]
+fn a_list_is_read_whole_or_not_at_all() {
+    let mut words = Words { zones: vec!["a".into()], kinds: vec!["m2".into()], ..Words::default() };
+    let known = words.clone();
+    let entry = |zone: &str, more: &str| {
+        let base =
+            r#""name":"w","address":"127.0.0.1:1","type":"m2","group":3,"status":"active","weight":1.5"#;
+        format!(r#"{{{base},"zone":"{zone}"{more}}}"#)
+    };
+    let mut read = |entries: &[String]| {
+        let body = format!(r#"{{"index":7,"snapshot":true,"endpoints":[{}]}}"#, entries.join(","));
+        let read = listing::decode(body.as_bytes(), &mut words);
+        let line =
+            read.map_or_else(|why| format!("turned down: {why}"), |list| format!("{:?}", list.entries));
+        (line, words.zones.clone())
+    };
+    let (line, zones) = read(&[entry("b", ""), entry("a", r#","since_ms":-1.5"#)]);
+    assert!(line.starts_with("turned down: "), "{line}");
+    assert_eq!(zones, known.zones);
+    let (line, zones) = read(&[entry("b", r#","since_ms":1700000000000"#), entry("a", "")]);
+    assert_snapshot!(format!("{line}\n{zones:?}"));
+}
+
+/// Guards against a task counted as never run though its last byte was out, however the writes are cut.
+#[test]
+fn the_gauge_knows_the_first_and_the_last_byte() {
+    let message = b"POST /a HTTP/1.1\r\nX: \r\r\n\r\nbody";
+    for cut in 1..message.len() {
+        let gauge = Gauge::default();
+        for sent in 0..2 {
+            gauge.begin(4);
+            assert!(gauge.untouched() && !gauge.whole(), "message {sent}");
+            gauge.written(&message[..cut]);
+            assert!(!gauge.untouched() && !gauge.whole(), "cut at {cut}");
+            gauge.written(&message[cut..]);
+            assert!(gauge.whole(), "cut at {cut}");
+        }
+    }
+    let gauge = Gauge::default();
+    gauge.begin(0);
+    gauge.written(b"DELETE /jobs/a HTTP/1.1\r\n\r");
+    assert!(!gauge.whole());
+    gauge.written(b"\n");
+    assert!(gauge.whole());
+}
