--- a/crates/scheduler/src/door.rs
+++ b/crates/scheduler/src/door.rs
@@ -92,10 +92,12 @@
 
     /// Accepts until the process ends.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let mut short = false;
         loop {
             self.make_room().await;
             match listener.accept().await {
                 Ok((stream, _)) => {
+                    short = false;
                     self.stopping.newcomer();
                     // Guards against a burst that passes the limit: who is accepted counts from here on.
                     let number = self.enter();
@@ -103,7 +105,10 @@
                 }
                 Err(e) => {
                     // Guards against a loop without pause, and an end, when descriptors have run out.
-                    warn!(self.log, "accept failed: {e}");
+                    if !short {
+                        warn!(self.log, "accept failed: {e}");
+                    }
+                    short = true;
                     self.dismiss_idle();
                     tokio::time::sleep(SHORT_OF_DESCRIPTORS).await;
                 }
--- a/crates/scheduler/tests/sockets.rs
+++ b/crates/scheduler/tests/sockets.rs
@@ -114,11 +114,12 @@
     log: BufReader<std::process::ChildStdout>,
 }
 
-fn spawn(folder: &str, config: &str) -> Child {
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{folder}.json"));
+/// Starts it with this many descriptors at the most.
+fn spawn(name: &str, config: &str, descriptors: usize) -> Child {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
     std::fs::write(&path, config).expect("a configuration");
-    let bin = env!("CARGO_BIN_EXE_tindock");
-    let mut command = Command::new(bin);
+    let mut command = Command::new("sh");
+    command.args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\""), env!("CARGO_BIN_EXE_tindock")]);
     command.env("GW_CONFIG", path).stdout(Stdio::piped()).stderr(Stdio::piped());
     command.spawn().expect("a scheduler")
 }
@@ -139,11 +140,12 @@
 
 impl Scheduler {
     fn start(name: &str, discovery: SocketAddr, entries: &[String]) -> Self {
-        Self::with_sockets(name, discovery, entries, 1024)
+        Self::limited(name, discovery, entries, 1024, 1024)
     }
 
-    fn with_sockets(name: &str, discovery: SocketAddr, entries: &[String], sockets: usize) -> Self {
-        let mut child = spawn(name, &config(discovery, entries, sockets));
+    /// Told of this many sockets, and held to this many descriptors.
+    fn limited(name: &str, agent: SocketAddr, entries: &[String], told: usize, held: usize) -> Self {
+        let mut child = spawn(name, &config(agent, entries, told), held);
         let log = BufReader::new(child.stdout.take().expect("its log"));
         let address = ([0, 0, 0, 0], 0).into();
         let mut scheduler = Scheduler { child, address, log };
@@ -394,12 +396,16 @@
 #[test]
 fn idle_connections_make_room_for_others() {
     let ((_worker, at), (_discovery, agent)) = (listener(), listener());
-    let scheduler = Scheduler::with_sockets("room", agent, &[entry("w0", at, "active")], 64);
-    let mut silent: Vec<Peer> = (0..100).map(|_| Peer::connect(scheduler.address)).collect();
-    let mut client = Peer::connect(scheduler.address);
-    client.write("GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n");
-    assert_eq!(client.read().first, "HTTP/1.1 200 OK");
-    assert!(silent[0].try_read().is_none(), "the one idle for longest was closed");
+    // At its own limit, and when descriptors run out before it.
+    for (told, held) in [(64, 1024), (1024, 40)] {
+        let name = format!("room-{told}");
+        let scheduler = Scheduler::limited(&name, agent, &[entry("w0", at, "active")], told, held);
+        let mut silent: Vec<Peer> = (0..100).map(|_| Peer::connect(scheduler.address)).collect();
+        let mut client = Peer::connect(scheduler.address);
+        client.write("GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n");
+        assert_eq!(client.read().first, "HTTP/1.1 200 OK");
+        assert!(silent[0].try_read().is_none(), "the one idle for longest was closed");
+    }
 }
 
 /// Guards against a start on a configuration that will not do, and against more than one line about it.
@@ -417,7 +423,7 @@
     for (number, text) in bad.iter().enumerate() {
         assert!(number == 0 || *text != good, "case {number} changes something");
         let Output { status, stderr, .. } =
-            spawn(&format!("bad-{number}"), text).wait_with_output().expect("an end");
+            spawn(&format!("bad-{number}"), text, 1024).wait_with_output().expect("an end");
         let stderr = String::from_utf8_lossy(&stderr);
         assert_eq!((status.code(), stderr.lines().count()), (Some(1), 1), "case {number}: {stderr}");
         assert!(stderr.starts_with("tindock: "), "{stderr}");
