--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -60,7 +60,7 @@
             let (told, why) = self.watch().await;
             // One line when it begins, not one for each try.
             if told || !failing {
-                warn!(self.log, "discovery failed, the list is kept: {why}");
+                warn!(self.log, "discovery is out, the list is kept: {why}");
             }
             failing = true;
             if self.asked {
--- a/crates/scheduler/src/door.rs
+++ b/crates/scheduler/src/door.rs
@@ -106,7 +106,7 @@
                 Err(e) => {
                     // Guards against a loop without pause, and an end, when descriptors have run out.
                     if !short {
-                        warn!(self.log, "accept failed: {e}");
+                        warn!(self.log, "cannot accept: {e}");
                     }
                     short = true;
                     self.dismiss_idle();
--- a/crates/scheduler/src/endings.rs
+++ b/crates/scheduler/src/endings.rs
@@ -7,8 +7,8 @@
 pub enum Close {
     /// News: done, with the result.
     Done,
-    /// News: the worker failed at it.
-    Failed,
+    /// News: the worker erred at it.
+    Erred,
     /// News: handed back unstarted.
     Returned,
     /// News: it was killed, or its machine saw the worker die.
@@ -37,7 +37,7 @@
     fn from(close: Close) -> Ending {
         match close {
             Close::Done => Ending::Finished,
-            Close::Failed | Close::Odd(_) => Ending::Error,
+            Close::Erred | Close::Odd(_) => Ending::Error,
             Close::Returned | Close::TurnedAway => Ending::Full,
             Close::NotConnected | Close::DialOverdue | Close::BrokeUnsent => Ending::ConnectFailed,
             Close::Lost | Close::BrokeSent => Ending::Reset,
--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -271,7 +271,7 @@
                 Said::Started => state.rules.started(place, number),
                 Said::Running { share } => state.rules.progressed(place, number, share),
                 Said::Done { result } => state.ended(place, number, Close::Done, Some(result)),
-                Said::Failed => state.ended(place, number, Close::Failed, None),
+                Said::Erred => state.ended(place, number, Close::Erred, None),
                 Said::Returned => state.ended(place, number, Close::Returned, None),
                 Said::Lost => state.ended(place, number, Close::Lost, None),
             }
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -10,7 +10,7 @@
 /// How long the end of the process waits for lines to be written.
 const LAST_LINES: Duration = Duration::from_millis(100);
 
-fn serve() -> Result<(), String> {
+fn go() -> Result<(), String> {
     let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG names no configuration")?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
     let berth = berth::read(&text).map_err(|why| format!("{path}: {why}"))?;
@@ -19,16 +19,16 @@
     let drain = slog_term::FullFormat::new(lines).build().ignore_res();
     let (drain, rest) = slog_async::Async::new(drain).chan_size(LINES_WAITING).build_with_guard();
     let log = Logger::root(drain.ignore_res(), o!());
-    let served = start::run(berth, &log);
+    let ended = start::run(berth, &log);
     // The lines still waiting are written by a thread of their own, which the end does not wait for long.
     let (written, all) = mpsc::channel::<()>();
     std::thread::spawn(move || drop((rest, written)));
     let _ = all.recv_timeout(LAST_LINES);
-    served
+    ended
 }
 
 fn main() {
-    if let Err(why) = serve() {
+    if let Err(why) = go() {
         eprintln!("tindock: {}", why.replace('\n', " "));
         std::process::exit(1);
     }
--- a/crates/scheduler/src/news.rs
+++ b/crates/scheduler/src/news.rs
@@ -15,7 +15,7 @@
     Started,
     Running { share: f64 },
     Done { result: Bytes },
-    Failed,
+    Erred,
     Returned,
     Lost,
 }
@@ -36,7 +36,7 @@
         "started" => State::Started,
         "running" => State::Running { share: doc.share },
         "done" => State::Done { result: doc.result.ok_or("done without a result")?.into() },
-        "failed" => State::Failed,
+        "failed" => State::Erred,
         "returned" => State::Returned,
         "lost" => State::Lost,
         other => return Err(format!("unknown state {other:?}")),
--- a/crates/scheduler/tests/exchange.rs
+++ b/crates/scheduler/tests/exchange.rs
@@ -233,7 +233,7 @@
     let news = News::Asked { within: ms(10_000) };
     let mut floor = Floor::new(DutySheet { news, ..duty(&[Effect::Idempotent]) }, 0);
     floor.exchange.list_failed();
-    floor.note("the watch failed");
+    floor.note("the watch broke");
     floor.pass(2000);
     assert_snapshot!(floor.trace);
 }
@@ -244,7 +244,7 @@
     use Close::*;
     let all = [
         Done,
-        Failed,
+        Erred,
         Returned,
         Lost,
         Odd(500),
--- a/crates/scheduler/tests/sockets.rs
+++ b/crates/scheduler/tests/sockets.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
-/// A step that takes this long has failed.
+/// A step that takes this long is a failure.
 const PATIENCE: Duration = Duration::from_secs(20);
 
 /// One end of a connection that speaks HTTP/1.1 by hand.
