--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -119,6 +119,7 @@
     now: Box<dyn Fn() -> Duration>,
     clock: Clock,
     hard_limits: Vec<Duration>,
+    /// Not bounded by itself: it is emptied at once, and tasks in hand are bounded by the door.
     orders: mpsc::UnboundedSender<Order>,
     bell_moved: Notify,
     log: Logger,
