SIGHUP reads the configuration again and moves discovery, instead of ending the process

Signals are now caught before the listener is bound; the file is read and decoded whole; a new discovery address is watched at once without the old place's version, also in a back-off; a bad file is logged and left.

--- a/crates/scheduler/src/berth.rs
+++ b/crates/scheduler/src/berth.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 use tindock::terms::DutySheet;
 
@@ -70,6 +71,12 @@
     rows.iter().map(word).collect()
 }
 
+/// Reads the configuration file.
+pub fn from_file(path: &Path) -> Result<Berth, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    read(&text).map_err(|why| format!("{}: {why}", path.display()))
+}
+
 /// Reads the configuration file's text.
 pub fn read(text: &str) -> Result<Berth, String> {
     let doc: Doc = serde_json::from_str(text).map_err(|e| e.to_string())?;
--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -31,11 +31,14 @@
 pub struct Discovery {
     pub exchange: Rc<Exchange>,
     pub words: Words,
-    pub address: SocketAddr,
+    /// Where it is; another address may come at any time.
+    pub address: watch::Receiver<SocketAddr>,
     /// Where the module must ask, it says when; else a watch is always wanted.
     pub asked: bool,
     pub subscribe: Rc<Notify>,
     pub index: Option<u64>,
+    /// It moved: the next watch waits for nobody.
+    pub at_once: bool,
     pub log: Logger,
 }
 
@@ -51,13 +54,31 @@
 }
 
 impl Discovery {
+    /// Keeps the list for as long as the process lives, wherever discovery moves to.
     pub async fn keep(mut self) {
+        let mut address = self.address.clone();
+        loop {
+            let at = *address.borrow_and_update();
+            tokio::select! {
+                () = self.keep_at(at) => {}
+                moved = address.changed() => match moved {
+                    // Guards against changes that never come: what the old place counted means nothing at the
+                    // new one, so the whole list is asked for, at once, whatever was waited for.
+                    Ok(()) => (self.index, self.at_once) = (None, true),
+                    // Nobody can tell of another address any more.
+                    Err(_) => return self.keep_at(at).await,
+                },
+            }
+        }
+    }
+
+    async fn keep_at(&mut self, address: SocketAddr) {
         let (mut pause, mut failing) = (FIRST_PAUSE, false);
         loop {
-            if self.asked {
+            if self.asked && !std::mem::take(&mut self.at_once) {
                 self.subscribe.notified().await;
             }
-            let (told, why) = self.watch().await;
+            let (told, why) = self.watch(address).await;
             // One line when it begins, not one for each try.
             if told || !failing {
                 warn!(self.log, "discovery is out, the list is kept: {why}");
@@ -74,9 +95,9 @@
     }
 
     /// Watches until something fails; tells whether it was told anything before.
-    async fn watch(&mut self) -> (bool, String) {
+    async fn watch(&mut self, address: SocketAddr) -> (bool, String) {
         let mut told = false;
-        let mut agent = match timeout(ANSWER, connect(self.address)).await {
+        let mut agent = match timeout(ANSWER, connect(address)).await {
             Ok(Ok(agent)) => agent,
             Ok(Err(why)) => return (told, why),
             Err(_) => return (told, "no connection in time".into()),
@@ -89,7 +110,7 @@
                 }
                 None => ("/v1/servers".into(), ANSWER),
             };
-            match timeout(most, ask(&mut agent, self.address, &target)).await {
+            match timeout(most, ask(&mut agent, address, &target)).await {
                 // Guards against a loop without pause on a list that stays wrong.
                 Ok(Ok(body)) => match listing::decode(&body, &mut self.words) {
                     Ok(listing) => {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,5 +1,5 @@
 //! The scheduler on sockets, by the stages of a task: `berth` (start), `door`, `reading`, `answering` (server
-//! side), `exchange`, `pool`, `gauge`, `sending` (client side), `loads`, `news`, `discovery`, `endings`, `stopping`.
+//! side), `exchange`, `pool`, `gauge`, `sending` (client side), `loads`, `news`, `discovery`, `endings`, `reloading`, `stopping`.
 
 pub mod answering;
 pub mod berth;
@@ -14,6 +14,7 @@
 pub mod news;
 pub mod pool;
 pub mod reading;
+pub mod reloading;
 pub mod sending;
 pub mod start;
 pub mod stopping;
--- /dev/null
+++ b/crates/scheduler/src/reloading.rs
@@ -0,0 +1,41 @@
+//! SIGHUP: the configuration is read again, whole or not at all. It tells of a new discovery address; what else
+//! has changed in it counts from the next start on.
+
+use crate::berth;
+use slog::{info, warn, Logger};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
+
+pub struct Reloading {
+    pub path: PathBuf,
+    pub discovery: watch::Sender<SocketAddr>,
+    pub log: Logger,
+}
+
+impl Reloading {
+    /// Reads again after each signal. Several at once are one, and the file is read after the last of them.
+    pub async fn keep(self, mut told: Signal) {
+        while told.recv().await.is_some() {
+            // It is small and on the own machine: read at once, in the midst of all else.
+            match berth::from_file(&self.path) {
+                Ok(berth) => {
+                    let moved = self.discovery.send_if_modified(|at| {
+                        let before = std::mem::replace(at, berth.discovery);
+                        before != berth.discovery
+                    });
+                    let what = if moved { "discovery is now" } else { "discovery is still" };
+                    info!(self.log, "configuration read again: {what} at {}", berth.discovery);
+                }
+                Err(why) => {
+                    warn!(
+                        self.log,
+                        "new configuration turned down, the old one is kept: {}",
+                        why.replace('\n', " ")
+                    );
+                }
+            }
+        }
+    }
+}
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -6,24 +6,30 @@
 use crate::door::Door;
 use crate::exchange::Exchange;
 use crate::pool::Pool;
+use crate::reloading::Reloading;
 use crate::sending::Sending;
 use crate::stopping::Stopping;
 use slog::{info, o, Logger};
+use std::path::PathBuf;
 use std::rc::Rc;
 use tindock::rules::Rules;
 use tindock::terms::News;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
 
 /// Serves until told to stop and all is answered; an error only where it could not start.
-pub fn run(berth: Berth, log: &Logger) -> Result<(), String> {
+pub fn run(berth: Berth, path: PathBuf, log: &Logger) -> Result<(), String> {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_io().enable_time().build().map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(berth, log))
+    LocalSet::new().block_on(&runtime, serve(berth, path, log))
 }
 
-async fn serve(berth: Berth, log: &Logger) -> Result<(), String> {
+async fn serve(berth: Berth, path: PathBuf, log: &Logger) -> Result<(), String> {
+    // Guards against an end by a signal that comes early: both are caught before anybody can take us for ready.
+    let caught = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
+    let (hang_up, terminate) = (caught(SignalKind::hangup())?, caught(SignalKind::terminate())?);
     let listener = TcpListener::bind(berth.listen).await.map_err(|e| format!("{}: {e}", berth.listen))?;
     let part = |name: &'static str| log.new(o!("part" => name));
     let clock = Clock::start();
@@ -34,12 +40,15 @@
     let now = Box::new(move || clock.now());
     let (exchange, orders) = Exchange::new(rules, hard_limits, clock, now, part("rules"));
     let subscribe = Rc::new(Notify::new());
+    let (discovery, address) = watch::channel(berth.discovery);
+    let reloading = Reloading { path, discovery, log: part("configuration") };
     let discovery = Discovery {
         exchange: exchange.clone(),
         words: berth.words.clone(),
-        address: berth.discovery,
+        address,
         asked,
         subscribe: subscribe.clone(),
+        at_once: false,
         index: berth.known.as_ref().map(|known| known.index),
         log: part("discovery"),
     };
@@ -55,10 +64,11 @@
     let timer = exchange.clone();
     spawn_local(async move { timer.keep_time().await });
     spawn_local(discovery.keep());
+    spawn_local(reloading.keep(hang_up));
     let listens = listener.local_addr().map_err(|e| e.to_string())?;
     info!(log, "{} listens on {listens}", berth.name);
     spawn_local(door.clone().accept(listener));
-    let ended = stopping.over(&door, &exchange).await;
+    stopping.over(terminate, &door, &exchange).await;
     info!(log, "{} ends", berth.name);
-    ended.map_err(|e| format!("signals: {e}"))
+    Ok(())
 }
--- a/crates/scheduler/src/stopping.rs
+++ b/crates/scheduler/src/stopping.rs
@@ -4,7 +4,7 @@
 use crate::exchange::Exchange;
 use std::cell::Cell;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::Signal;
 use tokio::time::Instant;
 
 /// Clients learn of the end some tenths of a second late, and go on coming until then.
@@ -32,8 +32,8 @@
     }
 
     /// Ends once the process may end: told to, all answered, and nobody comes any more.
-    pub async fn over(&self, door: &Door, exchange: &Exchange) -> std::io::Result<()> {
-        signal(SignalKind::terminate())?.recv().await;
+    pub async fn over(&self, mut told: Signal, door: &Door, exchange: &Exchange) {
+        told.recv().await;
         self.asked.set(true);
         let told = Instant::now();
         door.dismiss_all();
@@ -44,7 +44,7 @@
             }
             let quiet = self.last.get().is_none_or(|last| last.elapsed() >= QUIET);
             if told.elapsed() >= NEWCOMERS && quiet && door.is_quiet() {
-                return Ok(());
+                return;
             }
         }
     }
--- a/crates/scheduler/tests/sockets.rs
+++ b/crates/scheduler/tests/sockets.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
@@ -94,6 +95,10 @@
         ))
     }
 
+    fn answer(&mut self, body: &str) {
+        self.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
+
     fn taken(&mut self) {
         self.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
     }
@@ -114,10 +119,15 @@
     log: BufReader<std::process::ChildStdout>,
 }
 
-/// Starts it with this many descriptors at the most.
-fn spawn(name: &str, config: &str, descriptors: usize) -> Child {
+fn write_config(name: &str, config: &str) -> PathBuf {
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
     std::fs::write(&path, config).expect("a configuration");
+    path
+}
+
+/// Starts it with this many descriptors at the most.
+fn spawn(name: &str, config: &str, descriptors: usize) -> Child {
+    let path = write_config(name, config);
     let mut command = Command::new("sh");
     command.args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\""), env!("CARGO_BIN_EXE_tindock")]);
     command.env("GW_CONFIG", path).stdout(Stdio::piped()).stderr(Stdio::piped());
@@ -166,6 +176,17 @@
         }
     }
 
+    fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().expect("kill").success());
+    }
+
+    /// Its file is replaced, and it is told.
+    fn reload(&self, name: &str, config: &str) {
+        write_config(name, config);
+        self.signal("-HUP");
+    }
+
     fn news(&self, text: &str) -> String {
         let mut worker = Peer::connect(self.address);
         worker.write(&format!(
@@ -340,13 +361,10 @@
 fn a_bad_list_changes_nothing_and_a_drain_is_kept() {
     let ((worker, at), (other, beside), (discovery, agent)) = (listener(), listener(), listener());
     let mut scheduler = Scheduler::start("lists", agent, &[entry("w0", at, "active")]);
-    let answer = |watch: &mut Peer, body: &str| {
-        watch.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
-    };
     let mut watch = Peer::accept(&discovery);
     assert!(watch.read().first.starts_with("GET /v1/servers?after=41&wait_ms="));
     let wrong = entry("w0", at, "unheard-of");
-    answer(&mut watch, &format!(r#"{{"index":42,"snapshot":true,"endpoints":[{wrong}]}}"#));
+    watch.answer(&format!(r#"{{"index":42,"snapshot":true,"endpoints":[{wrong}]}}"#));
     scheduler.line("the list is kept");
     let mut client = Peer::connect(scheduler.address);
     client.post("/plan", "f1", "x");
@@ -356,7 +374,7 @@
     let mut watch = Peer::accept(&discovery);
     assert!(watch.read().first.starts_with("GET /v1/servers?after=41&wait_ms="));
     let (drains, comes) = (entry("w0", at, "leaving"), entry("w1", beside, "active"));
-    answer(&mut watch, &format!(r#"{{"index":43,"snapshot":false,"endpoints":[{drains},{comes}]}}"#));
+    watch.answer(&format!(r#"{{"index":43,"snapshot":false,"endpoints":[{drains},{comes}]}}"#));
     // The next watch comes after the answer was taken in.
     assert!(watch.read().first.starts_with("GET /v1/servers?after=43&wait_ms="));
     let mut client = Peer::connect(scheduler.address);
@@ -364,6 +382,44 @@
     assert_eq!(Peer::accept(&other).read().first, "POST /plan HTTP/1.1");
 }
 
+/// Guards against an end by SIGHUP, and a list that stays with an agent that is gone: the new one is asked for all of
+/// its list at once, in a back-off too; what is in hand goes on, and so it does by a file that will not do.
+#[test]
+fn a_new_configuration_moves_discovery_and_nothing_else() {
+    let (mut scheduler, worker, discovery) = one_worker("reload");
+    let mut watch = Peer::accept(&discovery);
+    assert!(watch.read().first.starts_with("GET /v1/servers?after=41"));
+    let mut client = Peer::connect(scheduler.address);
+    client.post("/release", "i1", "x");
+    let mut line = Peer::accept(&worker);
+    line.read();
+    line.taken();
+    for bad in ["", "{", &config(([127, 0, 0, 1], 1).into(), &[], 8)] {
+        scheduler.reload("reload", bad);
+        scheduler.line("the old one is kept");
+    }
+    let ((other, beside), (nobody, gone)) = (listener(), listener());
+    drop(nobody);
+    scheduler.reload("reload", &config(gone, &[], 1024));
+    scheduler.line("the list is kept");
+    let (second, agent) = listener();
+    scheduler.reload("reload", &config(agent, &[], 1024));
+    let mut moved = Peer::accept(&second);
+    assert_eq!(moved.read().first, "GET /v1/servers HTTP/1.1");
+    assert!(watch.try_read().is_none(), "the old watch is closed");
+    let (drains, comes) =
+        (entry("w0", worker.local_addr().expect("its address"), "leaving"), entry("w1", beside, "active"));
+    moved.answer(&format!(r#"{{"index":3,"snapshot":true,"endpoints":[{drains},{comes}]}}"#));
+    assert!(moved.read().first.starts_with("GET /v1/servers?after=3&wait_ms="));
+    // The same once more changes nothing; what came by then is kept.
+    scheduler.reload("reload", &config(agent, &[], 1024));
+    scheduler.line("discovery is still at");
+    scheduler.done("i1", "w0", "in hand");
+    assert_eq!(client.read().body, "in hand");
+    client.post("/release", "i2", "x");
+    assert_eq!(Peer::accept(&other).read().first, "POST /release HTTP/1.1");
+}
+
 /// Guards against a planned restart that loses what was taken, or turns newcomers away too early.
 #[test]
 fn a_stop_answers_all_that_was_taken() {
@@ -376,8 +432,7 @@
     let mut line = Peer::accept(&worker);
     line.read();
     line.taken();
-    let id = scheduler.child.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+    scheduler.signal("-TERM");
     assert!(idle.try_read().is_none(), "an idle connection is closed");
     let mut late = Peer::connect(scheduler.address);
     late.post("/release", "g2", "x");
