Open connections are served on for half of the time between SIGTERM and the kill

Guess: clients would go on using connections that stay open. Checked with a probe of message times: no message comes from 0.28 s after the second SIGTERM until the first scheduler is back 1.1 s later, though eleven idle connections stand open until 1.65 s (or 3.3 s in a second probe) after it. So the guess is wrong.

--- a/crates/scheduler/src/door.rs
+++ b/crates/scheduler/src/door.rs
@@ -167,12 +167,12 @@
                 Ok::<Reply, Infallible>(reply)
             }
         });
-        let silence = if self.stopping.is_asked() { LAST_SILENCE } else { SILENCE };
+        let silence = if self.stopping.is_closing() { LAST_SILENCE } else { SILENCE };
         let mut http = http1::Builder::new();
         http.timer(TokioTimer::new())
             .header_read_timeout(silence)
             .max_buf_size(READ_BUFFER)
-            .keep_alive(!self.stopping.is_asked());
+            .keep_alive(!self.stopping.is_closing());
         let mut connection = pin!(http.serve_connection(TokioIo::new(stream), service));
         loop {
             tokio::select! {
@@ -183,7 +183,7 @@
                     break;
                 }
                 // Guards against peers that connect and say nothing: hyper would wait for their first message.
-                () = guest.leave.notified() => match guest.mute.get() && !self.stopping.is_asked() {
+                () = guest.leave.notified() => match guest.mute.get() && !self.stopping.is_closing() {
                     true => break,
                     false => connection.as_mut().graceful_shutdown(),
                 },
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -34,7 +34,8 @@
     let part = |name: &'static str| log.new(o!("part" => name));
     let clock = Clock::start();
     let asked = berth.sheet.news != News::Pushed;
-    let hard_limits = berth.sheet.workloads.iter().map(|row| row.hard_limit).collect();
+    let hard_limits: Vec<_> = berth.sheet.workloads.iter().map(|row| row.hard_limit).collect();
+    let stopping = Rc::new(Stopping::new(&hard_limits, part("stopping")));
     let began = clock.now();
     let rules = Rules::new(berth.sheet, berth.seed, began);
     let now = Box::new(move || clock.now());
@@ -56,7 +57,6 @@
     let pool = Rc::new(Pool::new(berth.for_workers, berth.dial, berth.keep));
     let reports = berth.words.reports.clone();
     let sending = Sending::new(exchange.clone(), pool.clone(), reports, subscribe, part("workers"));
-    let stopping = Rc::new(Stopping::default());
     let words = Rc::new(berth.words);
     let door = Door::new(exchange.clone(), words, stopping.clone(), berth.for_clients, part("clients"));
     spawn_local(sending.carry_out(orders));
--- a/crates/scheduler/src/stopping.rs
+++ b/crates/scheduler/src/stopping.rs
@@ -2,6 +2,7 @@
 
 use crate::door::Door;
 use crate::exchange::Exchange;
+use slog::{info, Logger};
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::signal::unix::Signal;
@@ -9,22 +10,39 @@
 
 /// Clients learn of the end some tenths of a second late, and go on coming until then.
 const NEWCOMERS: Duration = Duration::from_millis(600);
-/// A planned restart kills what is left some 3.7 s after it asked for the end: what is unanswered by then would
-/// end without any answer, so it is broken off before, with time for the answers to be written.
-const LONGEST: Duration = Duration::from_millis(3300);
+/// A planned restart kills what is left no sooner than this after the longest hard limit, of which it waits for so
+/// much at the most.
+const KILL_AFTER: Duration = Duration::from_millis(700);
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
+/// What is unanswered at the kill would end without any answer, so it is broken off this long before: time for the
+/// answers to be written.
+const LAST_ANSWERS: Duration = Duration::from_millis(400);
+/// Guards against a gap in which no scheduler is up: restarts follow each other, and the next one is told to stop
+/// before the last one is back. Open connections are served for this part of the time left: what comes at its end
+/// still has the other half.
+const LINGER: f64 = 0.5;
 /// Nobody came for this long: none are on their way.
 const QUIET: Duration = Duration::from_millis(200);
 const LOOK: Duration = Duration::from_millis(10);
 
-#[derive(Default)]
 pub struct Stopping {
-    asked: Cell<bool>,
+    /// When what is unanswered is broken off, from when it was told to stop.
+    longest: Duration,
+    closing: Cell<bool>,
     last: Cell<Option<Instant>>,
+    log: Logger,
 }
 
 impl Stopping {
-    pub fn is_asked(&self) -> bool {
-        self.asked.get()
+    pub fn new(hard_limits: &[Duration], log: Logger) -> Self {
+        let wait = hard_limits.iter().max().copied().unwrap_or_default().min(LONGEST_WAIT);
+        let longest = wait + KILL_AFTER - LAST_ANSWERS;
+        Stopping { longest, closing: Cell::new(false), last: Cell::new(None), log }
+    }
+
+    /// Whether connections end after the message in hand.
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
     }
 
     pub fn newcomer(&self) {
@@ -34,12 +52,15 @@
     /// Ends once the process may end: told to, all answered, and nobody comes any more.
     pub async fn over(&self, mut told: Signal, door: &Door, exchange: &Exchange) {
         told.recv().await;
-        self.asked.set(true);
         let told = Instant::now();
+        let linger = self.longest.mul_f64(LINGER);
+        info!(self.log, "told to stop: open connections are served for {:.1} s more", linger.as_secs_f64());
+        tokio::time::sleep(linger).await;
+        self.closing.set(true);
         door.dismiss_all();
         loop {
             tokio::time::sleep(LOOK).await;
-            if told.elapsed() >= LONGEST {
+            if told.elapsed() >= self.longest {
                 exchange.close();
             }
             let quiet = self.last.get().is_none_or(|last| last.elapsed() >= QUIET);
