Connections end at once on SIGTERM again; the last answers' time follows the hard limits

Kept: the kill may come as soon as the longest hard limit (3 s at most) and 0.7 s are over, so the time until the last answers is taken from the hard limits instead of a fixed 3.3 s, which would have come after the kill where the limits are short. A log line tells of the signal.

--- a/crates/scheduler/src/stopping.rs
+++ b/crates/scheduler/src/stopping.rs
@@ -17,10 +17,6 @@
 /// What is unanswered at the kill would end without any answer, so it is broken off this long before: time for the
 /// answers to be written.
 const LAST_ANSWERS: Duration = Duration::from_millis(400);
-/// Guards against a gap in which no scheduler is up: restarts follow each other, and the next one is told to stop
-/// before the last one is back. Open connections are served for this part of the time left: what comes at its end
-/// still has the other half.
-const LINGER: f64 = 0.5;
 /// Nobody came for this long: none are on their way.
 const QUIET: Duration = Duration::from_millis(200);
 const LOOK: Duration = Duration::from_millis(10);
@@ -53,9 +49,7 @@
     pub async fn over(&self, mut told: Signal, door: &Door, exchange: &Exchange) {
         told.recv().await;
         let told = Instant::now();
-        let linger = self.longest.mul_f64(LINGER);
-        info!(self.log, "told to stop: open connections are served for {:.1} s more", linger.as_secs_f64());
-        tokio::time::sleep(linger).await;
+        info!(self.log, "told to stop: what is in hand has {:.1} s", self.longest.as_secs_f64());
         self.closing.set(true);
         door.dismiss_all();
         loop {
