Bad clients are bounded: one time for a message, strangers leave first, unclear lengths go

No cause of lost answers for usual clients was found.

Checked: heads of what workers turned down were printed; hyper drops Content-Length beside Transfer-Encoding, and a second equal length, without a word, so the raw head is looked at now (heads.rs). Silence was bounded by 60 s and bodies by 10 s (door.rs), where 3 s from connecting are owed; the oldest idle connection left for a stranger, though it was a client's. A worker's 4xx was an error of the worker (sending.rs, judge). Reasons of unlimited length went into 4096 log lines.

--- a/crates/scheduler/src/answering.rs
+++ b/crates/scheduler/src/answering.rs
@@ -4,7 +4,7 @@
 use crate::reading::Bad;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{HeaderValue, ALLOW, RETRY_AFTER};
+use hyper::header::{HeaderValue, ALLOW, CONNECTION, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 pub type Reply = Response<Full<Bytes>>;
@@ -26,6 +26,9 @@
             }
             reply
         }
+        Answer::TurnedDown(status) => {
+            plain(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST), Bytes::new())
+        }
         Answer::BrokenOff => plain(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
     }
 }
@@ -39,8 +42,15 @@
     plain(if able { StatusCode::OK } else { StatusCode::INTERNAL_SERVER_ERROR }, Bytes::new())
 }
 
-pub fn turned_down(bad: &Bad) -> Reply {
+/// The connection ends with this answer.
+pub fn close(reply: &mut Reply) {
+    reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
+/// Who sends what cannot be taken is asked to begin anew: it holds no connection for the next try.
+pub fn turned_down(bad: Bad) -> Reply {
     let mut reply = plain(bad.0, Bytes::new());
+    close(&mut reply);
     if bad.0 == StatusCode::METHOD_NOT_ALLOWED {
         reply.headers_mut().insert(ALLOW, HeaderValue::from_static("GET, POST"));
     }
--- a/crates/scheduler/src/berth.rs
+++ b/crates/scheduler/src/berth.rs
@@ -15,6 +15,14 @@
 /// Below this the scheduler could not hold a client, its worker and the worker's news at once.
 const FEWEST_DESCRIPTORS: usize = OWN_DESCRIPTORS + 16;
 
+/// The program itself, a list of thousands, tasks in hand and log lines that wait.
+const OWN_MEMORY_MB: f64 = 8.0;
+/// Without a stated limit: no reason to be sparing.
+const USUAL_MEMORY_MB: f64 = 256.0;
+const LEAST_MEMORY_MB: f64 = OWN_MEMORY_MB + 4.0;
+/// What a connection may take: room for reading and writing a head, a short body, and what is kept beside them.
+const CONNECTION_MEMORY: f64 = 18.0 * 1024.0;
+
 #[derive(Debug)]
 pub struct Berth {
     pub name: String,
@@ -24,9 +32,11 @@
     pub sheet: DutySheet,
     pub words: Words,
     pub known: Option<Listing>,
-    /// Descriptors shared out between the server side and the client side.
+    /// Connections shared out between the server side and the client side.
     pub for_clients: usize,
     pub for_workers: usize,
+    /// Bytes for the longer bodies of tasks, and as many for those of news.
+    pub for_bodies: usize,
     pub dial: Duration,
     /// How long a connection may stand idle before the worker may close it.
     pub keep: Duration,
@@ -56,6 +66,7 @@
 #[derive(Deserialize)]
 struct LimitsDoc {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 fn address(text: &str, what: &str) -> Result<SocketAddr, String> {
@@ -89,12 +100,19 @@
         reports: words(doc.settings.get("reporting").unwrap_or(&Value::Null), "names", None)?,
     };
     let known = doc.known.map(|known| known.decode(&mut words)).transpose()?;
-    let sockets = doc.limits.and_then(|l| l.sockets).unwrap_or(USUAL_DESCRIPTORS);
+    let sockets = doc.limits.as_ref().and_then(|l| l.sockets).unwrap_or(USUAL_DESCRIPTORS);
     if sockets < FEWEST_DESCRIPTORS {
         return Err(format!("{sockets} sockets are too few: {FEWEST_DESCRIPTORS} at least"));
     }
     // Clients hold a connection for the whole life of a task, workers only until they have taken it.
-    let for_workers = (sockets - OWN_DESCRIPTORS) * 2 / 5;
+    let memory = doc.limits.and_then(|l| l.memory_mb).unwrap_or(USUAL_MEMORY_MB);
+    if !(memory.is_finite() && memory >= LEAST_MEMORY_MB) {
+        return Err(format!("{memory} MB of memory are too little: {LEAST_MEMORY_MB} at least"));
+    }
+    // Half of what is left over is for connections, half for the longer bodies, of tasks and of news.
+    let memory = (memory - OWN_MEMORY_MB) * 1024.0 * 1024.0;
+    let connections = (sockets - OWN_DESCRIPTORS).min((memory / 2.0 / CONNECTION_MEMORY) as usize);
+    let for_workers = connections * 2 / 5;
     Ok(Berth {
         name: doc.name,
         listen: address(&doc.listen, "listen")?,
@@ -103,8 +121,9 @@
         sheet,
         words,
         known,
-        for_clients: sockets - OWN_DESCRIPTORS - for_workers,
+        for_clients: connections - for_workers,
         for_workers,
+        for_bodies: (memory / 4.0) as usize,
         dial: tindock_sheet::span(&doc.settings, "/caps/dial_timeout_s")?,
         keep: tindock_sheet::span(&doc.settings, "/caps/keepalive_s")?,
     })
--- a/crates/scheduler/src/door.rs
+++ b/crates/scheduler/src/door.rs
@@ -3,14 +3,16 @@
 use crate::answering::{self, Reply};
 use crate::berth::Words;
 use crate::exchange::{Answer, Exchange};
-use crate::reading::{self, Bad, Message};
+use crate::guest::{Guest, Standing, Watched};
+use crate::heads::Ends;
+use crate::reading::{self, Bad, Message, Rooms};
 use crate::stopping::Stopping;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::Request;
+use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::{debug, warn, Logger};
+use slog::{warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -21,37 +23,16 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// A peer that sends no whole head for this long loses its connection: it would hold a descriptor for ever.
+/// A peer that sends nothing for this long loses its connection: it would hold a descriptor for ever.
 const SILENCE: Duration = Duration::from_secs(60);
 /// The same while stopping, which would otherwise wait for it.
 const LAST_SILENCE: Duration = Duration::from_secs(1);
-/// The same for a body that has begun.
-const BODY_SILENCE: Duration = Duration::from_secs(10);
+/// What was turned down or closed is told in sums, this often: a line each would cost more than the answer.
+const SUMS: Duration = Duration::from_secs(10);
 /// When no descriptor is left, some connection ends within this time.
 const SHORT_OF_DESCRIPTORS: Duration = Duration::from_millis(20);
-/// Room for a head and a part of a body in reading.
-const READ_BUFFER: usize = 16 * 1024;
-
-/// One connection, as the door sees it.
-#[derive(Default)]
-struct Guest {
-    /// Busy with a message since it was read until it was answered.
-    busy: Cell<bool>,
-    used: Cell<Option<Instant>>,
-    /// Has sent no message yet.
-    mute: Cell<bool>,
-    /// Told news last: a worker, without whose words tasks in hand do not end.
-    worker: Cell<bool>,
-    leave: Notify,
-    leaving: Cell<bool>,
-}
-
-impl Guest {
-    fn ask_to_leave(&self) {
-        self.leaving.set(true);
-        self.leave.notify_one();
-    }
-}
+/// Room for a head in reading: the least that hyper takes.
+const READ_BUFFER: usize = 8 * 1024;
 
 pub struct Door {
     exchange: Rc<Exchange>,
@@ -61,6 +42,8 @@
     guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
     next: Cell<u64>,
     gone: Notify,
+    rooms: Rooms,
+    sums: RefCell<BTreeMap<&'static str, u64>>,
     log: Logger,
 }
 
@@ -84,10 +67,11 @@
         words: Rc<Words>,
         stopping: Rc<Stopping>,
         most: usize,
+        rooms: Rooms,
         log: Logger,
     ) -> Rc<Self> {
-        let (guests, next, gone) = (RefCell::default(), Cell::new(0), Notify::new());
-        Rc::new(Door { exchange, words, stopping, most, guests, next, gone, log })
+        let (guests, next, gone, sums) = Default::default();
+        Rc::new(Door { exchange, words, stopping, most, guests, next, gone, rooms, sums, log })
     }
 
     /// Accepts until the process ends.
@@ -125,14 +109,32 @@
         }
     }
 
+    /// Guards against peers that crowd out clients and workers: strangers leave first, then who idled longest.
     fn dismiss_idle(&self) {
         let guests = self.guests.borrow();
         let idle = guests.values().filter(|g| !g.busy.get() && !g.leaving.get());
-        if let Some(guest) = idle.min_by_key(|g| (g.worker.get(), g.used.get())) {
+        if let Some(guest) = idle.min_by_key(|g| (g.standing.get(), g.used.get())) {
+            self.count("closed to make room");
             guest.ask_to_leave();
         }
     }
 
+    fn count(&self, what: &'static str) {
+        *self.sums.borrow_mut().entry(what).or_default() += 1;
+    }
+
+    /// Tells what was turned down or closed, in sums.
+    pub async fn tell_sums(&self) {
+        loop {
+            tokio::time::sleep(SUMS).await;
+            let sums = std::mem::take(&mut *self.sums.borrow_mut());
+            if !sums.is_empty() {
+                let sums: Vec<String> = sums.iter().map(|(what, n)| format!("{n} {what}")).collect();
+                warn!(self.log, "turned down or closed in {} s: {}", SUMS.as_secs(), sums.join(", "));
+            }
+        }
+    }
+
     /// Every connection ends after the message in hand, idle ones now.
     pub fn dismiss_all(&self) {
         self.guests.borrow().values().for_each(|guest| guest.ask_to_leave());
@@ -146,10 +148,7 @@
     fn enter(&self) -> u64 {
         let number = self.next.get();
         self.next.set(number + 1);
-        let guest = Guest::default();
-        guest.used.set(Some(Instant::now()));
-        guest.mute.set(true);
-        self.guests.borrow_mut().insert(number, Rc::new(guest));
+        self.guests.borrow_mut().insert(number, Rc::new(Guest::new(Instant::now())));
         number
     }
 
@@ -159,11 +158,13 @@
         let service = service_fn(|call: Request<Incoming>| {
             let (door, guest) = (self.clone(), guest.clone());
             async move {
-                guest.busy.set(true);
                 guest.mute.set(false);
-                let reply = door.reply(call, &guest.worker).await;
-                guest.busy.set(false);
-                guest.used.set(Some(Instant::now()));
+                let ends = guest.heads.borrow_mut().take();
+                let mut reply = door.reply(call, ends, &guest).await;
+                guest.answered();
+                if ends != Ends::Known {
+                    answering::close(&mut reply);
+                }
                 Ok::<Reply, Infallible>(reply)
             }
         });
@@ -173,17 +174,23 @@
             .header_read_timeout(silence)
             .max_buf_size(READ_BUFFER)
             .keep_alive(!self.stopping.is_closing());
-        let mut connection = pin!(http.serve_connection(TokioIo::new(stream), service));
+        let watched = Watched { stream, guest: guest.clone() };
+        let mut connection = pin!(http.serve_connection(TokioIo::new(watched), service));
+        let mut overdue = pin!(guest.overdue());
         loop {
             tokio::select! {
                 ended = connection.as_mut() => {
-                    if let Err(e) = ended {
-                        debug!(self.log, "a client's connection ended: {e}");
+                    if ended.is_err_and(|e| e.is_parse()) {
+                        self.count("not to be read");
                     }
                     break;
                 }
+                () = overdue.as_mut() => {
+                    self.count("too slow");
+                    break;
+                }
                 // Guards against peers that connect and say nothing: hyper would wait for their first message.
-                () = guest.leave.notified() => match guest.mute.get() && !self.stopping.is_closing() {
+                () = guest.leave.notified() => match guest.is_stranger() && !self.stopping.is_closing() {
                     true => break,
                     false => connection.as_mut().graceful_shutdown(),
                 },
@@ -193,31 +200,35 @@
         self.gone.notify_one();
     }
 
-    async fn reply(&self, call: Request<Incoming>, worker: &Cell<bool>) -> Reply {
-        let read = tokio::time::timeout(BODY_SILENCE, reading::read(call, &self.words));
-        let late = || Bad(hyper::StatusCode::BAD_REQUEST, "the body came too slowly".into());
-        match read.await.unwrap_or_else(|_| Err(late())) {
+    async fn reply(&self, call: Request<Incoming>, ends: Ends, guest: &Guest) -> Reply {
+        if ends == Ends::Unclear {
+            return self.turn_down(Bad(StatusCode::BAD_REQUEST, "with unclear lengths"));
+        }
+        let read = reading::read(call, &self.words, &self.rooms).await;
+        guest.read();
+        match read {
             Ok(Message::Health) => answering::health(self.exchange.can_decide()),
             Ok(Message::News(news)) => {
-                worker.set(true);
+                guest.standing.set(Standing::Worker);
                 self.exchange.news(news);
                 answering::heard()
             }
-            Ok(Message::Task(call)) => {
+            Ok(Message::Task(call, _room)) => {
                 let Some(hold) = self.exchange.arrived(call) else {
-                    return self.turn_down(&Bad(hyper::StatusCode::BAD_REQUEST, "id in hand already".into()));
+                    return self.turn_down(Bad(StatusCode::BAD_REQUEST, "with an id in hand already"));
                 };
+                guest.standing.set(Standing::Client);
                 let waiting = Waiting { exchange: &self.exchange, place: hold.place, life: hold.life };
                 let answer = hold.answer.await.unwrap_or(Answer::BrokenOff);
                 drop(waiting);
                 answering::answer(answer)
             }
-            Err(bad) => self.turn_down(&bad),
+            Err(bad) => self.turn_down(bad),
         }
     }
 
-    fn turn_down(&self, bad: &Bad) -> Reply {
-        warn!(self.log, "turned down with {}: {}", bad.0.as_u16(), bad.1);
+    fn turn_down(&self, bad: Bad) -> Reply {
+        self.count(bad.1);
         answering::turned_down(bad)
     }
 }
--- a/crates/scheduler/src/endings.rs
+++ b/crates/scheduler/src/endings.rs
@@ -13,6 +13,8 @@
     Returned,
     /// News: it was killed, or its machine saw the worker die.
     Lost,
+    /// Answered that the task itself cannot be used: no worker could.
+    Unusable(u16),
     /// Answered with a status that means neither taken nor never ran.
     Odd(u16),
     /// Answered as turned away, with the mark that it never ran.
@@ -43,7 +45,8 @@
             Close::Lost | Close::BrokeSent => Ending::Reset,
             Close::Overdue => Ending::TimedOut,
             Close::CalledOff => Ending::Cancelled,
-            Close::NeverSent => Ending::Moot,
+            // Guards against workers barred for what bad clients send: it is not theirs, and nothing ran.
+            Close::Unusable(_) | Close::NeverSent => Ending::Moot,
         }
     }
 }
--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -36,8 +36,12 @@
 #[derive(Debug, PartialEq)]
 pub enum Answer {
     Finished(Bytes),
-    Shed { come_back: Option<Duration> },
+    Shed {
+        come_back: Option<Duration>,
+    },
     BrokenOff,
+    /// A worker's word that the task cannot be used, by its status.
+    TurnedDown(u16),
 }
 
 /// Names one assignment for as long as the scheduler lives; places are used again, lives are not.
@@ -89,7 +93,9 @@
 }
 
 struct Hand {
-    call: Rc<Call>,
+    id: Rc<str>,
+    /// Until the final answer: its body takes memory.
+    call: Option<Rc<Call>>,
     life: u64,
     limit: Duration,
     /// Taken away by the final answer.
@@ -174,8 +180,10 @@
                     let hand = &mut state.hands[task];
                     let ticket = Ticket { place: task, life: hand.life, number: hand.outs.len() };
                     hand.outs.push(Out { worker, over: false });
-                    let (call, limit) = (hand.call.clone(), hand.limit);
-                    self.order(Order::Send { ticket, worker, call, limit });
+                    let limit = hand.limit;
+                    if let Some(call) = hand.call.clone() {
+                        self.order(Order::Send { ticket, worker, call, limit });
+                    }
                 }
                 Decision::Shed { task, come_back } => state.answer(task, Answer::Shed { come_back }),
                 Decision::BreakOff { task } => state.answer(task, Answer::BrokenOff),
@@ -183,7 +191,7 @@
                     let hand = &state.hands[task];
                     let ticket = Ticket { place: task, life: hand.life, number: assignment };
                     if let Some(out) = hand.outs.get(assignment).filter(|out| !out.over) {
-                        let id = hand.call.id.clone();
+                        let id = hand.id.clone();
                         self.order(Order::CallOff { ticket, worker: out.worker, id });
                     }
                 }
@@ -220,14 +228,15 @@
             state.lives += 1;
             let (life, limit) = (state.lives, now + left);
             state.places.insert(call.id.clone(), place);
-            let hand = Hand { call: Rc::new(call), life, limit, answer: Some(answer), outs: Vec::new() };
+            let (id, answer) = (call.id.clone(), Some(answer));
+            let hand = Hand { id, call: Some(Rc::new(call)), life, limit, answer, outs: Vec::new() };
             if place == state.hands.len() {
                 state.hands.push(hand);
             } else {
                 let before = std::mem::replace(&mut state.hands[place], hand);
                 state.limits.remove(&(before.limit, place, before.life));
-                if state.places.get(&before.call.id) == Some(&place) {
-                    state.places.remove(&before.call.id);
+                if state.places.get(&before.id) == Some(&place) {
+                    state.places.remove(&before.id);
                 }
             }
             state.limits.insert((limit, place, life));
@@ -242,6 +251,7 @@
         self.feed(|state| {
             let hand = &mut state.hands[place];
             if hand.life == life && hand.answer.take().is_some() {
+                hand.call = None;
                 state.rules.left(place);
             }
         });
@@ -285,6 +295,9 @@
     pub fn ended(&self, ticket: Ticket, close: Close) {
         self.feed(|state| {
             if state.is_out(ticket) {
+                if let Close::Unusable(status) = close {
+                    state.answer(ticket.place, Answer::TurnedDown(status));
+                }
                 state.ended(ticket.place, ticket.number, close, None);
             }
         });
@@ -399,7 +412,9 @@
     }
 
     fn answer(&mut self, place: usize, answer: Answer) {
-        if let Some(client) = self.hands[place].answer.take() {
+        let hand = &mut self.hands[place];
+        if let Some(client) = hand.answer.take() {
+            hand.call = None;
             // A client that just went away wants none.
             let _ = client.send(answer);
         }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,4 +1,4 @@
-//! The scheduler on sockets, by the stages of a task: `berth` (start), `door`, `reading`, `answering` (server
+//! The scheduler on sockets, by the stages of a task: `berth` (start), `door`, `guest`, `heads`, `reading`, `answering` (server
 //! side), `exchange`, `pool`, `gauge`, `sending` (client side), `loads`, `news`, `discovery`, `endings`, `reloading`, `stopping`.
 
 pub mod answering;
@@ -9,6 +9,8 @@
 pub mod endings;
 pub mod exchange;
 pub mod gauge;
+pub mod guest;
+pub mod heads;
 pub mod listing;
 pub mod loads;
 pub mod news;
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -20,7 +20,7 @@
 /// last byte, and a task that crosses its close would end as a reset.
 const RETIRE: f64 = 0.5;
 /// Room for an answer's head in reading.
-const READ_BUFFER: usize = 16 * 1024;
+const READ_BUFFER: usize = 8 * 1024;
 
 /// A connection to a worker. Dropping it closes the socket, whatever is under way.
 pub struct Line {
--- a/crates/scheduler/src/sending.rs
+++ b/crates/scheduler/src/sending.rs
@@ -219,6 +219,12 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never => {
             Taken::No(Close::TurnedAway)
         }
+        // These may pass, or are about the sender: another worker may take the task.
+        StatusCode::REQUEST_TIMEOUT
+        | StatusCode::CONFLICT
+        | StatusCode::TOO_EARLY
+        | StatusCode::TOO_MANY_REQUESTS => Taken::No(Close::Odd(status.as_u16())),
+        other if other.is_client_error() => Taken::No(Close::Unusable(other.as_u16())),
         other => Taken::No(Close::Odd(other.as_u16())),
     }
 }
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -6,6 +6,7 @@
 use crate::door::Door;
 use crate::exchange::Exchange;
 use crate::pool::Pool;
+use crate::reading::Rooms;
 use crate::reloading::Reloading;
 use crate::sending::Sending;
 use crate::stopping::Stopping;
@@ -58,7 +59,14 @@
     let reports = berth.words.reports.clone();
     let sending = Sending::new(exchange.clone(), pool.clone(), reports, subscribe, part("workers"));
     let words = Rc::new(berth.words);
-    let door = Door::new(exchange.clone(), words, stopping.clone(), berth.for_clients, part("clients"));
+    let door = Door::new(
+        exchange.clone(),
+        words,
+        stopping.clone(),
+        berth.for_clients,
+        Rooms::new(berth.for_bodies),
+        part("clients"),
+    );
     spawn_local(sending.carry_out(orders));
     spawn_local(async move { pool.tend().await });
     let timer = exchange.clone();
@@ -67,6 +75,8 @@
     spawn_local(reloading.keep(hang_up));
     let listens = listener.local_addr().map_err(|e| e.to_string())?;
     info!(log, "{} listens on {listens}", berth.name);
+    let sums = door.clone();
+    spawn_local(async move { sums.tell_sums().await });
     spawn_local(door.clone().accept(listener));
     stopping.over(terminate, &door, &exchange).await;
     info!(log, "{} ends", berth.name);
--- a/crates/scheduler/tests/decoding.rs
+++ b/crates/scheduler/tests/decoding.rs
@@ -3,6 +3,7 @@
 use insta::assert_snapshot;
 use tindock_scheduler::berth::Words;
 use tindock_scheduler::gauge::Gauge;
+use tindock_scheduler::heads::Heads;
 use tindock_scheduler::{listing, loads};
 
 /// Guards against tasks of several slots shed for want of a report: workers write it as text or as JSON.
@@ -66,3 +67,32 @@
     gauge.written(b"\n");
     assert!(gauge.whole());
 }
+
+/// Guards against a head whose lengths are not what hyper makes of them, however the reads are cut.
+#[test]
+fn each_head_tells_how_its_message_ends() {
+    let texts = [
+        "\r\nPOST /a HTTP/1.1\r\nHost: s\r\n\r\nGET / HTTP/1.1\n\nGET /",
+        "POST /a HTTP/1.1\r\nContent-Length: 4\r\n\r\n\r\n\r\nPOST /b HTTP/1.1\r\nCONTENT-length:0\r\n\r\n",
+        "POST /a HTTP/1.1\r\nX: content-length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+        "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n",
+        "POST /a HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\n",
+        "POST /a HTTP/1.1\r\nContent-Length: +4\r\n\r\n",
+        "POST /a HTTP/1.1\r\nContent-Length:                                          4\r\n\r\n",
+    ];
+    let read = |parts: &[&[u8]]| {
+        let mut heads = Heads::default();
+        parts.iter().for_each(|part| heads.came(part));
+        (format!("{:?}", [(); 3].map(|()| heads.take())), heads.begun())
+    };
+    let mut trace = String::new();
+    for text in texts {
+        let whole = read(&[text.as_bytes()]);
+        for cut in 0..text.len() {
+            let (before, after) = text.as_bytes().split_at(cut);
+            assert_eq!(read(&[before, after]), whole, "{text:?} cut at {cut}");
+        }
+        trace += &format!("{text:?}\n  {whole:?}\n");
+    }
+    assert_snapshot!(trace);
+}
--- a/crates/scheduler/tests/exchange.rs
+++ b/crates/scheduler/tests/exchange.rs
@@ -247,6 +247,7 @@
         Erred,
         Returned,
         Lost,
+        Unusable(400),
         Odd(500),
         TurnedAway,
         NotConnected,
--- a/crates/scheduler/tests/sockets.rs
+++ b/crates/scheduler/tests/sockets.rs
@@ -345,7 +345,9 @@
     assert_eq!(post("/nowhere", "X-Trace-Id: a\r\n"), "HTTP/1.1 404 Not Found");
     assert_eq!(ask("GET /plan HTTP/1.1\r\nHost: s\r\n\r\n"), "HTTP/1.1 405 Method Not Allowed");
     assert_eq!(post("/healthz", ""), "HTTP/1.1 405 Method Not Allowed");
-    let long = "X-Trace-Id: a\r\nContent-Length: 65537\r\n";
+    assert_eq!(post("/plan", "X-Trace-Id: a\r\nX-Props: slots=1e300\r\n"), "HTTP/1.1 400 Bad Request");
+    // By its head alone: nothing of the body is sent.
+    let long = "X-Trace-Id: a\r\nContent-Length: 62914560\r\n";
     assert_eq!(post("/plan", long), "HTTP/1.1 413 Payload Too Large");
     for wrong in
         ["", "{", "[]", r#"{"id":"a","from":"w0","state":"odd"}"#, r#"{"id":"a","from":"w0","state":"done"}"#]
@@ -448,22 +450,124 @@
     assert!(scheduler.child.wait().expect("its end").success());
 }
 
-/// Guards against a door shut by peers that hold connections and say nothing.
+/// Guards against a door shut by peers that hold connections and say nothing, and against clients that leave for
+/// them.
 #[test]
-fn idle_connections_make_room_for_others() {
-    let ((_worker, at), (_discovery, agent)) = (listener(), listener());
+fn strangers_make_room_for_others() {
+    let ((worker, at), (_discovery, agent)) = (listener(), listener());
     // At its own limit, and when descriptors run out before it.
     for (told, held) in [(64, 1024), (1024, 40)] {
         let name = format!("room-{told}");
         let scheduler = Scheduler::limited(&name, agent, &[entry("w0", at, "active")], told, held);
+        let mut known = Peer::connect(scheduler.address);
+        known.post("/plan", "j1", "x");
+        let mut line = Peer::accept(&worker);
+        line.read();
+        line.taken();
+        scheduler.done("j1", "w0", "first");
+        assert_eq!(known.read().body, "first");
         let mut silent: Vec<Peer> = (0..100).map(|_| Peer::connect(scheduler.address)).collect();
         let mut client = Peer::connect(scheduler.address);
         client.write("GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n");
         assert_eq!(client.read().first, "HTTP/1.1 200 OK");
         assert!(silent[0].try_read().is_none(), "the one idle for longest was closed");
+        known.post("/plan", "j2", "x");
+        line.read();
+        line.taken();
+        scheduler.done("j2", "w0", "second");
+        assert_eq!(known.read().body, "second");
     }
 }
 
+/// Guards against connections held for ever by silence, by half a head and by half a body, one bound for all; and
+/// against the same bound on a client that idles.
+#[test]
+fn who_sends_no_whole_message_is_closed_and_idle_clients_stay() {
+    let (scheduler, worker, _discovery) = one_worker("half");
+    let mut known = Peer::connect(scheduler.address);
+    known.post("/plan", "k1", "x");
+    let mut line = Peer::accept(&worker);
+    line.read();
+    line.taken();
+    let mut halves =
+        ["", "POST /plan HTT", "POST /plan HTTP/1.1\r\nX-Trace-Id: k2\r\nContent-Length: 9\r\n\r\nhalf"].map(
+            |text| {
+                let mut peer = Peer::connect(scheduler.address);
+                peer.write(text);
+                peer
+            },
+        );
+    let mut later = Peer::connect(scheduler.address);
+    later.write("GET /healthz HTTP/1.1\r\nHost: s\r\n\r\nPOST /pl").read();
+    for peer in halves.iter_mut().chain([&mut later]) {
+        assert!(peer.try_read().is_none(), "a close and no answer");
+    }
+    // A task in hand is no silence, and neither is the time after it.
+    scheduler.done("k1", "w0", "first");
+    assert_eq!(known.read().body, "first");
+    known.post("/plan", "k3", "x");
+    line.read();
+    line.taken();
+    scheduler.done("k3", "w0", "second");
+    assert_eq!(known.read().body, "second");
+}
+
+/// Guards against a message within a message: who reads the lengths in another way sees another one.
+#[test]
+fn unclear_lengths_are_turned_down_and_nothing_goes_on() {
+    let (scheduler, worker, _discovery) = one_worker("lengths");
+    let inner = "POST /plan HTTP/1.1\r\nX-Trace-Id: l2\r\nContent-Length: 0\r\n\r\n";
+    for lengths in [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\ncontent-length: 5\r\n",
+        "Content-Length: 5\r\nContent-Length: 5\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: -5\r\n",
+        "Content-Length: 99999999999999999999\r\n",
+        "Content-Length: 5, 5\r\n",
+        "Transfer-Encoding: gzip\r\n",
+    ] {
+        let mut peer = Peer::connect(scheduler.address);
+        peer.write(&format!("POST /plan HTTP/1.1\r\nX-Trace-Id: l1\r\n{lengths}\r\n0\r\n\r\n{inner}"));
+        assert_eq!(peer.read().first, "HTTP/1.1 400 Bad Request", "{lengths}");
+        assert!(peer.try_read().is_none(), "{lengths}");
+    }
+    // Chunks alone are a message, and the last one on its connection.
+    let mut peer = Peer::connect(scheduler.address);
+    peer.write(&format!(
+        "POST /plan HTTP/1.1\r\nX-Trace-Id: l3\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n{inner}"
+    ));
+    let mut line = Peer::accept(&worker);
+    let task = line.read();
+    assert_eq!((task.header("x-trace-id"), task.body.as_str()), (Some("l3"), "x"));
+    line.taken();
+    scheduler.done("l3", "w0", "chunks");
+    assert_eq!(peer.read().body, "chunks");
+    assert!(peer.try_read().is_none(), "the one behind it is not read");
+}
+
+/// Guards against workers barred, and tasks sent round, for what a bad client sent.
+#[test]
+fn what_a_worker_cannot_use_goes_to_no_other() {
+    let ((worker, at), (other, beside), (_discovery, agent)) = (listener(), listener(), listener());
+    let entries = [entry("w0", at, "active"), entry("w1", beside, "active")];
+    let scheduler = Scheduler::start("unusable", agent, &entries);
+    let mut client = Peer::connect(scheduler.address);
+    client.post("/plan", "m1", "x");
+    other.set_nonblocking(true).expect("a listener that does not wait");
+    // Either of them may be the first.
+    let mut line = loop {
+        worker.set_nonblocking(true).expect("a listener that does not wait");
+        if let Some((stream, _)) = [&worker, &other].iter().find_map(|l| l.accept().ok()) {
+            stream.set_nonblocking(false).expect("a stream that waits");
+            break Peer::over(stream);
+        }
+    };
+    line.read();
+    line.write("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(client.read().first, "HTTP/1.1 400 Bad Request");
+}
+
 /// Guards against a start on a configuration that will not do, and against more than one line about it.
 #[test]
 fn a_bad_configuration_ends_the_start() {
