--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,6 +19,9 @@
 /// The part of the settings' idle time after which a connection is retired: the worker counts from its own
 /// last byte, and a task that crosses its close would end as a reset.
 const RETIRE: f64 = 0.5;
+/// How long no connection is used twice after one broke so: whatever drops them goes on for longer than a moment,
+/// and a break in each such span costs less than many.
+const WARY: Duration = Duration::from_secs(20);
 /// Room for an answer's head in reading.
 const READ_BUFFER: usize = 8 * 1024;
 
@@ -45,12 +48,14 @@
     permits: Arc<Semaphore>,
     dial: Duration,
     keep: Duration,
+    /// Until then no connection is used twice.
+    wary: Cell<Option<Instant>>,
 }
 
 impl Pool {
     pub fn new(most: usize, dial: Duration, keep: Duration) -> Self {
         let permits = Arc::new(Semaphore::new(most));
-        Pool { idle: RefCell::default(), permits, dial, keep: keep.mul_f64(RETIRE) }
+        Pool { idle: RefCell::default(), permits, dial, keep: keep.mul_f64(RETIRE), wary: Cell::default() }
     }
 
     /// An idle connection to the worker, the one used last, or a new one.
@@ -61,6 +66,13 @@
         self.dial(address).await
     }
 
+    /// A kept connection broke under a message: others may have been let go in the same way, by a worker or by
+    /// something on the way, without a word. Guards against tasks that may have run for that alone.
+    pub fn broke(&self) {
+        self.wary.set(Some(Instant::now() + WARY));
+        self.idle.borrow_mut().clear();
+    }
+
     fn take(&self, worker: usize, address: SocketAddr) -> Option<Line> {
         let mut idle = self.idle.borrow_mut();
         let lines = idle.get_mut(&worker)?;
@@ -99,7 +111,8 @@
 
     /// Takes a connection back once its message was answered whole.
     pub async fn give_back(&self, worker: usize, mut line: Line) {
-        if line.sender.ready().await.is_ok() {
+        let wary = self.wary.get().is_some_and(|until| Instant::now() < until);
+        if !wary && line.sender.ready().await.is_ok() {
             (line.idle_since, line.used) = (Instant::now(), true);
             self.idle.borrow_mut().entry(worker).or_default().push(line);
         }
--- a/crates/scheduler/src/sending.rs
+++ b/crates/scheduler/src/sending.rs
@@ -149,9 +149,18 @@
                     self.finish(worker, line, answer).await;
                     return taken;
                 }
-                // The worker closed an idle connection before a byte was written: that was no send.
-                Err(_) if line.gauge.untouched() && line.used => continue,
-                Err(_) if line.gauge.whole() => return Taken::No(Close::BrokeSent),
+                // The worker let a kept connection go before it had all: it has nothing, so a new one takes its
+                // place. Guards against tasks that may have run, and workers barred, for the connection's sake.
+                Err(_) if !line.gauge.whole() && line.used => {
+                    self.pool.broke();
+                    continue;
+                }
+                Err(_) if line.gauge.whole() => {
+                    if line.used {
+                        self.pool.broke();
+                    }
+                    return Taken::No(Close::BrokeSent);
+                }
                 Err(_) => return Taken::No(Close::BrokeUnsent),
             }
         }
@@ -188,18 +197,26 @@
 
     /// A message without a body, and its whole answer.
     async fn ask(&self, worker: usize, method: Method, path: &str, id: &str) -> Option<(StatusCode, Bytes)> {
-        let address = self.exchange.address(worker);
-        let mut line = self.pool.line(worker, address).await.ok()?;
-        let mut message = Request::new(Full::default());
-        *message.method_mut() = method;
-        *message.uri_mut() = path.parse().ok()?;
-        head(&mut message, address, id);
-        line.gauge.begin(0);
-        let unanswered = Unanswered { pool: &self.pool, worker, since: Instant::now() };
-        let answer = line.sender.send_request(message).await.ok()?;
-        unanswered.answered();
-        let status = answer.status();
-        Some((status, self.finish(worker, line, answer).await?))
+        loop {
+            let address = self.exchange.address(worker);
+            let mut line = self.pool.line(worker, address).await.ok()?;
+            let mut message = Request::new(Full::default());
+            *message.method_mut() = method.clone();
+            *message.uri_mut() = path.parse().ok()?;
+            head(&mut message, address, id);
+            line.gauge.begin(0);
+            let unanswered = Unanswered { pool: &self.pool, worker, since: Instant::now() };
+            match line.sender.send_request(message).await {
+                Ok(answer) => {
+                    unanswered.answered();
+                    let status = answer.status();
+                    return Some((status, self.finish(worker, line, answer).await?));
+                }
+                // Asking twice does no harm.
+                Err(_) if line.used => continue,
+                Err(_) => return None,
+            }
+        }
     }
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,6 +23,7 @@
 const FORGET_SPAN: f64 = 8.0; // an own speed is forgotten over this while the worker is not used
 const NOTE_GRACE: f64 = 0.7; // a progress note this late is no common pause
 const ERRORS_BAR: f64 = 0.45; // smoothed share of errors that bars a worker: two on end reach it
+const DOUBT: f64 = 0.5; // smoothed share of errors up to which a barred worker is better than none
 const ERROR_STEP: f64 = 0.3; // weight of one ending in that share: quick, since errors return at once
 const BARRED_SHARE: f64 = 0.34; // at most this share of the ready workers is set aside at a time
 const HIDDEN_SPAN: f64 = 2.0; // what others have on a worker is forgotten over this: about a task or two
@@ -192,7 +193,8 @@
     }
 
     pub fn arrived(&mut self, workload: usize, size: f64, left: Duration, customer: usize) -> usize {
-        let size = size.max(1.0);
+        // Whole slots: what rounding left of fractions passed for a task for ever, and their sum for more slots.
+        let size = size.floor().max(1.0);
         self.arrivals.add(size, self.now, RATE_SPAN);
         self.probes = (self.probes + PROBE_SPEND / self.sheet.price_probe.max(1e-4)).min(PROBES_SAVED);
         // Guards against one customer's rush: beyond the own part of its share a task has less utility.
@@ -393,11 +395,17 @@
         let idempotent = free(self.sheet.workloads[t.workload].effect);
         // A worker back from being barred proves itself on one task at a time that may run again, if any may.
         let risky = !idempotent && self.sheet.workloads.iter().any(|row| free(row.effect));
-        let trickles = w.spells > 0 && w.errors > 0.2 && (w.n > 0.0 || risky);
+        let proves = w.spells > 0 && w.errors > 0.2 && risky;
         let rests = w.rest > self.now && self.warmth(i) < 1.0;
-        let barred = w.barred.is_some_and(|until| until > self.now);
+        let out = self.doubtful(i) && !(idempotent && t.assignments.len() < 2 && w.errors < DOUBT);
         let tried = t.assignments.iter().any(|a| a.worker == i);
-        w.ready() && !rests && !barred && !trickles && !tried && self.allowed(task, i)
+        w.ready() && !rests && !out && !proves && !tried && self.allowed(task, i)
+    }
+
+    /// Barred, or just back and with a task in it: only where no other has room, for tasks that lose little there.
+    fn doubtful(&self, i: usize) -> bool {
+        let w = &self.workers[i];
+        w.barred.is_some_and(|until| until > self.now) || w.spells > 0 && w.errors > 0.2 && w.n > 0.0
     }
 
     /// The workers that a task is scored on. Guards against schedulers that have seen almost none of a large
@@ -455,6 +463,7 @@
             let queue = if over > 0.0 { over * self.hold / (slots * speed) } else { 0.0 };
             let in_time = queue + run / speed < IN_TIME * slack;
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0) + u8::from(beyond <= 0.0));
+            let tier = tier.min(if self.doubtful(i) { 2 } else { 3 });
             best_tier = best_tier.max(tier);
             scores.push((i, tier, index));
         }
@@ -739,7 +748,8 @@
                 barred += 1;
                 w.spells = (w.spells + 1).min(4);
                 let pause = Duration::from_secs_f64(0.75 * f64::from(1 << w.spells));
-                (w.barred, w.errors, w.silent) = (Some(now + pause), 0.35, false);
+                (w.barred, w.errors) = (Some(now + pause), if w.silent { DOUBT } else { 0.35 });
+                w.silent = false;
                 let line = format!("worker {i} barred for {:.1} s: share of errors {errors:.2}", secs(pause));
                 self.say.push_back(Decision::Log(line));
             } else if !is_barred(w) && errors < 0.05 && w.spells > 0 {
