Barred workers take what may run again where no other has room; whole slots; dead connections

Barred workers now take those where no other has room, in a first or second assignment, up to half of errors. Idle times at the break were printed: under stale words a quarter of connections idle for 0.1 to 0.5 s are dead, and say so only when written to.

--- a/crates/scheduler/tests/decoding.rs
+++ b/crates/scheduler/tests/decoding.rs
@@ -54,6 +54,11 @@
         for sent in 0..2 {
             gauge.begin(4);
             assert!(gauge.untouched() && !gauge.whole(), "message {sent}");
+            // All but the last byte may go at once: what breaks before it never ran.
+            assert_eq!(
+                (gauge.may_write(&message[..cut]), gauge.may_write(message)),
+                (cut, message.len() - 1)
+            );
             gauge.written(&message[..cut]);
             assert!(!gauge.untouched() && !gauge.whole(), "cut at {cut}");
             gauge.written(&message[cut..]);
--- a/crates/scheduler/tests/sockets.rs
+++ b/crates/scheduler/tests/sockets.rs
@@ -270,6 +270,32 @@
     assert_eq!(answer.header("retry-after"), Some("0.5"));
 }
 
+/// Guards against one task after the other that may have run, where something lets kept connections go without a word:
+/// after the first that breaks, none is used twice for some time.
+#[test]
+fn after_a_kept_connection_broke_none_is_kept() {
+    let (scheduler, worker, _discovery) = one_worker("broke");
+    let mut client = Peer::connect(scheduler.address);
+    client.post("/release", "n1", "x");
+    let mut line = Peer::accept(&worker);
+    line.read();
+    line.taken();
+    scheduler.done("n1", "w0", "first");
+    client.read();
+    client.post("/release", "n2", "x");
+    line.read();
+    drop(line);
+    assert_eq!(client.read().first, "HTTP/1.1 500 Internal Server Error");
+    for id in ["n3", "n4"] {
+        client.post("/release", id, "x");
+        let mut line = Peer::accept(&worker);
+        line.read();
+        line.taken();
+        scheduler.done(id, "w0", id);
+        assert_eq!(client.read().body, id);
+    }
+}
+
 /// Guards against a reset where the worker closed a connection that stood idle: nothing was written, so the
 /// same assignment takes a new connection.
 #[test]
--- a/src/books.rs
+++ b/src/books.rs
@@ -41,6 +41,13 @@
     pub fn ready(&self) -> bool {
         self.on_list && self.condition == Some(Condition::Ready)
     }
+
+    /// Heard from: it does not stand still, and what barred it for silence is lifted.
+    pub fn revive(&mut self) {
+        if self.silent {
+            (self.silent, self.errors, self.barred) = (false, 0.0, None);
+        }
+    }
 }
 
 #[derive(Clone, Copy, Default)]
@@ -94,6 +101,11 @@
 }
 
 impl Task {
+    /// The assignments that may have run, or may still: all without an ending that proves they never did.
+    pub fn maybe_ran(&self) -> impl Iterator<Item = &Assignment> {
+        self.assignments.iter().filter(|a| !a.ending.is_some_and(Ending::proves_never_ran))
+    }
+
     pub fn out(&self) -> usize {
         self.assignments.iter().filter(|a| a.ending.is_none()).count()
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -107,18 +107,6 @@
     d.as_secs_f64()
 }
 
-/// Heard from: it does not stand still, and what barred it for silence is lifted.
-fn revive(w: &mut Worker) {
-    if w.silent {
-        (w.silent, w.errors, w.barred) = (false, 0.0, None);
-    }
-}
-
-/// The assignments that may have run, or may still: all without an ending that proves they never did.
-fn maybe_ran(t: &Task) -> impl Iterator<Item = &Assignment> {
-    t.assignments.iter().filter(|a| !a.ending.is_some_and(Ending::proves_never_ran))
-}
-
 impl Rules {
     pub fn new(sheet: DutySheet, seed: u64, now: Duration) -> Self {
         // Before the first completions a promised time says best how long a task runs.
@@ -224,7 +212,7 @@
         self.due = if self.tasks[task].out() > 1 { now } else { self.due };
         let w = &mut self.workers[i];
         w.running += size;
-        revive(w);
+        w.revive();
         w.waiting.retain(|x| *x != (task, number));
         self.kinds[w.site.kind].slots = self.kinds[w.site.kind].slots.max(w.running);
         // The wait tells what others had there: all that had to leave before, or some part of the free slots.
@@ -239,7 +227,7 @@
     pub fn progressed(&mut self, task: usize, number: usize, _share: f64) {
         let Some(i) = self.tasks.out(task, number).map(|a| a.worker) else { return };
         self.tasks[task].assignments[number].heard = self.now;
-        revive(&mut self.workers[i]);
+        self.workers[i].revive();
     }
 
     pub fn ended(&mut self, task: usize, number: usize, ending: Ending, over: bool) {
@@ -258,7 +246,7 @@
         w.running -= if a.started.is_some() { size.min(w.running) } else { 0.0 };
         match ending {
             Ending::Finished => {
-                revive(w);
+                w.revive();
                 (w.energy, w.fresh) = (Energy::Busy, false);
                 w.errors -= ERROR_STEP * w.errors;
                 let (kind, run) = (&mut self.kinds[w.site.kind], secs(now - a.started.unwrap_or(a.sent)));
@@ -379,7 +367,7 @@
         if row.kind.is_some_and(|k| k != site.kind) {
             return false;
         }
-        maybe_ran(t).all(|a| match row.effect {
+        t.maybe_ran().all(|a| match row.effect {
             Effect::Idempotent => true,
             Effect::Unrepeatable => false,
             Effect::Deduplicated(group) => {
@@ -391,15 +379,15 @@
 
     fn eligible(&self, task: usize, i: usize) -> bool {
         let (t, w) = (&self.tasks[task], &self.workers[i]);
-        let free = |effect: Effect| effect == Effect::Idempotent;
-        let idempotent = free(self.sheet.workloads[t.workload].effect);
-        // A worker back from being barred proves itself on one task at a time that may run again, if any may.
-        let risky = !idempotent && self.sheet.workloads.iter().any(|row| free(row.effect));
-        let proves = w.spells > 0 && w.errors > 0.2 && risky;
+        let idempotent = |row: &Workload| row.effect == Effect::Idempotent;
+        let harmless = idempotent(&self.sheet.workloads[t.workload]);
+        // A worker back from being barred proves itself on tasks that may run again, if any may.
+        let risky =
+            !harmless && w.spells > 0 && w.errors > 0.2 && self.sheet.workloads.iter().any(idempotent);
+        let out = self.doubtful(i) && !(harmless && t.assignments.len() < 2 && w.errors < DOUBT);
         let rests = w.rest > self.now && self.warmth(i) < 1.0;
-        let out = self.doubtful(i) && !(idempotent && t.assignments.len() < 2 && w.errors < DOUBT);
         let tried = t.assignments.iter().any(|a| a.worker == i);
-        w.ready() && !rests && !out && !proves && !tried && self.allowed(task, i)
+        w.ready() && !rests && !risky && !out && !tried && self.allowed(task, i)
     }
 
     /// Barred, or just back and with a task in it: only where no other has room, for tasks that lose little there.
@@ -421,7 +409,7 @@
             return;
         }
         // What may have run is bound to its zone, if to any.
-        let earlier = maybe_ran(&self.tasks[task]).next();
+        let earlier = self.tasks[task].maybe_ran().next();
         let home = earlier.map_or(self.sheet.zone, |a| self.workers[a.worker].site.zone);
         self.drawn.extend(&self.lately);
         for k in 0..2 * reach {
@@ -445,7 +433,7 @@
         let mut scores = std::mem::take(&mut self.scores);
         scores.clear();
         for &i in self.drawn.iter().filter(|&&i| self.eligible(task, i)) {
-            let (w, slots, speed) = (&self.workers[i], self.slots(i), self.speed(i));
+            let (w, slots, speed, sure) = (&self.workers[i], self.slots(i), self.speed(i), !self.doubtful(i));
             let occupied = self.occupied(i, 1.0);
             let mu = slots * speed * self.warmth(i) / self.hold;
             let delta = (1.0 / self.setup.max(1e-3)).max(1.05 * mu);
@@ -462,8 +450,7 @@
             let (over, beyond) = (self.occupied(i, MAY_BE) + needs, occupied + needs);
             let queue = if over > 0.0 { over * self.hold / (slots * speed) } else { 0.0 };
             let in_time = queue + run / speed < IN_TIME * slack;
-            let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0) + u8::from(beyond <= 0.0));
-            let tier = tier.min(if self.doubtful(i) { 2 } else { 3 });
+            let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0) + u8::from(sure && beyond <= 0.0));
             best_tier = best_tier.max(tier);
             scores.push((i, tier, index));
         }
@@ -550,7 +537,7 @@
         let t = &mut self.tasks[task];
         let harmless = match self.sheet.workloads[t.workload].effect {
             Effect::Idempotent | Effect::Deduplicated(Group::All) => true,
-            _ => maybe_ran(t).next().is_none(),
+            _ => t.maybe_ran().next().is_none(),
         };
         t.stage = Stage::Over;
         self.call_off(task, true);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -127,6 +127,51 @@
     assert_snapshot!(desk.trace);
 }
 
+/// Guards against a third of the capacity lost where many workers break many connections: one that is barred for that
+/// is still better than none for what may run again, but not for the rest.
+#[test]
+fn a_barred_worker_is_better_than_none_for_what_may_run_again() {
+    let mut desk = Desk::new(duty(&[Effect::Idempotent, Effect::Unrepeatable]), 3);
+    for _ in 0..3 {
+        for task in [1, 1, 1].map(|workload| desk.arrive(workload)) {
+            let last = desk.trace.lines().rev().find(|l| l.contains(&format!("task {task} to")));
+            let to_bad = last.is_some_and(|l| l.ends_with("worker 2"));
+            desk.end(task, 0, if to_bad { Ending::Error } else { Ending::Finished });
+        }
+        let next = desk.now + 30;
+        desk.until(next);
+    }
+    desk.note("the other two have four slots");
+    for workload in [0, 0, 0, 0, 1, 0] {
+        let task = desk.arrive(workload);
+        desk.note(&format!("that was task {task} of workload {workload}"));
+    }
+    assert_snapshot!(desk.trace);
+}
+
+/// Guards against slots that are not there, and a worker that is never empty: a task that needs 1.6 units of memory
+/// still takes one slot, and sums of such sizes neither tell the slots nor come back to nothing.
+#[test]
+fn fractions_of_memory_are_no_slots() {
+    let mut sheet = duty(&[Effect::Idempotent, Effect::Idempotent]);
+    sheet.workloads[1].utility = 0.1;
+    let mut desk = Desk::new(sheet, 1);
+    let tasks = [(); 2].map(|()| desk.rules.arrived(0, 1.6, ms(8000), 0));
+    desk.pull();
+    for task in tasks {
+        desk.rules.started(task, 0);
+    }
+    let next = desk.now + 50;
+    desk.until(next);
+    for task in tasks {
+        desk.end(task, 0, Ending::Finished);
+    }
+    for _ in 0..3 {
+        desk.arrive(1);
+    }
+    assert_snapshot!(desk.trace);
+}
+
 /// Guards against pushing over a cold worker: few, spaced tasks, though it is the only one.
 #[test]
 fn a_cold_worker_is_sent_little() {
