An overdue note counts for its task alone while its worker tells of others

Checked with a probe of all news: every worker went on telling of starts and ends, and only single tasks, a quarter of those that started, never ended. Ruled out: lost news, connections, a pause of the network.

--- a/src/books.rs
+++ b/src/books.rs
@@ -31,6 +31,8 @@
     pub barred: Option<Duration>,
     pub spells: i32,
     pub silent: bool,
+    /// The last news of any own task there.
+    pub heard: Duration,
     /// While cold: no own task before then.
     pub rest: Duration,
     pub probed: Duration,
@@ -43,7 +45,8 @@
     }
 
     /// Heard from: it does not stand still, and what barred it for silence is lifted.
-    pub fn revive(&mut self) {
+    pub fn revive(&mut self, now: Duration) {
+        self.heard = now;
         if self.silent {
             (self.silent, self.errors, self.barred) = (false, 0.0, None);
         }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -109,14 +109,12 @@
 
 impl Rules {
     pub fn new(sheet: DutySheet, seed: u64, now: Duration) -> Self {
-        // Before the first completions a promised time says best how long a task runs.
-        let guess = |w: &Workload| secs(w.promised).max(0.01);
+        let guess = |w: &Workload| secs(w.promised).max(0.01); // says best how long a task runs, at first
         let first = |w: &Workload| Runs { log: guess(w).ln(), mean: guess(w), seen: 0.0 };
         let runs: Vec<Runs> = sheet.workloads.iter().map(first).collect();
         let hold = runs.iter().map(|r| r.mean).sum::<f64>() / runs.len() as f64;
         let subscribed = sheet.news == News::Pushed;
-        // Others' share and the setup time start at guesses that the first answers replace.
-        let (setup, mine) = (hold / 16.0, 1.0 / sheet.schedulers as f64);
+        let (setup, mine) = (hold / 16.0, 1.0 / sheet.schedulers as f64); // guesses, until answers come
         let times = Rules { now, start: now, due: now, ask_at: now, ..Rules::default() };
         let chance = Chance(Rand64::new(u128::from(seed)));
         Rules { chance, runs, hold, setup, mine, subscribed, sheet, ..times }
@@ -212,7 +210,7 @@
         self.due = if self.tasks[task].out() > 1 { now } else { self.due };
         let w = &mut self.workers[i];
         w.running += size;
-        w.revive();
+        w.revive(now);
         w.waiting.retain(|x| *x != (task, number));
         self.kinds[w.site.kind].slots = self.kinds[w.site.kind].slots.max(w.running);
         // The wait tells what others had there: all that had to leave before, or some part of the free slots.
@@ -227,7 +225,7 @@
     pub fn progressed(&mut self, task: usize, number: usize, _share: f64) {
         let Some(i) = self.tasks.out(task, number).map(|a| a.worker) else { return };
         self.tasks[task].assignments[number].heard = self.now;
-        self.workers[i].revive();
+        self.workers[i].revive(self.now);
     }
 
     pub fn ended(&mut self, task: usize, number: usize, ending: Ending, over: bool) {
@@ -246,7 +244,7 @@
         w.running -= if a.started.is_some() { size.min(w.running) } else { 0.0 };
         match ending {
             Ending::Finished => {
-                w.revive();
+                w.revive(now);
                 (w.energy, w.fresh) = (Energy::Busy, false);
                 w.errors -= ERROR_STEP * w.errors;
                 let (kind, run) = (&mut self.kinds[w.site.kind], secs(now - a.started.unwrap_or(a.sent)));
@@ -387,7 +385,7 @@
         let out = self.doubtful(i) && !(harmless && t.assignments.len() < 2 && w.errors < DOUBT);
         let rests = w.rest > self.now && self.warmth(i) < 1.0;
         let tried = t.assignments.iter().any(|a| a.worker == i);
-        w.ready() && !rests && !risky && !out && !tried && self.allowed(task, i)
+        w.ready() && !w.silent && !rests && !risky && !out && !tried && self.allowed(task, i)
     }
 
     /// Barred, or just back and with a task in it: only where no other has room, for tasks that lose little there.
@@ -415,9 +413,8 @@
         for k in 0..2 * reach {
             self.drawn.extend(self.roster.pick(home, k < reach, self.chance.0.rand_u64()));
         }
-        // Each once, in a fixed order.
         self.drawn.sort_unstable();
-        self.drawn.dedup();
+        self.drawn.dedup(); // each once, in a fixed order
     }
 
     /// The worker of the lowest index among those open to the task, ties by chance; and whether there is room
@@ -617,8 +614,7 @@
         if self.tallied.is_none_or(|at| secs(now - at) >= TALLY) {
             self.tally();
         }
-        // Tasks that wait here are looked at again, first those of the highest utility per work.
-        self.passed = [0, 0];
+        self.passed = [0, 0]; // what waits here is looked at again, the highest utility per work first
         let mut lines = std::mem::take(&mut self.lines);
         let best_first = |x: &usize, y: &usize| self.density(*y).total_cmp(&self.density(*x));
         lines.iter_mut().for_each(|line| line.make_contiguous().sort_by(best_first));
@@ -634,7 +630,8 @@
             let (limit, run) = (secs(t.limit) - secs(now) - LAST_CALL, self.runs[t.workload].log.exp());
             let runs = t.assignments.iter().any(|a| a.live() && a.started.is_some());
             let repeatable = self.sheet.workloads[t.workload].effect != Effect::Unrepeatable;
-            let silent = |a: &Assignment| a.ending.is_none() && self.workers[a.worker].silent;
+            let silent =
+                |a: &Assignment| a.ending.is_none() && (self.overdue(a) || self.workers[a.worker].silent);
             let silent = repeatable && t.assignments.iter().any(silent);
             let stuck = self.stuck(task);
             let several = stuck && t.size > 1.0 && self.sheet.second_copies && t.out() < COPIES;
@@ -646,8 +643,7 @@
             } else if silent || stuck && (0..self.workers.len()).any(|i| self.has_room(task, i)) {
                 self.call_off(task, true);
             } else if runs {
-                // Of several copies one has started: the others need not.
-                self.call_off(task, false);
+                self.call_off(task, false); // of several copies one has started
             } else if several && self.may_queue(task) {
                 // Guards against waiting for several slots at one worker: it waits at a few, for the first.
                 if let Some((i, _)) = self.lowest(task, false) {
@@ -696,13 +692,20 @@
         self.mine += MINE_STEP * (own / (own + others).max(1.0) - self.mine);
     }
 
-    /// A worker whose notes on an assignment are overdue stands still: as good as erring.
+    /// The notes on an assignment are overdue: it alone stands still, unless its worker tells nothing else either.
+    fn overdue(&self, a: &Assignment) -> bool {
+        let late = |gap| secs(self.now - a.heard) > secs(gap) + NOTE_GRACE;
+        a.live() && a.started.is_some() && self.sheet.progress_every.is_some_and(late)
+    }
+
+    /// A worker that tells nothing at all while notes are overdue stands still: as good as erring.
     fn look_for_silence(&mut self, a: Assignment) {
         let Some(gap) = self.sheet.progress_every.map(secs) else { return };
-        let quiet = secs(self.now - a.heard);
+        let since = if self.overdue(&a) { self.workers[a.worker].heard } else { a.heard };
+        let quiet = secs(self.now - since);
         if !a.live() || a.started.is_none() || self.workers[a.worker].silent {
         } else if quiet <= gap + NOTE_GRACE {
-            self.due = self.due.min(a.heard + Duration::from_secs_f64(gap + NOTE_GRACE) + SWEEP);
+            self.due = self.due.min(since + Duration::from_secs_f64(gap + NOTE_GRACE) + SWEEP);
         } else {
             (self.workers[a.worker].silent, self.workers[a.worker].errors) = (true, 1.0);
             self.suspect(a.worker);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -106,6 +106,25 @@
     assert_snapshot!(desk.trace);
 }
 
+/// Guards against a worker barred, and all that is on it called off, for one task that never ends: its worker tells of
+/// others, so that task alone goes elsewhere.
+#[test]
+fn a_task_that_stands_still_alone_moves_alone() {
+    let mut desk = Desk::new(duty(&[Effect::Idempotent]), 2);
+    let tasks = [(); 4].map(|()| desk.arrive(0));
+    for task in tasks {
+        desk.rules.started(task, 0);
+    }
+    for then in [1900, 2600, 3200] {
+        desk.until(then);
+        for task in &tasks[1..] {
+            desk.rules.progressed(*task, 0, 0.5);
+        }
+        desk.pull();
+    }
+    assert_snapshot!(desk.trace);
+}
+
 /// Guards against quick errors, which keep n and so the index low.
 #[test]
 fn a_worker_that_errs_is_barred_and_returns_by_a_trickle() {
