The list client is a decider of its own, and an old list yields to workers' signs

A trace of every call showed the cause: one answer in five of the agent is lost or cut, the first one on a connection takes 0.27 s, the module alone said when to ask again with pauses that doubled, and a swallowed watch was noticed after 3.5 s: 5.1 s without a list during a release.

Change: crates/roster decides without I/O when to ask, on which connection, when a call counts as lost and which answers are too old (asking), and from when on one sign of a worker weighs more than the list (vouching). Discovery carries it out over connections that a small trait opens; the simulator's host uses the same decider as a shared service.

--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -1,154 +1,221 @@
-//! Keeps the list of workers: one watch after the other on the discovery agent.
+//! Keeps the list of workers: carries out what `Asking` decides, on connections to the discovery agent.
 
 use crate::berth::Words;
 use crate::exchange::Exchange;
 use crate::listing::{self, Listing};
+use crate::wire::Wire;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use slog::{info, warn, Logger};
+use slog::{debug, info, warn, Logger};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::sync::{watch, Notify};
+use tindock_roster::asking::{Asking, Step, Verdict};
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::Instant;
 
-/// How long a watch waits for something new: short, so that an agent gone silent is noticed soon.
-const WAIT: Duration = Duration::from_millis(2500);
-/// How long the agent, on the own machine, may take for anything else.
-const ANSWER: Duration = Duration::from_secs(1);
-/// Pauses before a new connection: the first short, since a restarted agent is back at once.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// A list of some thousand workers fits; an endless one does not.
 const MOST_LIST: usize = 4 * 1024 * 1024;
+/// While the list stays out, a line is written this often: an outage leaves some lines, not one a try.
+const STILL_OUT: Duration = Duration::from_secs(10);
 
 pub struct Discovery {
     pub exchange: Rc<Exchange>,
+    pub wire: Rc<dyn Wire>,
     pub words: Words,
     /// Where it is; another address may come at any time.
     pub address: watch::Receiver<SocketAddr>,
-    /// Where the module must ask, it says when; else a watch is always wanted.
-    pub asked: bool,
-    pub subscribe: Rc<Notify>,
-    pub index: Option<u64>,
-    /// It moved: the next watch waits for nobody.
-    pub at_once: bool,
+    pub asking: Asking,
     pub log: Logger,
 }
 
-struct Agent {
-    sender: SendRequest<Empty<Bytes>>,
-    driver: JoinHandle<()>,
+/// What came of a step on a connection.
+enum Came {
+    Up,
+    Answer(Bytes),
+    Nothing(String),
 }
 
-impl Drop for Agent {
+/// One connection: its calls go in, what comes of them goes to the channel that all share.
+struct Line {
+    calls: mpsc::UnboundedSender<String>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Line {
     fn drop(&mut self) {
-        self.driver.abort();
+        self.task.abort();
     }
 }
 
+/// Ends the connection's driver with whoever uses it.
+struct Driver(JoinHandle<()>);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// An outage is told of when it begins, now and then while it lasts, and when it is over.
+struct Outage {
+    began: Instant,
+    told: Instant,
+    calls: u64,
+}
+
 impl Discovery {
     /// Keeps the list for as long as the process lives, wherever discovery moves to.
     pub async fn keep(mut self) {
-        let mut address = self.address.clone();
+        let (mut outage, mut lines) = (None, BTreeMap::new());
+        // Not bounded by itself: a connection has one call under way, and there are few.
+        let (tell, mut told) = mpsc::unbounded_channel();
+        let mut place = self.address.clone();
+        let mut address = *place.borrow_and_update();
         loop {
-            let at = *address.borrow_and_update();
+            while let Some(step) = self.asking.step(self.exchange.now()) {
+                match step {
+                    Step::Dial { line } => {
+                        let (wire, tell) = (self.wire.clone(), tell.clone());
+                        let (calls, asked) = mpsc::unbounded_channel();
+                        let task = tokio::task::spawn_local(async move {
+                            let why = serve(&*wire, address, line, asked, &tell).await;
+                            // Nobody listens any more where the process ends.
+                            let _ = tell.send((line, Came::Nothing(why)));
+                        });
+                        lines.insert(line, Line { calls, task });
+                    }
+                    Step::Ask { line, after, wait } => {
+                        let target = match after {
+                            Some(index) => format!("/v1/servers?after={index}&wait_ms={}", wait.as_millis()),
+                            None => "/v1/servers".into(),
+                        };
+                        // One that is gone has told so, or will.
+                        lines.get(&line).into_iter().for_each(|l| drop(l.calls.send(target.clone())));
+                    }
+                    Step::Close { line } => {
+                        if lines.remove(&line).is_some() && self.asking.failures() > 0 {
+                            self.tell(&mut outage, "nothing in time");
+                        }
+                    }
+                }
+            }
+            let due = self.exchange.until(self.asking.due());
             tokio::select! {
-                () = self.keep_at(at) => {}
-                moved = address.changed() => match moved {
-                    // Guards against changes that never come: what the old place counted means nothing at the
-                    // new one, so the whole list is asked for, at once, whatever was waited for.
-                    Ok(()) => (self.index, self.at_once) = (None, true),
-                    // Nobody can tell of another address any more.
-                    Err(_) => return self.keep_at(at).await,
-                },
+                Some((line, came)) = told.recv() => {
+                    // What a closed connection had still to tell counts for nothing.
+                    if lines.contains_key(&line) && !self.take_in(line, came, &mut outage) {
+                        lines.remove(&line);
+                    }
+                }
+                Ok(()) = place.changed() => {
+                    address = *place.borrow_and_update();
+                    self.asking.moved();
+                }
+                () = tokio::time::sleep(due) => {}
             }
         }
     }
 
-    async fn keep_at(&mut self, address: SocketAddr) {
-        let (mut pause, mut failing) = (FIRST_PAUSE, false);
-        loop {
-            if self.asked && !std::mem::take(&mut self.at_once) {
-                self.subscribe.notified().await;
-            }
-            let (told, why) = self.watch(address).await;
-            // One line when it begins, not one for each try.
-            if told || !failing {
-                warn!(self.log, "discovery is out, the list is kept: {why}");
-            }
-            failing = true;
-            if self.asked {
-                // The module says when to ask again.
-                self.exchange.list_failed();
-                continue;
+    /// Takes in what came on a connection; whether it stays.
+    fn take_in(&mut self, line: u64, came: Came, outage: &mut Option<Outage>) -> bool {
+        let now = self.exchange.now();
+        let why = match came {
+            Came::Up => {
+                self.asking.dialled(line);
+                return true;
             }
-            pause = if told { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
-            tokio::time::sleep(pause).await;
-        }
+            Came::Nothing(why) => why,
+            Came::Answer(body) => match listing::decode(&body, &mut self.words) {
+                Ok(listing) => {
+                    self.judge(line, listing, outage);
+                    return true;
+                }
+                Err(why) => format!("a list that will not do: {why}"),
+            },
+        };
+        self.asking.failed(now, line);
+        self.tell(outage, &why);
+        false
     }
 
-    /// Watches until something fails; tells whether it was told anything before.
-    async fn watch(&mut self, address: SocketAddr) -> (bool, String) {
-        let mut told = false;
-        let mut agent = match timeout(ANSWER, connect(address)).await {
-            Ok(Ok(agent)) => agent,
-            Ok(Err(why)) => return (told, why),
-            Err(_) => return (told, "no connection in time".into()),
-        };
-        loop {
-            let (target, most) = match self.index {
-                Some(index) => {
-                    let wait = WAIT.as_millis();
-                    (format!("/v1/servers?after={index}&wait_ms={wait}"), WAIT + ANSWER)
+    fn judge(&mut self, line: u64, listing: Listing, outage: &mut Option<Outage>) {
+        let (index, whole) = (listing.index, listing.whole);
+        match self.asking.answered(self.exchange.now(), line, index, whole) {
+            Verdict::Take => {
+                if let Some(over) = outage.take() {
+                    let (out, calls) = (over.began.elapsed().as_secs_f64(), over.calls);
+                    info!(self.log, "discovery is back after {out:.2} s, {calls} calls came to nothing");
                 }
-                None => ("/v1/servers".into(), ANSWER),
-            };
-            match timeout(most, ask(&mut agent, address, &target)).await {
-                // Guards against a loop without pause on a list that stays wrong.
-                Ok(Ok(body)) => match listing::decode(&body, &mut self.words) {
-                    Ok(listing) => {
-                        told = true;
-                        self.adopt(listing);
-                    }
-                    Err(why) => return (false, format!("a list that will not do: {why}")),
-                },
-                Ok(Err(why)) => return (told, why),
-                Err(_) => return (told, "no answer in time".into()),
+                if whole || !listing.entries.is_empty() {
+                    info!(self.log, "list {index}: {} workers named", listing.entries.len());
+                }
+                self.exchange.list(listing);
             }
+            Verdict::Stale => self.tell(outage, &format!("list {index} is older than the one held")),
         }
     }
 
-    fn adopt(&mut self, listing: Listing) {
-        self.index = Some(listing.index);
-        if listing.whole || !listing.entries.is_empty() {
-            info!(self.log, "list {}: {} workers named", listing.index, listing.entries.len());
-            self.exchange.list(listing);
+    fn tell(&self, outage: &mut Option<Outage>, why: &str) {
+        let now = Instant::now();
+        match outage {
+            None => {
+                warn!(self.log, "discovery is out, the list is kept: {why}");
+                *outage = Some(Outage { began: now, told: now, calls: 1 });
+            }
+            Some(outage) => {
+                outage.calls += 1;
+                debug!(self.log, "discovery is out: {why}");
+                if now - outage.told >= STILL_OUT {
+                    outage.told = now;
+                    let out = outage.began.elapsed().as_secs_f64();
+                    warn!(self.log, "discovery is out for {out:.0} s, {} calls: {why}", outage.calls);
+                }
+            }
         }
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Agent, String> {
-    let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
-    let _ = stream.set_nodelay(true);
-    let shaken = http1::Builder::new().handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = shaken.map_err(|e| e.to_string())?;
-    let driver = tokio::task::spawn_local(async move {
-        let _ = connection.await;
-    });
-    Ok(Agent { sender, driver })
+/// One connection from its opening to its end, which is told in words.
+async fn serve(
+    wire: &dyn Wire,
+    address: SocketAddr,
+    line: u64,
+    mut calls: mpsc::UnboundedReceiver<String>,
+    tell: &mpsc::UnboundedSender<(u64, Came)>,
+) -> String {
+    let whole = async {
+        let stream = wire.dial(address).await.map_err(|e| e.to_string())?;
+        let shaken = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = shaken.map_err(|e| e.to_string())?;
+        let driver = tokio::task::spawn_local(async move {
+            let _ = connection.await;
+        });
+        let _driver = Driver(driver);
+        let _ = tell.send((line, Came::Up));
+        while let Some(target) = calls.recv().await {
+            let body = ask(&mut sender, address, &target).await?;
+            let _ = tell.send((line, Came::Answer(body)));
+        }
+        Ok::<(), String>(())
+    };
+    whole.await.err().unwrap_or_default()
 }
 
-async fn ask(agent: &mut Agent, address: SocketAddr, target: &str) -> Result<Bytes, String> {
-    agent.sender.ready().await.map_err(|e| e.to_string())?;
+async fn ask(
+    sender: &mut SendRequest<Empty<Bytes>>,
+    address: SocketAddr,
+    target: &str,
+) -> Result<Bytes, String> {
+    sender.ready().await.map_err(|e| e.to_string())?;
     let message = Request::get(target).header(HOST, address.to_string()).body(Empty::new());
-    let answer = agent.sender.send_request(message.map_err(|e| e.to_string())?).await;
+    let answer = sender.send_request(message.map_err(|e| e.to_string())?).await;
     let answer = answer.map_err(|e| e.to_string())?;
     if answer.status() != StatusCode::OK {
         return Err(format!("answered {}", answer.status().as_u16()));
--- a/crates/scheduler/src/endings.rs
+++ b/crates/scheduler/src/endings.rs
@@ -27,6 +27,8 @@
     BrokeUnsent,
     /// It broke or ended after the last byte, before an answer.
     BrokeSent,
+    /// The worker let a kept connection go early, while it was idle, and none is asked of it on an old list.
+    LetGo,
     /// The task's hard limit came first.
     Overdue,
     /// The module called it off.
@@ -35,6 +37,14 @@
     NeverSent,
 }
 
+impl Close {
+    /// What a worker that goes on would hardly do: a sign of leaving, where no list says who leaves.
+    pub fn is_sign_of_leaving(self) -> bool {
+        use Close::{BrokeUnsent, DialOverdue, LetGo, NotConnected, Returned, TurnedAway};
+        matches!(self, TurnedAway | Returned | NotConnected | DialOverdue | BrokeUnsent | LetGo)
+    }
+}
+
 impl From<Close> for Ending {
     fn from(close: Close) -> Ending {
         match close {
@@ -46,7 +56,7 @@
             Close::Overdue => Ending::TimedOut,
             Close::CalledOff => Ending::Cancelled,
             // Guards against workers barred for what bad clients send: it is not theirs, and nothing ran.
-            Close::Unusable(_) | Close::NeverSent => Ending::Moot,
+            Close::Unusable(_) | Close::NeverSent | Close::LetGo => Ending::Moot,
         }
     }
 }
--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 use tindock::rules::Rules;
 use tindock::terms::{Condition, Decision};
+use tindock_roster::vouching::Vouching;
 use tokio::sync::{mpsc, oneshot, Notify};
 
 /// A task as a client handed it in.
@@ -77,7 +78,6 @@
     Release {
         worker: usize,
     },
-    Subscribe,
 }
 
 /// A client's hold on its task; the answer comes on `answer`.
@@ -110,6 +110,7 @@
 
 struct State {
     rules: Rules,
+    vouching: Vouching,
     hands: Vec<Hand>,
     places: HashMap<Rc<str>, usize>,
     lives: u64,
@@ -142,6 +143,7 @@
         let (orders, taken) = mpsc::unbounded_channel();
         let state = State {
             rules,
+            vouching: Vouching::new(now()),
             hands: Vec::new(),
             places: HashMap::new(),
             lives: 0,
@@ -201,7 +203,6 @@
                     state.bell = Some(now + after);
                     self.bell_moved.notify_one();
                 }
-                Decision::Subscribe => self.order(Order::Subscribe),
                 Decision::Log(line) => info!(self.log, "{line}"),
             }
         }
@@ -283,7 +284,10 @@
                 Said::Running { share } => state.rules.progressed(place, number, share),
                 Said::Done { result } => state.ended(place, number, Close::Done, Some(result)),
                 Said::Erred => state.ended(place, number, Close::Erred, None),
-                Said::Returned => state.ended(place, number, Close::Returned, None),
+                Said::Returned => {
+                    self.sign(state, place, number, Close::Returned);
+                    state.ended(place, number, Close::Returned, None);
+                }
                 Said::Lost => state.ended(place, number, Close::Lost, None),
             }
         });
@@ -298,21 +302,44 @@
                 if let Close::Unusable(status) = close {
                     state.answer(ticket.place, Answer::TurnedDown(status));
                 }
+                self.sign(state, ticket.place, ticket.number, close);
                 state.ended(ticket.place, ticket.number, close, None);
             }
         });
     }
 
+    /// Where no list can be had, what the worker itself shows decides whether it is left out.
+    fn sign(&self, state: &mut State, place: usize, number: usize, close: Close) {
+        let (now, worker) = ((self.now)(), state.hands[place].outs[number].worker);
+        if !close.is_sign_of_leaving() || state.vouching.leaves_out(now, worker) {
+            return;
+        }
+        if let Some(until) = state.vouching.sign(now, worker) {
+            let most = (until - now).as_secs_f64();
+            info!(
+                self.log,
+                "worker {worker} left out until there is a list, {most} s at the most: {close:?}"
+            );
+            state.rules.left_out(worker, until);
+        }
+    }
+
     /// Asked before the first byte: whether the assignment is still wanted and its worker takes new ones.
     pub fn still_wanted(&self, ticket: Ticket) -> bool {
         let state = self.state.borrow();
         state.is_out(ticket) && {
             let hand = &state.hands[ticket.place];
             let worker = hand.outs[ticket.number].worker;
-            hand.answer.is_some() && state.workers[worker].condition == Condition::Ready
+            let ready = state.workers[worker].condition == Condition::Ready;
+            hand.answer.is_some() && ready && !state.vouching.leaves_out((self.now)(), worker)
         }
     }
 
+    /// Whether a sign that a worker gives weighs more than the list by now.
+    pub fn list_is_old(&self) -> bool {
+        self.state.borrow().vouching.is_old((self.now)())
+    }
+
     pub fn address(&self, worker: usize) -> SocketAddr {
         self.state.borrow().workers[worker].address
     }
@@ -323,8 +350,22 @@
 
     // ---- discovery ----
 
+    /// Discovery answered; an answer that names nobody confirms the list.
     pub fn list(&self, listing: Listing) {
-        self.feed(|state| self.take_list(state, listing));
+        let names_nobody = !listing.whole && listing.entries.is_empty();
+        let now = (self.now)();
+        let let_in: Vec<usize> = self.state.borrow_mut().vouching.confirmed(now).collect();
+        if names_nobody && let_in.is_empty() {
+            return;
+        }
+        self.feed_at(now, |state| {
+            if !names_nobody {
+                self.take_list(state, listing);
+            }
+            for worker in let_in {
+                state.rules.left_out(worker, now);
+            }
+        });
     }
 
     fn take_list(&self, state: &mut State, listing: Listing) {
@@ -338,10 +379,6 @@
         }
     }
 
-    pub fn list_failed(&self) {
-        self.feed(|state| state.rules.list_failed());
-    }
-
     /// Whether any worker was ever listed: only then can anything be decided.
     pub fn can_decide(&self) -> bool {
         !self.state.borrow().workers.is_empty()
@@ -393,6 +430,10 @@
         }
     }
 
+    pub fn now(&self) -> Duration {
+        (self.now)()
+    }
+
     pub fn until(&self, at: Duration) -> Duration {
         at.saturating_sub((self.now)())
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod sending;
 pub mod start;
 pub mod stopping;
+pub mod wire;
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -34,6 +34,8 @@
     idle_since: Instant,
     /// Whether it carried a message before.
     pub used: bool,
+    /// Whether the worker was found to have let others go before their time when this one was taken.
+    pub let_go: bool,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -60,10 +62,13 @@
 
     /// An idle connection to the worker, the one used last, or a new one.
     pub async fn line(&self, worker: usize, address: SocketAddr) -> Result<Line, Close> {
-        if let Some(line) = self.take(worker, address) {
-            return Ok(line);
-        }
-        self.dial(address).await
+        let mut let_go = false;
+        let mut line = match self.take(worker, address, &mut let_go) {
+            Some(line) => line,
+            None => self.dial(address).await?,
+        };
+        line.let_go = let_go;
+        Ok(line)
     }
 
     /// A kept connection broke under a message: others may have been let go in the same way, by a worker or by
@@ -73,7 +78,7 @@
         self.idle.borrow_mut().clear();
     }
 
-    fn take(&self, worker: usize, address: SocketAddr) -> Option<Line> {
+    fn take(&self, worker: usize, address: SocketAddr, let_go: &mut bool) -> Option<Line> {
         let mut idle = self.idle.borrow_mut();
         let lines = idle.get_mut(&worker)?;
         while let Some(line) = lines.pop() {
@@ -81,6 +86,7 @@
             if line.address == address && fresh && line.sender.is_ready() {
                 return Some(line);
             }
+            *let_go |= line.address == address && fresh;
         }
         None
     }
@@ -106,7 +112,16 @@
             // How it ended is told to whoever waits for an answer on it.
             let _ = connection.await;
         });
-        Ok(Line { sender, gauge, address, driver, idle_since: Instant::now(), used: false, _permit: permit })
+        Ok(Line {
+            sender,
+            gauge,
+            address,
+            driver,
+            idle_since: Instant::now(),
+            used: false,
+            let_go: false,
+            _permit: permit,
+        })
     }
 
     /// Takes a connection back once its message was answered whole.
--- a/crates/scheduler/src/sending.rs
+++ b/crates/scheduler/src/sending.rs
@@ -14,7 +14,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, Instant};
 
@@ -35,7 +35,6 @@
     reports: Vec<String>,
     /// Assignments whose 202 has not come.
     under_way: RefCell<HashMap<Ticket, AbortHandle>>,
-    subscribe: Rc<Notify>,
     log: Logger,
 }
 
@@ -68,14 +67,8 @@
 }
 
 impl Sending {
-    pub fn new(
-        exchange: Rc<Exchange>,
-        pool: Rc<Pool>,
-        reports: Vec<String>,
-        subscribe: Rc<Notify>,
-        log: Logger,
-    ) -> Rc<Self> {
-        Rc::new(Sending { exchange, pool, reports, under_way: RefCell::default(), subscribe, log })
+    pub fn new(exchange: Rc<Exchange>, pool: Rc<Pool>, reports: Vec<String>, log: Logger) -> Rc<Self> {
+        Rc::new(Sending { exchange, pool, reports, under_way: RefCell::default(), log })
     }
 
     pub async fn carry_out(self: Rc<Self>, mut orders: mpsc::UnboundedReceiver<Order>) {
@@ -95,7 +88,6 @@
                 Order::Drop { ticket } => drop(self.close(ticket)),
                 Order::Probe { worker } => drop(tokio::task::spawn_local(self.clone().probe(worker))),
                 Order::Release { worker } => self.pool.release(worker),
-                Order::Subscribe => self.subscribe.notify_one(),
             }
         }
     }
@@ -130,6 +122,11 @@
                 self.pool.give_back(worker, line).await;
                 return Taken::No(Close::NeverSent);
             }
+            // Guards against a task on a connection that just came up, or was left, at a worker that ends.
+            if line.let_go && self.exchange.list_is_old() {
+                self.pool.give_back(worker, line).await;
+                return Taken::No(Close::LetGo);
+            }
             let left = self.exchange.until(limit).as_millis() as u64;
             let mut message = Request::new(Full::new(call.body.clone()));
             *message.method_mut() = Method::POST;
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -10,14 +10,15 @@
 use crate::reloading::Reloading;
 use crate::sending::Sending;
 use crate::stopping::Stopping;
+use crate::wire::Tcp;
 use slog::{info, o, Logger};
 use std::path::PathBuf;
 use std::rc::Rc;
 use tindock::rules::Rules;
-use tindock::terms::News;
+use tindock_roster::asking::{Asking, Service, LONG_WATCH};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{watch, Notify};
+use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 
 /// Serves until told to stop and all is answered; an error only where it could not start.
@@ -34,30 +35,31 @@
     let listener = TcpListener::bind(berth.listen).await.map_err(|e| format!("{}: {e}", berth.listen))?;
     let part = |name: &'static str| log.new(o!("part" => name));
     let clock = Clock::start();
-    let asked = berth.sheet.news != News::Pushed;
     let hard_limits: Vec<_> = berth.sheet.workloads.iter().map(|row| row.hard_limit).collect();
     let stopping = Rc::new(Stopping::new(&hard_limits, part("stopping")));
     let began = clock.now();
     let rules = Rules::new(berth.sheet, berth.seed, began);
     let now = Box::new(move || clock.now());
     let (exchange, orders) = Exchange::new(rules, hard_limits, clock, now, part("rules"));
-    let subscribe = Rc::new(Notify::new());
     let (discovery, address) = watch::channel(berth.discovery);
     let reloading = Reloading { path, discovery, log: part("configuration") };
     let discovery = Discovery {
         exchange: exchange.clone(),
+        wire: Rc::new(Tcp),
         words: berth.words.clone(),
         address,
-        asked,
-        subscribe: subscribe.clone(),
-        at_once: false,
-        index: berth.known.as_ref().map(|known| known.index),
+        // It is an agent on the own machine, whatever the settings say of the service behind it.
+        asking: Asking::new(
+            Service::Agent { watch: LONG_WATCH },
+            berth.known.as_ref().map(|known| known.index),
+            berth.seed,
+        ),
         log: part("discovery"),
     };
     exchange.begin(began, berth.known);
     let pool = Rc::new(Pool::new(berth.for_workers, berth.dial, berth.keep));
     let reports = berth.words.reports.clone();
-    let sending = Sending::new(exchange.clone(), pool.clone(), reports, subscribe, part("workers"));
+    let sending = Sending::new(exchange.clone(), pool.clone(), reports, part("workers"));
     let words = Rc::new(berth.words);
     let door = Door::new(
         exchange.clone(),
--- /dev/null
+++ b/crates/scheduler/src/wire.rs
@@ -0,0 +1,31 @@
+//! How connections are opened: TCP in service, something scripted in a test.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+
+pub trait Stream: AsyncRead + AsyncWrite + Unpin {}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> Stream for S {}
+
+pub type Dialled = Pin<Box<dyn Future<Output = io::Result<Box<dyn Stream>>>>>;
+
+pub trait Wire {
+    /// Opens a connection; dropping the future gives it up.
+    fn dial(&self, to: SocketAddr) -> Dialled;
+}
+
+pub struct Tcp;
+
+impl Wire for Tcp {
+    fn dial(&self, to: SocketAddr) -> Dialled {
+        Box::pin(async move {
+            let stream = TcpStream::connect(to).await?;
+            let _ = stream.set_nodelay(true);
+            Ok(Box::new(stream) as Box<dyn Stream>)
+        })
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/discovery.rs
@@ -0,0 +1,257 @@
+//! The list client with its connections, against scripted agents in virtual time: no socket, no waiting.
+
+#[allow(dead_code)] // the module's own tests use the rest
+#[path = "../../../tests/helpers/mod.rs"]
+mod helpers;
+
+use helpers::duty;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tindock::rules::Rules;
+use tindock::terms::Effect;
+use tindock_roster::asking::{Asking, Service, SHORT_WATCH};
+use tindock_scheduler::berth::Words;
+use tindock_scheduler::clock::Clock;
+use tindock_scheduler::discovery::Discovery;
+use tindock_scheduler::exchange::Exchange;
+use tindock_scheduler::wire::{Dialled, Stream, Wire};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::sync::watch;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, Instant};
+
+/// What an agent does with the next connection, or with the first call on it.
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    Refuse,
+    /// Never comes up.
+    Hang,
+    /// Answers so many bytes, then ends the connection.
+    Cut(usize),
+    /// Answers so many bytes, then says nothing more.
+    Stall(usize),
+    /// Answers one byte every so many milliseconds.
+    Drip(u64),
+    /// Answers with this status.
+    Status(u16),
+}
+
+/// An agent that is well once its script is done. Its list names one worker, whose port tells the version.
+struct Agent {
+    script: RefCell<VecDeque<Act>>,
+    version: Cell<u64>,
+    dials: RefCell<Vec<SocketAddr>>,
+}
+
+fn list(version: u64, whole: bool) -> String {
+    let port = 4000 + version;
+    let entry =
+        format!(r#"{{"name":"w0","address":"127.0.0.1:{port}","zone":"a","type":"m","status":"active"}}"#);
+    format!(r#"{{"index":{version},"snapshot":{whole},"endpoints":[{entry}]}}"#)
+}
+
+fn answer(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+impl Agent {
+    fn new(script: &[Act]) -> Rc<Self> {
+        let script = RefCell::new(script.iter().copied().collect());
+        Rc::new(Agent { script, version: Cell::new(7), dials: RefCell::default() })
+    }
+
+    async fn serve(self: Rc<Self>, mut stream: DuplexStream, mut act: Option<Act>) -> io::Result<()> {
+        loop {
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                match stream.read_u8().await {
+                    Ok(byte) => head.push(byte),
+                    Err(_) => return Ok(()),
+                }
+            }
+            let head = String::from_utf8_lossy(&head).into_owned();
+            let after =
+                head.split("after=").nth(1).and_then(|rest| rest.split('&').next()?.parse::<u64>().ok());
+            let wait = head.split("wait_ms=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+            let wait = Duration::from_millis(wait.unwrap_or(0));
+            let began = Instant::now();
+            while act.is_none() && after.is_some_and(|a| a >= self.version.get()) && began.elapsed() < wait {
+                sleep(Duration::from_millis(1)).await;
+            }
+            let version = self.version.get();
+            let text = match after {
+                Some(after) if after >= version => {
+                    answer(&format!(r#"{{"index":{version},"snapshot":false,"endpoints":[]}}"#))
+                }
+                after => answer(&list(version, after.is_none())),
+            };
+            let bytes = text.as_bytes();
+            match act.take() {
+                None => stream.write_all(bytes).await?,
+                Some(Act::Cut(at)) => return stream.write_all(&bytes[..at.min(bytes.len() - 1)]).await,
+                Some(Act::Stall(at)) => {
+                    stream.write_all(&bytes[..at.min(bytes.len() - 1)]).await?;
+                    std::future::pending::<()>().await;
+                }
+                Some(Act::Drip(every)) => {
+                    for byte in bytes {
+                        sleep(Duration::from_millis(every)).await;
+                        stream.write_u8(*byte).await?;
+                    }
+                }
+                Some(Act::Status(status)) => {
+                    let text = format!("HTTP/1.1 {status} Odd\r\nContent-Length: 0\r\n\r\n");
+                    stream.write_all(text.as_bytes()).await?;
+                }
+                Some(Act::Refuse | Act::Hang) => unreachable!("they have no connection"),
+            }
+        }
+    }
+}
+
+struct Script(Rc<Agent>);
+
+impl Wire for Script {
+    fn dial(&self, to: SocketAddr) -> Dialled {
+        let agent = self.0.clone();
+        agent.dials.borrow_mut().push(to);
+        Box::pin(async move {
+            let act = agent.script.borrow_mut().pop_front();
+            match act {
+                Some(Act::Refuse) => return Err(io::ErrorKind::ConnectionRefused.into()),
+                Some(Act::Hang) => std::future::pending().await,
+                _ => {}
+            }
+            let (ours, its) = tokio::io::duplex(64 * 1024);
+            spawn_local(agent.serve(its, act));
+            Ok(Box::new(ours) as Box<dyn Stream>)
+        })
+    }
+}
+
+/// A client of an agent, and what it holds.
+struct Held {
+    exchange: Rc<Exchange>,
+    address: watch::Sender<SocketAddr>,
+}
+
+impl Held {
+    fn of(agent: &Rc<Agent>) -> Self {
+        let clock = Clock::start();
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let sheet = duty(&[Effect::Idempotent]);
+        let hard = sheet.workloads.iter().map(|row| row.hard_limit).collect();
+        let rules = Rules::new(sheet, 7, clock.now());
+        let now = Box::new(move || clock.now());
+        let (exchange, _orders) = Exchange::new(rules, hard, clock, now, log.clone());
+        let (address, place) = watch::channel(([127, 0, 0, 1], 1).into());
+        let asking = Asking::new(Service::Agent { watch: SHORT_WATCH }, None, 7);
+        let wire = Rc::new(Script(agent.clone()));
+        let words = Words::default();
+        let client = Discovery { exchange: exchange.clone(), wire, words, address: place, asking, log };
+        spawn_local(client.keep());
+        Held { exchange, address }
+    }
+
+    fn version(&self) -> Option<u64> {
+        self.exchange.can_decide().then(|| u64::from(self.exchange.address(0).port()) - 4000)
+    }
+
+    /// How long it takes until this version is held, in milliseconds.
+    async fn takes(&self, version: u64) -> u64 {
+        let began = Instant::now();
+        while self.version() != Some(version) {
+            assert!(began.elapsed() < Duration::from_secs(20), "version {version} never came");
+            sleep(Duration::from_millis(1)).await;
+        }
+        began.elapsed().as_millis() as u64
+    }
+}
+
+/// Runs in virtual time.
+fn run<T>(what: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), what)
+}
+
+fn first_list(script: &[Act]) -> u64 {
+    run(async { Held::of(&Agent::new(script)).takes(7).await })
+}
+
+/// Guards against a gap after an answer that broke off, wherever it did: it is asked again at once.
+#[test]
+fn an_answer_cut_at_any_byte_is_asked_for_again_at_once() {
+    for at in 0..answer(&list(7, true)).len() {
+        let gap = first_list(&[Act::Cut(at)]);
+        assert!(gap <= 3, "{gap} ms after {at} bytes");
+    }
+}
+
+/// Guards against waiting for the rest of half an answer: another connection is tried beside it.
+#[test]
+fn an_answer_that_stops_at_any_byte_is_overtaken() {
+    for at in 0..answer(&list(7, true)).len() {
+        let gap = first_list(&[Act::Stall(at)]);
+        assert!(gap <= 300, "{gap} ms after {at} bytes");
+    }
+}
+
+#[test]
+fn refused_so_often_the_list_comes_with_the_next_try() {
+    for refusals in 0..=10 {
+        let gap = first_list(&vec![Act::Refuse; refusals]);
+        // Pauses of 0, 30, 60, 120, and 240 ms from then on.
+        let pauses: u64 =
+            (0..refusals as u64).map(|n| [0, 30, 60, 120].get(n as usize).copied().unwrap_or(240)).sum();
+        assert!(gap <= pauses + 3, "{gap} ms after {refusals} refusals");
+    }
+}
+
+/// One byte a millisecond is slow but an answer; a connection that never comes up, or a status, is none.
+#[test]
+fn slow_answers_count_and_odd_ones_do_not() {
+    let whole = answer(&list(7, true)).len() as u64;
+    let gap = first_list(&[Act::Drip(1)]);
+    assert!(gap <= whole + 3, "{gap} ms");
+    assert!(first_list(&[Act::Hang]) <= 293);
+    assert!(first_list(&[Act::Status(503), Act::Status(500)]) <= 33);
+}
+
+/// Guards against a list that falls back: an agent that was started anew and has not caught up is not believed.
+#[test]
+fn an_older_list_is_not_taken_in() {
+    run(async {
+        let agent = Agent::new(&[]);
+        let held = Held::of(&agent);
+        held.takes(7).await;
+        agent.version.set(0);
+        sleep(Duration::from_millis(1500)).await;
+        assert_eq!(held.version(), Some(7), "older versions for 1.5 s");
+        agent.version.set(9);
+        assert!(held.takes(9).await <= 300);
+    });
+}
+
+/// Guards against an old place that holds up the new one: SIGHUP moves it while it is silent.
+#[test]
+fn it_moves_while_the_old_place_is_silent() {
+    run(async {
+        let agent = Agent::new(&[Act::Hang, Act::Stall(10), Act::Hang]);
+        let held = Held::of(&agent);
+        sleep(Duration::from_millis(500)).await;
+        assert_eq!(held.version(), None);
+        let place = ([127, 0, 0, 1], 2).into();
+        held.address.send(place).expect("a client");
+        agent.script.borrow_mut().clear();
+        assert!(held.takes(7).await <= 3);
+        assert_eq!(agent.dials.borrow().last(), Some(&place));
+        // Changes come by the watch from then on.
+        agent.version.set(8);
+        assert!(held.takes(8).await <= 3);
+    });
+}
--- a/crates/scheduler/tests/exchange.rs
+++ b/crates/scheduler/tests/exchange.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tindock::rules::Rules;
-use tindock::terms::{Condition, DutySheet, Effect, News, Site};
+use tindock::terms::{Condition, DutySheet, Effect, Site};
 use tindock_scheduler::clock::Clock;
 use tindock_scheduler::endings::Close;
 use tindock_scheduler::exchange::{Call, Exchange, Hold, Order, Ticket};
@@ -227,17 +227,6 @@
     assert_snapshot!(floor.trace);
 }
 
-/// Guards against a scheduler that starts without a list and never asks for one.
-#[test]
-fn a_list_that_must_be_asked_for_is_asked_for() {
-    let news = News::Asked { within: ms(10_000) };
-    let mut floor = Floor::new(DutySheet { news, ..duty(&[Effect::Idempotent]) }, 0);
-    floor.exchange.list_failed();
-    floor.note("the watch broke");
-    floor.pass(2000);
-    assert_snapshot!(floor.trace);
-}
-
 /// What has provably not run may be reassigned, so every way to end must be told as what it is.
 #[test]
 fn each_close_is_told_as_one_ending() {
@@ -257,6 +246,7 @@
         Overdue,
         CalledOff,
         NeverSent,
+        LetGo,
     ];
     let line = |c: &Close| {
         let ending = tindock::terms::Ending::from(*c);
@@ -264,3 +254,26 @@
     };
     assert_snapshot!(all.iter().map(line).collect::<String>());
 }
+
+/// Guards against drains broken by luck: while no list can be had, a worker that turns a task away is left out at the
+/// first sign, and a task is not passed round among workers that all leave; while lists come, signs change nothing.
+#[test]
+fn on_an_old_list_one_sign_leaves_a_worker_out() {
+    let mut floor = Floor::new(duty(&[Effect::Unrepeatable]), 2);
+    floor.note("the list is fresh: turned away, and the next task may go there again");
+    floor.arrive("a");
+    floor.end(0, Close::TurnedAway);
+    floor.end(1, Close::TurnedAway);
+    floor.arrive("b");
+    floor.note("no answer from discovery for a second");
+    floor.pass(1000);
+    floor.end(2, Close::NotConnected);
+    floor.arrive("c");
+    floor.note("the other one gives a sign too: both are left out, and c waits for a list");
+    floor.end(3, Close::TurnedAway);
+    floor.arrive("d");
+    floor.note("an answer that names nobody is a list all the same");
+    floor.list(Vec::new(), false);
+    floor.pass(20);
+    assert_snapshot!(floor.trace);
+}
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -8,15 +8,23 @@
 use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::time::Duration;
 use tindock::rules::Rules;
-use tindock::terms::{Condition, Decision, Ending, Site};
+use tindock::terms::{Condition, Decision, Ending, News, Site};
+use tindock_roster::asking::{Asking, Service, Step};
 
 const BATCH_HEADER: usize = 20;
 const EVENT: usize = 56;
 const ENTRY: usize = 23;
+/// Names the bell that is for the list; the module's has 0.
+const LIST_BELL: u64 = 1;
 
 /// One scheduler: its decisions, and the outside names of its tasks and workers.
 struct Instance {
     rules: Rules,
+    /// Where the list must be asked for.
+    asking: Option<Asking>,
+    /// The call for it that was made last, and the bell asked for on its behalf.
+    call: u64,
+    asks_at: Option<Duration>,
     workloads: usize,
     places: HashMap<u64, usize>,
     ids: Vec<u64>,
@@ -52,10 +60,12 @@
         Ok((values, count))
     }
 
-    fn update(&mut self, frame: &Frame, at: usize) -> Result<(), Wrong> {
+    fn update(&mut self, frame: &Frame, at: usize, now: Duration) -> Result<(), Wrong> {
         let whole = match frame.u8(at + 2)? {
             1 => {
-                self.rules.list_failed();
+                if let Some(asking) = &mut self.asking {
+                    asking.failed(now, self.call);
+                }
                 return Ok(());
             }
             3 => false,
@@ -63,6 +73,13 @@
             form => return Err(Wrong::at(at + 2, format!("unknown list form {form}"))),
         };
         let entries = frame.tail(at + 11, ENTRY)?;
+        // The list it starts with answers no call; and events come in their order, so none is older than what is held.
+        if frame.u8(at + 2)? != 0 {
+            let index = frame.u64(at + 3)?;
+            if let Some(asking) = &mut self.asking {
+                asking.answered(now, self.call, index, whole);
+            }
+        }
         self.rules.list_begins(whole);
         for e in entries {
             let e = Frame::over(&frame.bytes[e..e + ENTRY], e);
@@ -85,9 +102,9 @@
         Ok(())
     }
 
-    fn event(&mut self, frame: &Frame, at: usize, code: u16) -> Result<(), Wrong> {
+    fn event(&mut self, frame: &Frame, at: usize, code: u16, now: Duration) -> Result<(), Wrong> {
         match code {
-            1010 => self.update(frame, at)?,
+            1010 => self.update(frame, at, now)?,
             1020 => {
                 let id = frame.u64(at + 2)?;
                 if !self.given.insert(id) {
@@ -131,7 +148,10 @@
                     self.rules.left(place);
                 }
             }
-            1060 => self.rules.bell(),
+            1060 => match frame.u64(at + 2)? {
+                LIST_BELL => self.asks_at = None,
+                _ => self.rules.bell(),
+            },
             1070 => {
                 let worker = self.worker(frame.address(at + 10)?, at + 10)?;
                 let ok = ending(frame, at + 16)? == Ending::Finished;
@@ -156,7 +176,30 @@
         Ok(())
     }
 
-    fn pull(&mut self, reply: &mut Reply) {
+    /// Subscribes to the list when it is time to; there is no connection to be kept for it here.
+    fn ask(&mut self, reply: &mut Reply, now: Duration) {
+        let Some(asking) = &mut self.asking else { return };
+        while let Some(step) = asking.step(now) {
+            match step {
+                Step::Dial { line } => {
+                    self.call = line;
+                    asking.dialled(line);
+                }
+                Step::Ask { .. } => {
+                    reply.record(1110).raw(&[1]);
+                }
+                Step::Close { .. } => {}
+            }
+        }
+        let due = asking.due();
+        if due < Duration::MAX && self.asks_at.is_none_or(|at| due < at) {
+            self.asks_at = Some(due);
+            reply.record(1090).f64(due.saturating_sub(now).as_secs_f64()).u64(LIST_BELL);
+        }
+    }
+
+    fn pull(&mut self, reply: &mut Reply, now: Duration) {
+        self.ask(reply, now);
         while let Some(decision) = self.rules.decide() {
             match decision {
                 Decision::Assign { task, worker } => {
@@ -181,9 +224,6 @@
                 Decision::Wake { after } => {
                     reply.record(1090).f64(after.as_secs_f64()).u64(0);
                 }
-                Decision::Subscribe => {
-                    reply.record(1110).raw(&[1]);
-                }
                 Decision::Log(line) => reply.text(1020, &line),
             }
         }
@@ -231,9 +271,17 @@
         if code == 1000 {
             let info = frame.tail_text(at + 10)?;
             let sheet = tindock_sheet::read_text(info).map_err(|why| Wrong::at(at + 10, why))?;
+            let seed = frame.u64(at + 2)?;
+            let asking = match sheet.news {
+                News::Pushed => None,
+                News::Asked { within } => Some(Asking::new(Service::Shared { within }, Some(0), !seed)),
+            };
             let instance = Instance {
                 workloads: sheet.workloads.len(),
-                rules: Rules::new(sheet, frame.u64(at + 2)?, now),
+                asking,
+                call: 0,
+                asks_at: None,
+                rules: Rules::new(sheet, seed, now),
                 places: HashMap::new(),
                 ids: Vec::new(),
                 given: HashSet::new(),
@@ -250,14 +298,14 @@
         }
         let instance = hosted.get_mut(&number).ok_or_else(missing)?;
         instance.rules.clock(now);
-        instance.event(&frame, at, code)?;
+        instance.event(&frame, at, code, now)?;
     }
     for number in order {
         if let Some(instance) = hosted.get_mut(&number) {
             let before = reply.len();
             reply.record(1120).raw(&number.to_le_bytes());
             let opened = reply.len();
-            instance.pull(&mut reply);
+            instance.pull(&mut reply, now);
             if reply.len() == opened {
                 reply.cut(before);
             }
--- a/src/books.rs
+++ b/src/books.rs
@@ -35,6 +35,8 @@
     pub heard: Duration,
     /// While cold: no own task before then.
     pub rest: Duration,
+    /// Gave a sign of leaving on an old list: no own task before then.
+    pub left_out: Duration,
     pub probed: Duration,
     pub probing: bool,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -95,9 +95,6 @@
     tallied: Option<Duration>,
     ready: usize,
     suspects: Vec<usize>,
-    subscribed: bool,
-    ask_at: Duration,
-    ask_failures: u32,
     probes: f64,
     mine: f64,
     shares: Vec<Bucket>,
@@ -113,11 +110,10 @@
         let first = |w: &Workload| Runs { log: guess(w).ln(), mean: guess(w), seen: 0.0 };
         let runs: Vec<Runs> = sheet.workloads.iter().map(first).collect();
         let hold = runs.iter().map(|r| r.mean).sum::<f64>() / runs.len() as f64;
-        let subscribed = sheet.news == News::Pushed;
         let (setup, mine) = (hold / 16.0, 1.0 / sheet.schedulers as f64); // guesses, until answers come
-        let times = Rules { now, start: now, due: now, ask_at: now, ..Rules::default() };
+        let times = Rules { now, start: now, due: now, ..Rules::default() };
         let chance = Chance(Rand64::new(u128::from(seed)));
-        Rules { chance, runs, hold, setup, mine, subscribed, sheet, ..times }
+        Rules { chance, runs, hold, setup, mine, sheet, ..times }
     }
 
     // ---- inputs: they only update what is known ----
@@ -131,7 +127,6 @@
     }
 
     pub fn list_begins(&mut self, whole: bool) {
-        self.ask_failures = 0;
         (self.tallied, self.due) = (None, self.now);
         if whole {
             self.workers.iter_mut().for_each(|w| w.on_list = false);
@@ -167,15 +162,9 @@
         }
     }
 
-    /// A call for the list failed, or the subscription broke.
-    pub fn list_failed(&mut self) {
-        self.subscribed = self.sheet.news == News::Pushed;
-        self.ask_failures += 1;
-        let jitter = 0.75 + 0.5 * self.chance.0.rand_float();
-        let News::Asked { within } = self.sheet.news else { return };
-        let pause = (0.25 * f64::from(1 << self.ask_failures.min(4)) * jitter).min(secs(within) / 2.0);
-        self.ask_at = self.now + Duration::from_secs_f64(pause);
-        self.due = self.due.min(self.ask_at);
+    /// A worker that gave a sign of leaving while no list could be had: nothing for it until then.
+    pub fn left_out(&mut self, i: usize, until: Duration) {
+        self.workers[i].left_out = until;
     }
 
     pub fn arrived(&mut self, workload: usize, size: f64, left: Duration, customer: usize) -> usize {
@@ -383,7 +372,7 @@
         let risky =
             !harmless && w.spells > 0 && w.errors > 0.2 && self.sheet.workloads.iter().any(idempotent);
         let out = self.doubtful(i) && !(harmless && t.assignments.len() < 2 && w.errors < DOUBT);
-        let rests = w.rest > self.now && self.warmth(i) < 1.0;
+        let rests = w.rest > self.now && self.warmth(i) < 1.0 || w.left_out > self.now;
         let tried = t.assignments.iter().any(|a| a.worker == i);
         w.ready() && !w.silent && !rests && !risky && !out && !tried && self.allowed(task, i)
     }
@@ -610,7 +599,7 @@
     /// Looks over all that is out: silence, doomed tasks, hard limits, the list and probes.
     fn sweep(&mut self) {
         let now = self.now;
-        self.due = if self.subscribed { Duration::MAX } else { self.ask_at };
+        self.due = Duration::MAX;
         if self.tallied.is_none_or(|at| secs(now - at) >= TALLY) {
             self.tally();
         }
@@ -654,10 +643,6 @@
             next = if runs || !repeatable { next } else { next.min(secs(SWEEP)) };
             self.due = self.due.min(now + Duration::from_secs_f64(next.max(0.0)).max(SWEEP));
         }
-        if !self.subscribed && self.ask_at <= now {
-            self.subscribed = true;
-            self.say.push_back(Decision::Subscribe);
-        }
         self.bar();
         self.probe();
     }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -173,8 +173,6 @@
     Wake {
         after: Duration,
     },
-    /// Subscribe to the worker list.
-    Subscribe,
     /// A short line for the log.
     Log(String),
 }
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -125,7 +125,6 @@
                 Decision::CallOff { task, assignment } => format!("call off {task}/{assignment}"),
                 Decision::Probe { worker } => format!("probe worker {worker}"),
                 Decision::Release { worker } => format!("release worker {worker}"),
-                Decision::Subscribe => "subscribe".into(),
                 Decision::Log(line) => format!("log: {line}"),
             };
             self.trace += &format!("{:5} {said}\n", self.now);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,7 +5,7 @@
 use helpers::{duty, ms, Desk};
 use insta::assert_snapshot;
 use tindock::rules::whittle;
-use tindock::terms::{Condition, Effect, Ending, Energy, Group, News};
+use tindock::terms::{Condition, Effect, Ending, Energy, Group};
 
 /// The mean number in the paper's queue grows by this much when the threshold moves: the busy index, worked
 /// out with b^n as repeated products and exact fractions, apart from the code's closed form.
@@ -218,22 +218,6 @@
     assert_snapshot!(desk.trace);
 }
 
-/// Guards against a list that fails: the subscription is asked for again, with growing pauses.
-#[test]
-fn a_lost_list_is_asked_for_again() {
-    let mut desk = Desk::new(duty(&[Effect::Idempotent]), 1);
-    let mut sheet = duty(&[Effect::Idempotent]);
-    sheet.news = News::Asked { within: ms(10_000) };
-    desk.rules = tindock::rules::Rules::new(sheet, 7, ms(1000));
-    desk.pull();
-    for _ in 0..4 {
-        desk.rules.list_failed();
-        let next = desk.now + 3000;
-        desk.until(next);
-    }
-    assert_snapshot!(desk.trace);
-}
-
 /// Guards against queues at workers that put little utility before much: it waits here until there is room.
 #[test]
 fn low_utility_waits_here_while_high_utility_queues() {
