--- /dev/null
+++ b/crates/berth/src/installation.rs
@@ -0,0 +1,359 @@
+//! An installation's own form of the configuration: TOML, in the operators' words. The keys, their units, ranges and
+//! defaults are listed in `docs/operating/configuration.md`.
+
+use crate::berth::{Berth, HealthTerms, Level, LogForm, Rooms, Stock};
+use crate::layers::{Layers, Reader, Section, Shown, Written};
+use crate::units;
+use crate::words::Words;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tindock::terms::{DutySheet, Effect, Group, News, Workload};
+use tindock_inventory::{merge, Address, Columns, Entry, Place, Problem, State, FIELDS};
+use toml::de::DeTable;
+
+fn text(w: &Written) -> Result<String, String> {
+    if w.text.is_empty() || w.text.chars().any(char::is_control) {
+        return Err(format!("{:?}; a word was expected", w.text));
+    }
+    Ok(w.text.clone())
+}
+
+/// A name that may stand in a path or a header.
+fn name(w: &Written) -> Result<String, String> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if w.text.is_empty() || w.text.len() > 64 || !w.text.chars().all(plain) {
+        return Err(format!("{:?}; up to 64 letters, digits, - _ . were expected", w.text));
+    }
+    Ok(w.text.clone())
+}
+
+fn number(low: f64, high: f64) -> impl Fn(&Written) -> Result<f64, String> {
+    move |w| {
+        let plain: String = w.text.chars().filter(|c| *c != '_').collect();
+        let found = plain.parse().ok().filter(|n| (low..=high).contains(n));
+        found.ok_or_else(|| format!("{:?}; a number from {low} to {high} was expected", w.text))
+    }
+}
+
+fn whole(low: u64, high: u64) -> impl Fn(&Written) -> Result<u64, String> {
+    move |w| {
+        let plain: String = w.text.chars().filter(|c| *c != '_').collect();
+        let found = plain.parse().ok().filter(|n| (low..=high).contains(n));
+        found.ok_or_else(|| format!("{:?}; a whole number from {low} to {high} was expected", w.text))
+    }
+}
+
+fn flag(w: &Written) -> Result<bool, String> {
+    w.text.parse().map_err(|_| format!("{:?}; true or false was expected", w.text))
+}
+
+fn span(low: Duration) -> impl Fn(&Written) -> Result<Duration, String> {
+    move |w| {
+        let found = units::span(&w.text)?;
+        if found < low {
+            return Err(format!("{:?} is too short; {low:?} at least", w.text));
+        }
+        Ok(found)
+    }
+}
+
+fn address(w: &Written) -> Result<SocketAddr, String> {
+    w.text.parse().map_err(|_| format!("{:?}; address:port was expected", w.text))
+}
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Reads the text of a file called `name` that stands in `folder`, with what is said over it. Gives the configuration
+/// and each value in force with its source; or every problem.
+pub fn read(
+    file: &str,
+    folder: &Path,
+    text: &str,
+    layers: &Layers,
+) -> Result<(Berth, Vec<Shown>), Vec<Problem>> {
+    let mut reader = Reader::new(file, text, layers);
+    let (root, wrong) = DeTable::parse_recoverable(text);
+    if !wrong.is_empty() {
+        let lines = wrong.iter().map(|e| {
+            let place = reader.place(e.span().map_or(0, |span| span.start));
+            place.problem(format!("no TOML that can be read: {}", e.message()))
+        });
+        return Err(lines.collect());
+    }
+    let mut top = reader.root(root.get_ref());
+    let berth = whole_file(&mut reader, &mut top, folder);
+    reader.close(&top);
+    reader.close_layers();
+    match berth {
+        Some(berth) if reader.problems.is_empty() => Ok((berth, reader.shown)),
+        _ => {
+            reader.problems.sort();
+            reader.problems.dedup();
+            Err(reader.problems)
+        }
+    }
+}
+
+fn whole_file<'t>(r: &mut Reader<'t>, top: &mut Section<'t>, folder: &Path) -> Option<Berth> {
+    let title = r.value(top, "name", name, "tindock");
+    let zone = r.value(top, "zone", text, "here");
+    let seed = r.value(top, "seed", whole(0, u64::MAX), "0");
+    let listen = r.value(top, "listen", address, "127.0.0.1:7000");
+    let discovery = r.optional(top, "discovery", address);
+
+    let mut limits = r.section(top, "limits");
+    let sockets = r.value(&mut limits, "sockets", whole(1, 1 << 24), "1024") as usize;
+    let memory = r.value(&mut limits, "memory", |w| units::bytes(&w.text), "256MiB");
+    r.close(&limits);
+    let rooms = Rooms::share_out(sockets, memory as f64 / 1024.0 / 1024.0);
+    let rooms = rooms.map_err(|why| r.problem(&limits.place, why)).ok();
+
+    let mut words = Words { zones: vec![zone], ..Words::default() };
+    let workloads = workloads(r, top, &mut words);
+    let (quotas, beyond_share) = customers(r, top, &mut words);
+    let mut sheet = DutySheet { workloads, quotas, beyond_share, news: News::Pushed, ..DutySheet::default() };
+    let (dial, keep) = workers(r, top, &mut sheet, &mut words);
+    let inventory = inventory(r, top, folder);
+    if inventory.is_none() && discovery.is_none() {
+        r.problem(
+            &top.place.clone(),
+            "neither discovery, nor [inventory], nor a [[worker]]: no worker can ever come",
+        );
+    }
+
+    let mut log = r.section(top, "log");
+    let json = r.value(&mut log, "format", one_of(&[("text", false), ("json", true)]), "text");
+    let levels = [
+        ("error", Level::Error),
+        ("warning", Level::Warning),
+        ("info", Level::Info),
+        ("debug", Level::Debug),
+    ];
+    let level = r.value(&mut log, "level", one_of(&levels), "info");
+    r.close(&log);
+
+    Some(Berth {
+        name: title,
+        listen,
+        discovery,
+        inventory,
+        seed,
+        sheet,
+        words,
+        known: None,
+        rooms: rooms?,
+        dial,
+        keep,
+        log: LogForm { json, level },
+    })
+}
+
+fn one_of<T: Copy>(words: &[(&'static str, T)]) -> impl Fn(&Written) -> Result<T, String> {
+    let words = words.to_vec();
+    move |w| {
+        let found = words.iter().find(|(word, _)| *word == w.text).map(|(_, value)| *value);
+        let all: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
+        found.ok_or_else(|| format!("{:?}; one of {} was expected", w.text, all.join(", ")))
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Word {
+    Idempotent,
+    Deduplicated,
+    Unrepeatable,
+}
+
+fn workloads<'t>(r: &mut Reader<'t>, top: &mut Section<'t>, words: &mut Words) -> Vec<Workload> {
+    let sections = r.sections(top, "workload");
+    if sections.is_empty() {
+        r.problem(&top.place.clone(), "no [[workload]]: there is nothing that could be handed in");
+    }
+    let mut rows = Vec::new();
+    for mut s in sections {
+        let place = s.place.clone();
+        let title = r.wanted(&mut s, "name", name);
+        let effects = [
+            ("idempotent", Word::Idempotent),
+            ("deduplicated", Word::Deduplicated),
+            ("unrepeatable", Word::Unrepeatable),
+        ];
+        let effect = r.wanted(&mut s, "effect", one_of(&effects));
+        let groups = [("all", Group::All), ("zone", Group::Zone), ("group", Group::Cell)];
+        let (group, memory) = match effect {
+            Some(Word::Deduplicated) => {
+                (r.wanted(&mut s, "among", one_of(&groups)), r.wanted(&mut s, "memory", span(MS)))
+            }
+            _ => (None, None),
+        };
+        let promised = r.wanted(&mut s, "promised", span(MS));
+        let hard_limit = r.wanted(&mut s, "hard-limit", span(MS));
+        let stretch = r.value(&mut s, "stretch", number(0.0, 1000.0), "0");
+        let utility = r.value(&mut s, "utility", number(0.0, 1e9), "1");
+        let kind = r.optional(&mut s, "kind", text);
+        r.close(&s);
+        if let (Some(promised), Some(hard)) = (promised, hard_limit) {
+            if promised > hard {
+                r.problem(&place, format!("promised in {promised:?}, but the hard limit is {hard:?}"));
+            }
+        }
+        let Some(title) = title else { continue };
+        if words.workloads.contains(&title) {
+            r.problem(&place, format!("workload {title:?} again"));
+            continue;
+        }
+        let (Some(effect), Some(promised), Some(hard_limit)) = (effect, promised, hard_limit) else {
+            continue;
+        };
+        let effect = match (effect, group) {
+            (Word::Idempotent, _) => Effect::Idempotent,
+            (Word::Unrepeatable, _) => Effect::Unrepeatable,
+            (Word::Deduplicated, Some(group)) => Effect::Deduplicated(group),
+            (Word::Deduplicated, None) => continue,
+        };
+        let kind = kind.and_then(|kind| {
+            let site = words.site(words.zones[0].clone(), kind, 0);
+            site.map_err(|why| r.problem(&place, why)).ok().map(|site| site.kind)
+        });
+        words.workloads.push(title);
+        let memory = memory.unwrap_or_default();
+        rows.push(Workload { effect, memory, promised, stretch, hard_limit, utility, kind });
+    }
+    rows
+}
+
+fn customers<'t>(r: &mut Reader<'t>, top: &mut Section<'t>, words: &mut Words) -> (Vec<f64>, f64) {
+    let mut quotas = Vec::new();
+    for mut s in r.sections(top, "customer") {
+        let place = s.place.clone();
+        let title = r.wanted(&mut s, "name", name);
+        let share = r.wanted(&mut s, "tasks-per-second", number(0.0, 1e9));
+        r.close(&s);
+        let (Some(title), Some(share)) = (title, share) else { continue };
+        if words.customers.contains(&title) {
+            r.problem(&place, format!("customer {title:?} again"));
+            continue;
+        }
+        words.customers.push(title);
+        quotas.push(share);
+    }
+    let beyond = r.value(top, "utility-beyond-share", number(0.0, 1.0), "1");
+    (quotas, beyond)
+}
+
+fn workers<'t>(
+    r: &mut Reader<'t>,
+    top: &mut Section<'t>,
+    sheet: &mut DutySheet,
+    words: &mut Words,
+) -> (Duration, Duration) {
+    let mut s = r.section(top, "workers");
+    sheet.schedulers = r.value(&mut s, "schedulers", whole(1, 100_000), "1") as usize;
+    sheet.may_cancel = r.value(&mut s, "call-off", flag, "true");
+    sheet.second_copies = r.value(&mut s, "second-copies", flag, "false");
+    sheet.most_assignments = r.value(&mut s, "most-assignments", whole(1, 100), "5") as usize;
+    sheet.tells_start = r.value(&mut s, "tell-start", flag, "false");
+    sheet.progress_every = r.optional(&mut s, "progress-every", span(10 * MS));
+    sheet.overload_factor = r.value(&mut s, "overload-factor", number(0.1, 1000.0), "3");
+    sheet.cold_share = r.value(&mut s, "cold-share", number(0.001, 1.0), "0.3");
+    sheet.warm_within = r.value(&mut s, "warm-within", span(Duration::ZERO), "10s");
+    sheet.price_crossing = r.value(&mut s, "price-of-crossing", number(0.0, 1.0), "0.02");
+    sheet.come_back = r.optional(&mut s, "come-back-at-most", span(MS));
+    sheet.may_probe = r.value(&mut s, "probes", flag, "false");
+    sheet.price_probe = r.value(&mut s, "price-of-probe", number(0.0, 1.0), "0.002");
+    let reports = r.words(&mut s, "reports");
+    sheet.report_free = reports.iter().position(|(w, _)| w == "free-slots");
+    sheet.report_waiting = reports.iter().position(|(w, _)| w == "backlog");
+    words.reports = reports.into_iter().map(|(w, _)| w).collect();
+    let dial = r.value(&mut s, "connect-within", span(MS), "250ms");
+    let keep = r.value(&mut s, "keep-idle", span(100 * MS), "30s");
+    r.close(&s);
+    (dial, keep)
+}
+
+fn inventory<'t>(r: &mut Reader<'t>, top: &mut Section<'t>, folder: &Path) -> Option<Stock> {
+    let fixed = fixed(r, top);
+    let mut s = r.section(top, "inventory");
+    let there = s.table.is_some();
+    let files: Vec<PathBuf> = r.words(&mut s, "files").into_iter().map(|(w, _)| folder.join(w)).collect();
+    if there && files.is_empty() {
+        r.problem(&s.place.clone(), "no files in inventory");
+    }
+    let guard_share = r.value(&mut s, "guard-share", number(0.0, 1.0), "0.2");
+    let confirm_after = r.value(&mut s, "confirm-after", span(Duration::ZERO), "1min");
+    let last_good = r.optional(&mut s, "last-good", text).map(|path| folder.join(path));
+    let mut columns = Columns::default();
+    for (key, into) in [("columns", &mut columns.names), ("defaults", &mut columns.defaults)] {
+        let mut table = r.section(&mut s, key);
+        for (field, value, place) in r.pairs(&mut table) {
+            if !FIELDS.contains(&field.as_str()) {
+                r.problem(
+                    &place,
+                    format!("{field:?} is no field of a worker; those are {}", FIELDS.join(", ")),
+                );
+            }
+            into.insert(field, value);
+        }
+    }
+    let mut h = r.section(&mut s, "health");
+    let health = HealthTerms {
+        path: r.value(&mut h, "path", path, "/healthz"),
+        every: r.value(&mut h, "every", span(50 * MS), "2s"),
+        within: r.value(&mut h, "within", span(MS), "500ms"),
+        down_after: r.value(&mut h, "down-after", whole(1, 100), "3") as u32,
+        up_after: r.value(&mut h, "up-after", whole(1, 100), "2") as u32,
+        panic_share: r.value(&mut h, "panic-share", number(0.0, 1.0), "0.5"),
+    };
+    let wanted = r.value(&mut h, "probe", flag, "true");
+    r.close(&h);
+    r.close(&s);
+    let stock = Stock {
+        files,
+        columns,
+        fixed,
+        guard_share,
+        confirm_after,
+        health: wanted.then_some(health),
+        last_good,
+    };
+    (there || !stock.fixed.is_empty()).then_some(stock)
+}
+
+fn path(w: &Written) -> Result<String, String> {
+    let plain = w.text.starts_with('/') && w.text.bytes().all(|b| b.is_ascii_graphic());
+    plain.then(|| w.text.clone()).ok_or_else(|| format!("{:?}; a path from / on was expected", w.text))
+}
+
+/// Workers that the configuration names itself: they stand beside those of files, under the same rules.
+fn fixed<'t>(r: &mut Reader<'t>, top: &mut Section<'t>) -> Vec<Entry> {
+    let mut entries = Vec::new();
+    for mut s in r.sections(top, "worker") {
+        let place: Place = s.place.clone();
+        let title = r.wanted(&mut s, "name", name);
+        let at = r.wanted(&mut s, "address", |w| Address::parse(&w.text));
+        let zone = r.value(&mut s, "zone", text, "here");
+        let kind = r.value(&mut s, "kind", text, "usual");
+        let slots = r.value(&mut s, "slots", number(1.0, 1024.0), "1");
+        let group = r.value(&mut s, "group", whole(0, u64::from(u32::MAX)), "0") as u32;
+        let states = [("active", State::Active), ("leaving", State::Leaving)];
+        let state = r.value(&mut s, "state", one_of(&states), "active");
+        r.close(&s);
+        let (Some(name), Some(address)) = (title, at) else { continue };
+        entries.push(Entry { name, address, zone, kind, slots, group, state, place });
+    }
+    match merge(vec![entries]) {
+        Ok(inventory) => inventory.entries,
+        Err(problems) => {
+            r.problems.extend(problems);
+            Vec::new()
+        }
+    }
+}
+
+/// The variables of the process that speak to the configuration, for `Layers`.
+pub fn variables() -> BTreeMap<String, String> {
+    let utf8 = std::env::vars_os().filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)));
+    Layers::from_variables(utf8).variables
+}
--- a/crates/scheduler/src/listing.rs
+++ b/crates/berth/src/listing.rs
@@ -1,18 +1,18 @@
 //! A discovery answer, decoded once: the whole list of workers or what changed in it.
 
-use crate::berth::Words;
+use crate::words::Words;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use tindock::terms::{Condition, Site};
 
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Listing {
     pub index: u64,
     pub whole: bool,
     pub entries: Vec<Entry>,
 }
 
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     pub name: String,
     pub address: SocketAddr,
@@ -50,20 +50,6 @@
     1.0
 }
 
-/// Guards against a list that names cells, zones or kinds without end: tables are kept by them.
-const MOST_WORDS: usize = 256;
-
-fn place(words: &mut Vec<String>, word: String) -> Result<usize, String> {
-    if let Some(at) = words.iter().position(|w| *w == word) {
-        return Ok(at);
-    }
-    if words.len() >= MOST_WORDS {
-        return Err(format!("{word:?} is one zone or kind too many"));
-    }
-    words.push(word);
-    Ok(words.len() - 1)
-}
-
 impl ListingDoc {
     /// A list that is wrong anywhere is wrong as a whole, and leaves no words behind.
     pub fn decode(self, words: &mut Words) -> Result<Listing, String> {
@@ -88,9 +74,7 @@
         if !(self.weight.is_finite() && self.weight >= 0.0) {
             return Err(format!("worker {name:?} weighs {}", self.weight));
         }
-        let zone = place(&mut words.zones, self.zone)?;
-        let kind = place(&mut words.kinds, self.kind)?;
-        let site = Site { zone, cell: self.group as usize, kind };
+        let site = words.site(self.zone, self.kind, self.group as usize)?;
         let booted_ms = u64::try_from(self.since_ms).ok().filter(|&ms| ms > 0);
         Ok(Entry { name, address, site, weight: self.weight, condition, booted_ms })
     }
--- /dev/null
+++ b/crates/berth/src/platform.rs
@@ -0,0 +1,69 @@
+//! The platform's form of the configuration: JSON.
+
+use crate::berth::{Berth, LogForm, Rooms, USUAL_DESCRIPTORS, USUAL_MEMORY_MB};
+use crate::listing::ListingDoc;
+use crate::words::Words;
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+#[derive(Deserialize)]
+struct Doc {
+    name: String,
+    listen: String,
+    discovery: String,
+    seed: String,
+    limits: Option<LimitsDoc>,
+    known: Option<ListingDoc>,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct LimitsDoc {
+    sockets: Option<usize>,
+    memory_mb: Option<f64>,
+}
+
+fn address(text: &str, what: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{what} {text:?} is no address"))
+}
+
+fn words(settings: &Value, list: &str, key: Option<&str>) -> Result<Vec<String>, String> {
+    let rows = settings.get(list).and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+    let word = |row: &Value| {
+        let word = key.map_or(Some(row), |key| row.get(key)).and_then(Value::as_str).map(String::from);
+        word.ok_or_else(|| format!("settings: a row of {list} has no name"))
+    };
+    rows.iter().map(word).collect()
+}
+
+/// Reads the file's text.
+pub fn read(text: &str) -> Result<Berth, String> {
+    let doc: Doc = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let sheet = tindock_sheet::read(&doc.settings)?;
+    let mut words = Words {
+        workloads: words(&doc.settings, "workloads", Some("name"))?,
+        customers: words(&doc.settings, "tenants", Some("name"))?,
+        zones: words(&doc.settings, "areas", None)?,
+        kinds: words(&doc.settings, "skus", None)?,
+        reports: words(doc.settings.get("reporting").unwrap_or(&Value::Null), "names", None)?,
+    };
+    let known = doc.known.map(|known| known.decode(&mut words)).transpose()?;
+    let sockets = doc.limits.as_ref().and_then(|l| l.sockets).unwrap_or(USUAL_DESCRIPTORS);
+    let memory = doc.limits.and_then(|l| l.memory_mb).unwrap_or(USUAL_MEMORY_MB);
+    let rooms = Rooms::share_out(sockets, memory)?;
+    Ok(Berth {
+        name: doc.name,
+        listen: address(&doc.listen, "listen")?,
+        discovery: Some(address(&doc.discovery, "discovery")?),
+        inventory: None,
+        seed: u64::from_str_radix(&doc.seed, 16).map_err(|_| format!("seed {:?} is no number", doc.seed))?,
+        sheet,
+        words,
+        known,
+        rooms,
+        dial: tindock_sheet::span(&doc.settings, "/caps/dial_timeout_s")?,
+        keep: tindock_sheet::span(&doc.settings, "/caps/keepalive_s")?,
+        log: LogForm::default(),
+    })
+}
--- /dev/null
+++ b/crates/inventory/src/lib.rs
@@ -0,0 +1,94 @@
+//! Inventories of workers, as configuration tools keep them: files to entries, each with the place that it stands at.
+//!
+//! `read` takes the bytes of one file, `merge` puts several together. Nothing here opens a file or looks up a name. What
+//! is wrong is told as problems, all of them, each with its file, line and column; an inventory with a problem is no
+//! inventory. What a file can't say is refused, not guessed.
+//!
+//! ```
+//! use tindock_inventory::{merge, read, Columns, Form};
+//! let file = b"name,address,zone,kind,slots\nyard-1,10.0.0.1:5000,north,std,4\n";
+//! let entries = read("yard.csv", file, Form::Csv, &Columns::default()).unwrap();
+//! assert_eq!(merge(vec![entries]).unwrap().entries[0].name, "yard-1");
+//! ```
+
+mod columns;
+mod comma;
+mod entry;
+mod groups;
+mod merging;
+mod ranges;
+mod tree;
+mod writing;
+
+pub use columns::{Columns, FIELDS};
+pub use entry::{Address, Entry, Host, Place, Problem, State};
+pub use merging::{diff, merge, twice_by_address, Change, Inventory};
+pub use writing::{write, Written};
+
+/// The largest file that is read: an inventory of 100,000 workers has some 8 MB.
+pub const MOST_BYTES: usize = 32 * 1024 * 1024;
+/// The most workers of one inventory, ranges expanded. Guards against a range that names millions.
+pub const MOST_ENTRIES: usize = 100_000;
+
+/// How a file is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    Csv,
+    Yaml,
+}
+
+impl Form {
+    /// By the ending of a file's name: `.csv`, `.yaml` or `.yml`.
+    pub fn of(name: &str) -> Option<Form> {
+        match name.rsplit_once('.')?.1.to_ascii_lowercase().as_str() {
+            "csv" => Some(Form::Csv),
+            "yaml" | "yml" => Some(Form::Yaml),
+            _ => None,
+        }
+    }
+}
+
+/// Reads one file. `name` is how it is called in places.
+pub fn read(name: &str, bytes: &[u8], form: Form, columns: &Columns) -> Result<Vec<Entry>, Vec<Problem>> {
+    let text = text(name, bytes).map_err(|problem| vec![problem])?;
+    let entries = match form {
+        Form::Csv => comma::read(name, text, columns),
+        Form::Yaml => groups::read(name, text, columns),
+    }?;
+    if entries.is_empty() {
+        return Err(vec![
+            Place::start(name).problem("names no worker; a file that is to name none is to be removed")
+        ]);
+    }
+    Ok(entries)
+}
+
+/// The file as text, whole: a file without a last line end was cut, or is still being written.
+fn text<'a>(name: &str, bytes: &'a [u8]) -> Result<&'a str, Problem> {
+    let start = Place::start(name);
+    if bytes.len() > MOST_BYTES {
+        return Err(start.problem(format!("has {} bytes; {MOST_BYTES} at the most are read", bytes.len())));
+    }
+    if bytes.starts_with(&[0xff, 0xfe]) || bytes.starts_with(&[0xfe, 0xff]) {
+        return Err(start.problem("is written in UTF-16; UTF-8 was expected"));
+    }
+    // Spreadsheets begin a file with a byte order mark, which says nothing in UTF-8.
+    let bytes = bytes.strip_prefix(&[0xef, 0xbb, 0xbf]).unwrap_or(bytes);
+    let text = std::str::from_utf8(bytes).map_err(|e| {
+        let good = &bytes[..e.valid_up_to()];
+        let byte = bytes[e.valid_up_to()];
+        start.after(good).problem(format!("byte 0x{byte:02x} is no UTF-8; is the file in Latin-1?"))
+    })?;
+    if let Some(at) = text.find('\0') {
+        return Err(start.after(&text.as_bytes()[..at]).problem("a zero byte; a text file was expected"));
+    }
+    if text.trim().is_empty() {
+        return Err(start.problem("is empty; a file that is to name no worker is to be removed"));
+    }
+    if !text.ends_with('\n') {
+        return Err(start
+            .after(text.as_bytes())
+            .problem("the file ends in the midst of a line; was it cut?"));
+    }
+    Ok(text)
+}
--- /dev/null
+++ b/crates/inventory/src/merging.rs
@@ -0,0 +1,117 @@
+//! Several files as one inventory, and what changes from one to another.
+
+use crate::entry::{Address, Entry, Problem, State};
+use crate::MOST_ENTRIES;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+/// The workers of all files, by name; no name and no address stands twice.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Inventory {
+    pub entries: Vec<Entry>,
+}
+
+impl Inventory {
+    /// A number that changes with what the inventory says, not with where it stands.
+    pub fn digest(&self) -> u64 {
+        // FNV-1a: the same in every build, unlike the standard library's.
+        let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+        let mut add = |text: &str| {
+            for byte in text.bytes().chain([0]) {
+                hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+            }
+        };
+        for e in &self.entries {
+            let words = [&e.name, &e.address.to_string(), &e.zone, &e.kind, &e.slots.to_string()];
+            words.into_iter().for_each(|word| add(word));
+            add(&e.group.to_string());
+            add(e.state.word());
+        }
+        hash
+    }
+}
+
+/// Puts the entries of several files together. A name or an address that stands twice is a problem that names both.
+pub fn merge(files: Vec<Vec<Entry>>) -> Result<Inventory, Vec<Problem>> {
+    let mut entries: Vec<Entry> = files.into_iter().flatten().collect();
+    let mut problems = Vec::new();
+    let mut names: HashMap<&str, &Entry> = HashMap::new();
+    let mut addresses: HashMap<&Address, &Entry> = HashMap::new();
+    for entry in &entries {
+        if let Some(first) = names.get(entry.name.as_str()) {
+            let how = if first.address == entry.address { "again" } else { "again at another address" };
+            let what = format!("worker {:?} {how}; it stands at {} already", entry.name, first.place);
+            problems.push(entry.place.problem(what));
+        } else if let Some(first) = addresses.get(&entry.address) {
+            let (name, at, other) = (&entry.name, &entry.address, &first.name);
+            let what = format!("worker {name:?} is at {at}, and so is {other:?} at {}", first.place);
+            problems.push(entry.place.problem(what));
+        } else {
+            names.insert(&entry.name, entry);
+            addresses.insert(&entry.address, entry);
+        }
+    }
+    if entries.len() > MOST_ENTRIES {
+        problems
+            .push(entries[MOST_ENTRIES].place.problem(format!("more than {MOST_ENTRIES} workers in all")));
+    }
+    if !problems.is_empty() {
+        return Err(problems);
+    }
+    entries.sort_by(|a, b| a.name.cmp(&b.name));
+    Ok(Inventory { entries })
+}
+
+/// Workers that turn out to be one once their hosts were looked up: `found` gives each entry's address, in order.
+pub fn twice_by_address(entries: &[Entry], found: &[SocketAddr]) -> Vec<Problem> {
+    let mut first: HashMap<SocketAddr, &Entry> = HashMap::new();
+    let mut problems = Vec::new();
+    for (entry, at) in entries.iter().zip(found) {
+        if let Some(other) = first.get(at) {
+            let (name, same, place) = (&entry.name, &other.name, &other.place);
+            problems.push(
+                entry.place.problem(format!("worker {name:?} is at {at}, and so is {same:?} at {place}")),
+            );
+        } else {
+            first.insert(*at, entry);
+        }
+    }
+    problems
+}
+
+/// What becomes of a worker from one inventory to another.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    Added(Entry),
+    Removed(Entry),
+    /// From active to leaving or back, and nothing else.
+    State {
+        name: String,
+        to: State,
+    },
+    /// Its address, zone, kind, slots or group.
+    Changed {
+        from: Entry,
+        to: Entry,
+    },
+}
+
+/// The changes by name.
+pub fn diff(old: &Inventory, new: &Inventory) -> Vec<Change> {
+    let by_name =
+        |of: &Inventory| of.entries.iter().map(|e| (e.name.clone(), e.clone())).collect::<BTreeMap<_, _>>();
+    let (mut before, after) = (by_name(old), by_name(new));
+    let mut changes = Vec::new();
+    for (name, to) in after {
+        match before.remove(&name) {
+            None => changes.push(Change::Added(to)),
+            Some(from) if from.says_the_same(&to) => {}
+            Some(from) if (Entry { state: to.state, ..from.clone() }).says_the_same(&to) => {
+                changes.push(Change::State { name, to: to.state });
+            }
+            Some(from) => changes.push(Change::Changed { from, to }),
+        }
+    }
+    changes.extend(before.into_values().map(Change::Removed));
+    changes
+}
--- a/crates/roster/src/vouching.rs
+++ b/crates/roster/src/vouching.rs
@@ -25,6 +25,7 @@
 #[derive(Default)]
 pub struct Vouching {
     confirmed: Duration,
+    always_fresh: bool,
     doubts: BTreeMap<usize, Doubt>,
 }
 
@@ -39,9 +40,14 @@
         std::mem::take(&mut self.doubts).into_keys()
     }
 
+    /// The list comes from nowhere that could be out.
+    pub fn always_fresh(&mut self) {
+        self.always_fresh = true;
+    }
+
     /// Age of the list beyond which signs weigh more.
     pub fn is_old(&self, now: Duration) -> bool {
-        now.saturating_sub(self.confirmed) > OLD
+        !self.always_fresh && now.saturating_sub(self.confirmed) > OLD
     }
 
     /// A worker gave a sign; tells until when it is left out, if it is.
--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -1,8 +1,7 @@
 //! Keeps the list of workers: carries out what `Asking` decides, on connections to the discovery agent.
 
-use crate::berth::Words;
 use crate::exchange::Exchange;
-use crate::listing::{self, Listing};
+use crate::muster::Muster;
 use crate::wire::Wire;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -15,6 +14,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tindock_berth::listing::Listing;
 use tindock_roster::asking::{Asking, Step, Verdict};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -28,7 +28,7 @@
 pub struct Discovery {
     pub exchange: Rc<Exchange>,
     pub wire: Rc<dyn Wire>,
-    pub words: Words,
+    pub muster: Rc<Muster>,
     /// Where it is; another address may come at any time.
     pub address: watch::Receiver<SocketAddr>,
     pub asking: Asking,
@@ -132,7 +132,7 @@
                 return true;
             }
             Came::Nothing(why) => why,
-            Came::Answer(body) => match listing::decode(&body, &mut self.words) {
+            Came::Answer(body) => match self.muster.decode(&body) {
                 Ok(listing) => {
                     self.judge(line, listing, outage);
                     return true;
@@ -156,7 +156,7 @@
                 if whole || !listing.entries.is_empty() {
                     info!(self.log, "list {index}: {} workers named", listing.entries.len());
                 }
-                self.exchange.list(listing);
+                self.muster.told(listing);
             }
             Verdict::Stale => self.tell(outage, &format!("list {index} is older than the one held")),
         }
--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -3,7 +3,6 @@
 
 use crate::clock::Clock;
 use crate::endings::Close;
-use crate::listing::{Entry, Listing};
 use crate::news::{News, State as Said};
 use bytes::Bytes;
 use hyper::header::HeaderMap;
@@ -15,6 +14,7 @@
 use std::time::Duration;
 use tindock::rules::Rules;
 use tindock::terms::{Condition, Decision};
+use tindock_berth::listing::{Entry, Listing};
 use tindock_roster::vouching::Vouching;
 use tokio::sync::{mpsc, oneshot, Notify};
 
@@ -368,6 +368,28 @@
         });
     }
 
+    /// Lines that changed by another's word than discovery's, which says nothing of how fresh its list is.
+    pub fn change(&self, entries: Vec<Entry>) {
+        self.feed(|state| self.take_list(state, Listing { index: 0, whole: false, entries }));
+    }
+
+    /// There is no discovery that could be out: signs of workers are the module's alone.
+    pub fn without_discovery(&self) {
+        self.state.borrow_mut().vouching.always_fresh();
+    }
+
+    pub fn address_of(&self, name: &str) -> Option<SocketAddr> {
+        let state = self.state.borrow();
+        state.names.get(name).map(|&worker| state.workers[worker].address)
+    }
+
+    /// Whether a worker has tasks of ours that are not over.
+    pub fn is_busy(&self, name: &str) -> bool {
+        let state = self.state.borrow();
+        let Some(&worker) = state.names.get(name) else { return false };
+        state.hands.iter().any(|hand| hand.outs.iter().any(|out| out.worker == worker && !out.over))
+    }
+
     fn take_list(&self, state: &mut State, listing: Listing) {
         state.rules.list_begins(listing.whole);
         if listing.whole {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,8 +1,11 @@
 //! The scheduler on sockets, by the stages of a task: `berth` (start), `door`, `guest`, `heads`, `reading`, `answering` (server
 //! side), `exchange`, `pool`, `gauge`, `sending` (client side), `loads`, `news`, `discovery`, `endings`, `reloading`, `stopping`.
 
+pub use tindock_berth as berth;
+pub use tindock_berth::listing;
+
 pub mod answering;
-pub mod berth;
+pub mod cli;
 pub mod clock;
 pub mod discovery;
 pub mod door;
@@ -11,13 +14,16 @@
 pub mod gauge;
 pub mod guest;
 pub mod heads;
-pub mod listing;
 pub mod loads;
+pub mod muster;
 pub mod news;
 pub mod pool;
+pub mod probing;
 pub mod reading;
 pub mod reloading;
 pub mod sending;
+pub mod shelves;
 pub mod start;
+pub mod stocking;
 pub mod stopping;
 pub mod wire;
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -1,25 +1,44 @@
-//! The scheduler as a process: its configuration, its log, its exit code.
+//! The scheduler as a process: its command line, its log, its exit code (0 fine, 1 found wrong, 2 used wrongly).
 
-use slog::{o, Drain, Logger};
+use clap::{CommandFactory, Parser};
+use slog::{o, Drain, Level as Least, LevelFilter, Logger};
+use std::io::Write;
 use std::path::PathBuf;
 use std::sync::mpsc;
 use std::time::Duration;
-use tindock_scheduler::{berth, start};
+use tindock_scheduler::berth::{self, Layers, Level, LogForm};
+use tindock_scheduler::cli::{self, Cli, Command, LogFormat, LogLevel};
+use tindock_scheduler::start;
 
 /// Lines that may wait for the log's reader; beyond that they are dropped, and their number is told.
 const LINES_WAITING: usize = 4096;
 /// How long the end of the process waits for lines to be written.
 const LAST_LINES: Duration = Duration::from_millis(100);
 
-fn go() -> Result<(), String> {
-    let path = PathBuf::from(std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG names no configuration")?);
-    let berth = berth::from_file(&path)?;
-    let lines = slog_term::PlainDecorator::new(std::io::stdout());
+fn least(level: Level) -> Least {
+    match level {
+        Level::Error => Least::Error,
+        Level::Warning => Least::Warning,
+        Level::Info => Least::Info,
+        Level::Debug => Least::Debug,
+    }
+}
+
+fn run(path: PathBuf, layers: Layers, over: impl Fn(&mut LogForm)) -> Result<(), String> {
+    let mut berth = berth::from_file(&path, &layers)?;
+    over(&mut berth.log);
+    let out = std::io::stdout();
     // Lines that cannot be written or must not wait are lost: no log may block or end the scheduler.
-    let drain = slog_term::FullFormat::new(lines).build().ignore_res();
+    let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = if berth.log.json {
+        Box::new(slog_json::Json::default(out).ignore_res())
+    } else {
+        let lines = slog_term::PlainDecorator::new(out);
+        Box::new(slog_term::FullFormat::new(lines).build().ignore_res())
+    };
+    let drain = LevelFilter::new(drain, least(berth.log.level)).ignore_res();
     let (drain, rest) = slog_async::Async::new(drain).chan_size(LINES_WAITING).build_with_guard();
     let log = Logger::root(drain.ignore_res(), o!());
-    let ended = start::run(berth, path, &log);
+    let ended = start::run(berth, path, layers, &log);
     // The lines still waiting are written by a thread of their own, which the end does not wait for long.
     let (written, all) = mpsc::channel::<()>();
     std::thread::spawn(move || drop((rest, written)));
@@ -27,9 +46,52 @@
     ended
 }
 
-fn main() {
-    if let Err(why) = go() {
-        eprintln!("tindock: {}", why.replace('\n', " "));
-        std::process::exit(1);
+fn go() -> Result<String, Vec<String>> {
+    let one_line = |why: String| vec![format!("tindock: {}", why.replace('\n', " "))];
+    let named = || std::env::var_os("GW_CONFIG").map(PathBuf::from).ok_or("GW_CONFIG names no configuration");
+    match Cli::parse().command {
+        None => {
+            let path = named().map_err(|why| one_line(why.into()))?;
+            run(path, Layers::default(), |_| ()).map_err(one_line)?;
+        }
+        Some(Command::Run { file, over, log_format, log_level }) => {
+            let path = file.map_or_else(named, Ok).map_err(|why| one_line(why.into()))?;
+            let said = |form: &mut LogForm| {
+                form.json = log_format.map_or(form.json, |f| f == LogFormat::Json);
+                form.level = match log_level {
+                    None => form.level,
+                    Some(LogLevel::Error) => Level::Error,
+                    Some(LogLevel::Warning) => Level::Warning,
+                    Some(LogLevel::Info) => Level::Info,
+                    Some(LogLevel::Debug) => Level::Debug,
+                };
+            };
+            run(path, over.layers(), said)
+                .map_err(|why| why.lines().map(String::from).collect::<Vec<_>>())?;
+        }
+        Some(Command::Check { file, over }) => return cli::check(&file, &over),
+        Some(Command::Show { file, over }) => return cli::show(&file, &over),
+        Some(Command::Inventory(command)) => return cli::inventories(&command),
+        Some(Command::Completions { shell }) => {
+            let mut text = Vec::new();
+            clap_complete::generate(shell, &mut Cli::command(), "tindock", &mut text);
+            return String::from_utf8(text).map_err(|e| vec![e.to_string()]);
+        }
     }
+    Ok(String::new())
+}
+
+fn main() {
+    let code = match go() {
+        Ok(said) => {
+            // A reader that went away wants no more of it.
+            let _ = std::io::stdout().write_all(said.as_bytes());
+            0
+        }
+        Err(lines) => {
+            lines.iter().for_each(|line| eprintln!("{line}"));
+            1
+        }
+    };
+    std::process::exit(code);
 }
--- a/crates/scheduler/src/reloading.rs
+++ b/crates/scheduler/src/reloading.rs
@@ -1,7 +1,7 @@
 //! SIGHUP: the configuration is read again, whole or not at all. It tells of a new discovery address; what else
 //! has changed in it counts from the next start on.
 
-use crate::berth;
+use crate::berth::{self, Layers};
 use slog::{info, warn, Logger};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -10,6 +10,7 @@
 
 pub struct Reloading {
     pub path: PathBuf,
+    pub layers: Layers,
     pub discovery: watch::Sender<SocketAddr>,
     pub log: Logger,
 }
@@ -19,14 +20,15 @@
     pub async fn keep(self, mut told: Signal) {
         while told.recv().await.is_some() {
             // It is small and on the own machine: read at once, in the midst of all else.
-            match berth::from_file(&self.path) {
+            match berth::from_file(&self.path, &self.layers) {
                 Ok(berth) => {
                     let moved = self.discovery.send_if_modified(|at| {
-                        let before = std::mem::replace(at, berth.discovery);
-                        before != berth.discovery
+                        let new = berth.discovery.unwrap_or(*at);
+                        std::mem::replace(at, new) != new
                     });
                     let what = if moved { "discovery is now" } else { "discovery is still" };
-                    info!(self.log, "configuration read again: {what} at {}", berth.discovery);
+                    let at = *self.discovery.borrow();
+                    info!(self.log, "configuration read again: {what} at {at}");
                 }
                 Err(why) => {
                     warn!(
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -1,14 +1,17 @@
 //! Puts the parts together and runs them on one thread until the scheduler was told to stop.
 
-use crate::berth::Berth;
+use crate::berth::{Berth, Layers};
 use crate::clock::Clock;
 use crate::discovery::Discovery;
 use crate::door::Door;
 use crate::exchange::Exchange;
+use crate::muster::Muster;
 use crate::pool::Pool;
+use crate::probing;
 use crate::reading::Rooms;
 use crate::reloading::Reloading;
 use crate::sending::Sending;
+use crate::stocking::Stocking;
 use crate::stopping::Stopping;
 use crate::wire::Tcp;
 use slog::{info, o, Logger};
@@ -16,19 +19,23 @@
 use std::rc::Rc;
 use tindock::rules::Rules;
 use tindock_roster::asking::{Asking, Service, LONG_WATCH};
+use tindock_roster::health::{Health, Terms};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
 
+/// Readings of the inventory that may wait to be taken in.
+const READINGS: usize = 4;
+
 /// Serves until told to stop and all is answered; an error only where it could not start.
-pub fn run(berth: Berth, path: PathBuf, log: &Logger) -> Result<(), String> {
+pub fn run(berth: Berth, path: PathBuf, layers: Layers, log: &Logger) -> Result<(), String> {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_io().enable_time().build().map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(berth, path, log))
+    LocalSet::new().block_on(&runtime, serve(berth, path, layers, log))
 }
 
-async fn serve(berth: Berth, path: PathBuf, log: &Logger) -> Result<(), String> {
+async fn serve(berth: Berth, path: PathBuf, layers: Layers, log: &Logger) -> Result<(), String> {
     // Guards against an end by a signal that comes early: both are caught before anybody can take us for ready.
     let caught = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
     let (hang_up, terminate) = (caught(SignalKind::hangup())?, caught(SignalKind::terminate())?);
@@ -41,23 +48,47 @@
     let rules = Rules::new(berth.sheet, berth.seed, began);
     let now = Box::new(move || clock.now());
     let (exchange, orders) = Exchange::new(rules, hard_limits, clock, now, part("rules"));
-    let (discovery, address) = watch::channel(berth.discovery);
-    let reloading = Reloading { path, discovery, log: part("configuration") };
-    let discovery = Discovery {
-        exchange: exchange.clone(),
-        wire: Rc::new(Tcp),
-        words: berth.words.clone(),
-        address,
-        // It is an agent on the own machine, whatever the settings say of the service behind it.
-        asking: Asking::new(
-            Service::Agent { watch: LONG_WATCH },
-            berth.known.as_ref().map(|known| known.index),
-            berth.seed,
-        ),
-        log: part("discovery"),
-    };
+    let index = berth.known.as_ref().map(|known| known.index);
     exchange.begin(began, berth.known);
-    let pool = Rc::new(Pool::new(berth.for_workers, berth.dial, berth.keep));
+    let muster = match &berth.inventory {
+        None => Muster::of_discovery(exchange.clone(), berth.words.clone(), part("inventory")),
+        Some(stock) => {
+            let terms = stock.health.clone();
+            let health = terms.as_ref().map(|h| {
+                let (down_after, up_after, panic_share) = (h.down_after, h.up_after, h.panic_share);
+                Health::new(Terms { every: h.every, down_after, up_after, panic_share }, berth.seed)
+            });
+            let muster = Muster::with_files(exchange.clone(), berth.words.clone(), health, part("inventory"));
+            if let Some(terms) = terms {
+                spawn_local(probing::keep(muster.clone(), Rc::new(Tcp), terms));
+            }
+            let (tell, told) = mpsc::channel(READINGS);
+            let folder = path.parent().map(PathBuf::from).unwrap_or_default();
+            let stocking = Stocking { stock: stock.clone(), folder, tell };
+            std::thread::Builder::new()
+                .name("inventory".into())
+                .spawn(move || stocking.run())
+                .map_err(|e| format!("inventory: {e}"))?;
+            let keeps = muster.clone();
+            spawn_local(async move { keeps.keep(told).await });
+            muster
+        }
+    };
+    match berth.discovery {
+        Some(at) => {
+            let (discovery, address) = watch::channel(at);
+            let reloading = Reloading { path, layers, discovery, log: part("configuration") };
+            // It is an agent on the own machine, whatever the settings say of the service behind it.
+            let asking = Asking::new(Service::Agent { watch: LONG_WATCH }, index, berth.seed);
+            let log = part("discovery");
+            let discovery =
+                Discovery { exchange: exchange.clone(), wire: Rc::new(Tcp), muster, address, asking, log };
+            spawn_local(discovery.keep());
+            spawn_local(reloading.keep(hang_up));
+        }
+        None => exchange.without_discovery(),
+    }
+    let pool = Rc::new(Pool::new(berth.rooms.for_workers, berth.dial, berth.keep));
     let reports = berth.words.reports.clone();
     let sending = Sending::new(exchange.clone(), pool.clone(), reports, part("workers"));
     let words = Rc::new(berth.words);
@@ -65,16 +96,14 @@
         exchange.clone(),
         words,
         stopping.clone(),
-        berth.for_clients,
-        Rooms::new(berth.for_bodies),
+        berth.rooms.for_clients,
+        Rooms::new(berth.rooms.for_bodies),
         part("clients"),
     );
     spawn_local(sending.carry_out(orders));
     spawn_local(async move { pool.tend().await });
     let timer = exchange.clone();
     spawn_local(async move { timer.keep_time().await });
-    spawn_local(discovery.keep());
-    spawn_local(reloading.keep(hang_up));
     let listens = listener.local_addr().map_err(|e| e.to_string())?;
     info!(log, "{} listens on {listens}", berth.name);
     let sums = door.clone();
--- /dev/null
+++ b/crates/scheduler/src/stocking.rs
@@ -0,0 +1,230 @@
+//! Watches the inventory's files on a thread of its own: looks, reads, checks, and hands on what changed.
+
+use crate::shelves::{self, Marks};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use tindock_berth::{Problem, Stock};
+use tindock_inventory::{diff, write, Change, Columns, Entry, Inventory, State, Written};
+use tindock_roster::guard::{Guard, Reading, Verdict};
+use tokio::sync::mpsc::Sender;
+
+/// How often the files are looked at. Two looks that agree say that the writing is over: that is seen within 0.4 s.
+const LOOK: Duration = Duration::from_millis(200);
+/// Read anew after so long even if nothing seems to have changed: some file systems keep times of whole seconds.
+const READ_ANEW: Duration = Duration::from_secs(10);
+/// Problems that are told in the log; `tindock inventory check` tells all.
+const MOST_TOLD: usize = 5;
+
+/// What the files say of a worker now: where it is and what it is; none where they do not name it any more.
+pub type Filed = (String, Option<(Entry, SocketAddr)>);
+
+/// What the serving thread is told.
+#[derive(Debug)]
+pub enum Told {
+    /// Put in force.
+    Changes(Vec<Filed>),
+    /// For the log: the last good list stays in force.
+    Problem(String),
+    Note(String),
+}
+
+/// Where the digest of an accepted reading is left, beside the configuration.
+pub fn accept_file(folder: &Path) -> PathBuf {
+    folder.join(".tindock-accepted")
+}
+
+pub struct Stocking {
+    pub stock: Stock,
+    /// The configuration's folder.
+    pub folder: PathBuf,
+    pub tell: Sender<Told>,
+}
+
+struct Watching {
+    in_force: Inventory,
+    found: Vec<SocketAddr>,
+    guard: Guard,
+    /// What was read last, and when.
+    read: Option<(Marks, Instant)>,
+    /// What the last look saw.
+    seen: Option<Marks>,
+    /// The last problem that was told.
+    told: String,
+}
+
+impl Stocking {
+    /// Runs until the serving side is gone.
+    pub fn run(self) {
+        let began = Instant::now();
+        let guard = Guard::new(self.stock.guard_share, self.stock.confirm_after);
+        let mut watching = Watching {
+            in_force: Inventory::default(),
+            found: Vec::new(),
+            guard,
+            read: None,
+            seen: None,
+            told: String::new(),
+        };
+        loop {
+            let told = watching.look(&self, began);
+            if told.into_iter().any(|told| self.tell.blocking_send(told).is_err()) || self.tell.is_closed() {
+                return;
+            }
+            std::thread::sleep(LOOK);
+        }
+    }
+
+    fn accepted(&self) -> Option<u64> {
+        let text = std::fs::read_to_string(accept_file(&self.folder)).ok()?;
+        u64::from_str_radix(text.trim(), 16).ok()
+    }
+}
+
+impl Watching {
+    fn look(&mut self, at: &Stocking, began: Instant) -> Vec<Told> {
+        let marks = match shelves::look(&at.stock.files) {
+            Ok(marks) => marks,
+            Err(problems) => {
+                self.seen = None;
+                return self.problem(&problems, at);
+            }
+        };
+        let settled = self.seen.as_ref() == Some(&marks);
+        self.seen = Some(marks.clone());
+        let fresh =
+            self.read.as_ref().is_some_and(|(read, when)| *read == marks && when.elapsed() < READ_ANEW);
+        // At the start nothing is in force that a half-written file could spoil but the start itself.
+        if fresh || !settled {
+            return Vec::new();
+        }
+        let read = shelves::take(&marks, &at.stock.columns, &at.stock.fixed);
+        // Guards against a file that was written while it was read.
+        if shelves::look(&at.stock.files).ok().as_ref() != Some(&marks) {
+            self.seen = None;
+            return Vec::new();
+        }
+        let whole = read.and_then(|inventory| shelves::find(&inventory).map(|found| (inventory, found)));
+        match whole {
+            Err(problems) => {
+                self.read = Some((marks, Instant::now()));
+                self.problem(&problems, at)
+            }
+            Ok((inventory, found)) => self.offer(inventory, found, marks, at, began),
+        }
+    }
+
+    fn offer(
+        &mut self,
+        inventory: Inventory,
+        found: Vec<SocketAddr>,
+        marks: Marks,
+        at: &Stocking,
+        began: Instant,
+    ) -> Vec<Told> {
+        let now = began.elapsed();
+        let changes = diff(&self.in_force, &inventory);
+        let active = |e: &Entry| e.state == State::Active;
+        let ready = self.in_force.entries.iter().filter(|e| active(e)).count();
+        let out = |change: &&Change| match change {
+            Change::Removed(entry) => active(entry),
+            Change::State { to, .. } => *to == State::Leaving,
+            Change::Changed { from, to } => active(from) && (!active(to) || from.address != to.address),
+            Change::Added(_) => false,
+        };
+        let reading =
+            Reading { digest: inventory.digest(), ready, taken_out: changes.iter().filter(out).count() };
+        match self.guard.offered(now, reading, at.accepted()) {
+            Verdict::Hold { first, until } => {
+                // Looked at again soon: time may let it through, or somebody's word.
+                self.read = None;
+                if !first {
+                    return Vec::new();
+                }
+                let (gone, wait) = (reading.taken_out, (until - now).as_secs_f64());
+                vec![Told::Problem(format!(
+                    "held back: it would take out {gone} of {ready} workers; in force after {wait:.0} s if it \
+                     stays so, or at once by `tindock inventory accept` ({:016x})",
+                    reading.digest
+                ))]
+            }
+            Verdict::Take => {
+                self.read = Some((marks, Instant::now()));
+                self.told.clear();
+                let mut told = Vec::new();
+                let filed = self.filed(&inventory, &found);
+                if !filed.is_empty() {
+                    let (all, some) = (inventory.entries.len(), filed.len());
+                    told.push(Told::Note(format!("in force: {all} workers, {some} of them new or changed")));
+                    told.push(Told::Changes(filed));
+                }
+                if let Some(path) = &at.stock.last_good {
+                    if *self.in_force.entries != inventory.entries {
+                        told.extend(keep(path, &inventory).err().map(Told::Problem));
+                    }
+                }
+                (self.in_force, self.found) = (inventory, found);
+                told
+            }
+        }
+    }
+
+    /// What changed by name, addresses as they were found included.
+    fn filed(&self, inventory: &Inventory, found: &[SocketAddr]) -> Vec<Filed> {
+        let before = self.in_force.entries.iter().zip(&self.found);
+        let mut before: BTreeMap<&str, (&Entry, &SocketAddr)> =
+            before.map(|(e, at)| (e.name.as_str(), (e, at))).collect();
+        let mut filed = Vec::new();
+        for (entry, at) in inventory.entries.iter().zip(found) {
+            let same = before.remove(entry.name.as_str());
+            if !same.is_some_and(|(old, was)| old.says_the_same(entry) && was == at) {
+                filed.push((entry.name.clone(), Some((entry.clone(), *at))));
+            }
+        }
+        filed.extend(before.into_keys().map(|name| (name.to_string(), None)));
+        filed
+    }
+
+    /// A problem is told once, until another takes its place. At the start, the list that was last good is taken.
+    fn problem(&mut self, problems: &[Problem], at: &Stocking) -> Vec<Told> {
+        self.guard.nothing();
+        let mut lines: Vec<String> = problems.iter().take(MOST_TOLD).map(Problem::to_string).collect();
+        if problems.len() > MOST_TOLD {
+            lines.push(format!("and {} more", problems.len() - MOST_TOLD));
+        }
+        let line = lines.join("; ");
+        if line == self.told {
+            return Vec::new();
+        }
+        self.told.clone_from(&line);
+        let mut told = vec![Told::Problem(line)];
+        if self.in_force.entries.is_empty() {
+            if let Some((inventory, found)) = at.stock.last_good.as_deref().and_then(kept) {
+                let filed = self.filed(&inventory, &found);
+                told.push(Told::Note(format!(
+                    "the list that was last good is in force: {} workers",
+                    filed.len()
+                )));
+                told.push(Told::Changes(filed));
+                (self.in_force, self.found) = (inventory, found);
+            }
+        }
+        told
+    }
+}
+
+/// Keeps the list in force for the next start: whole, or not at all.
+fn keep(path: &Path, inventory: &Inventory) -> Result<(), String> {
+    let beside = path.with_extension("new");
+    let written = std::fs::write(&beside, write(inventory, Written::Csv));
+    let kept = written.and_then(|()| std::fs::rename(&beside, path));
+    kept.map_err(|e| format!("the list in force cannot be kept in {}: {e}", path.display()))
+}
+
+fn kept(path: &Path) -> Option<(Inventory, Vec<SocketAddr>)> {
+    let marks = shelves::look(&[path.to_path_buf()]).ok()?;
+    let inventory = shelves::take(&marks, &Columns::default(), &[]).ok()?;
+    let found = shelves::find(&inventory).ok()?;
+    Some((inventory, found))
+}
--- a/crates/scheduler/tests/discovery.rs
+++ b/crates/scheduler/tests/discovery.rs
@@ -19,6 +19,7 @@
 use tindock_scheduler::clock::Clock;
 use tindock_scheduler::discovery::Discovery;
 use tindock_scheduler::exchange::Exchange;
+use tindock_scheduler::muster::Muster;
 use tindock_scheduler::wire::{Dialled, Stream, Wire};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::sync::watch;
@@ -152,8 +153,8 @@
         let (address, place) = watch::channel(([127, 0, 0, 1], 1).into());
         let asking = Asking::new(Service::Agent { watch: SHORT_WATCH }, None, 7);
         let wire = Rc::new(Script(agent.clone()));
-        let words = Words::default();
-        let client = Discovery { exchange: exchange.clone(), wire, words, address: place, asking, log };
+        let muster = Muster::of_discovery(exchange.clone(), Words::default(), log.clone());
+        let client = Discovery { exchange: exchange.clone(), wire, muster, address: place, asking, log };
         spawn_local(client.keep());
         Held { exchange, address }
     }
