Inventories under load and every way a file changes, as tests; the first task is sent

Need: a list that a bad file, a cut, or a vanished folder could spoil, and workers taken out under load, were tried by hand alone. The tests found two faults: a worker that files name and discovery calls gone was told gone for ever, and a workload whose promised time does not grow with the run was shed entirely, since the guess of its run was the promised time itself.

The module's first guess leaves room where stretch is below 1, which no deployment of the platform has.

--- /dev/null
+++ b/crates/berth/tests/installation.rs
@@ -0,0 +1,153 @@
+//! Configurations in TOML: what they say, what is over them, and every problem with its place.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+use tindock::terms::{Effect, Group, News};
+use tindock_berth::{installation, Berth, Layers, Shown, Source};
+
+const GOOD: &str = "\
+listen = \"127.0.0.1:7000\"
+zone = \"north\"
+[[workload]]
+name = \"release\"
+effect = \"deduplicated\"
+among = \"zone\"
+memory = \"30s\"
+promised = \"500ms\"
+hard-limit = \"10s\"
+kind = \"std\"
+[[customer]]
+name = \"acme\"
+tasks-per-second = 12.5
+[workers]
+progress-every = \"1s\"
+[[worker]]
+name = \"y\"
+address = \"10.0.0.1:5000\"
+";
+
+fn read(text: &str, layers: &Layers) -> Result<(Berth, Vec<Shown>), Vec<String>> {
+    let read = installation::read("f", Path::new("/etc/tindock"), text, layers);
+    read.map_err(|problems| problems.iter().map(ToString::to_string).collect())
+}
+
+fn problems(text: &str) -> Vec<String> {
+    read(text, &Layers::default()).map(|_| Vec::new()).unwrap_or_else(|problems| problems)
+}
+
+#[test]
+fn a_configuration_says_what_the_sheet_needs() {
+    let (berth, _) = read(GOOD, &Layers::default()).expect("a configuration");
+    let row = &berth.sheet.workloads[0];
+    assert_eq!(row.effect, Effect::Deduplicated(Group::Zone));
+    assert_eq!((row.promised, row.memory), (Duration::from_millis(500), Duration::from_secs(30)));
+    assert_eq!((berth.sheet.news, berth.sheet.quotas.as_slice()), (News::Pushed, &[12.5][..]));
+    assert_eq!(berth.words.kinds[row.kind.expect("a kind")], "std");
+    assert_eq!(berth.inventory.expect("fixed workers").fixed.len(), 1);
+}
+
+/// Flags go over variables, those over the file, and each value knows where it came from.
+#[test]
+fn layers_go_over_each_other() {
+    let variables =
+        [("TINDOCK_LIMITS__SOCKETS", "500"), ("TINDOCK_WORKERS__CONNECT_WITHIN", "1s"), ("HOME", "/")];
+    let variables = variables.iter().map(|(k, v)| (k.to_string(), v.to_string()));
+    let mut layers = Layers::from_variables(variables);
+    layers.flags.insert("limits.sockets".into(), "600".into());
+    let (berth, shown) = read(GOOD, &layers).expect("a configuration");
+    assert_eq!(berth.dial, Duration::from_secs(1));
+    assert_eq!(berth.rooms.for_clients + berth.rooms.for_workers, 600 - 32);
+    let source = |path: &str| shown.iter().find(|s| s.path == path).map(|s| s.source.clone());
+    assert_eq!(source("limits.sockets"), Some(Source::Flag));
+    assert_eq!(
+        source("workers.connect-within"),
+        Some(Source::Variable("TINDOCK_WORKERS__CONNECT_WITHIN".into()))
+    );
+    assert_eq!(source("workers.keep-idle"), Some(Source::Default));
+    assert!(matches!(source("zone"), Some(Source::File(place)) if place.line == 2));
+}
+
+/// Each change to a good file has one problem, at its place, in these words.
+#[test]
+fn each_odd_value_is_told_with_its_place() {
+    let changes: &[(&str, &str, &str)] = &[
+        ("zone = ", "zne = ", "f:2:1: unknown key \"zne\"; zone was meant?"),
+        ("\"north\"", "\"\"", "f:2:8: zone: \"\"; a word was expected"),
+        ("\"127.0.0.1:7000\"", "\"localhost\"", "f:1:10: listen: \"localhost\"; address:port was expected"),
+        ("\"127.0.0.1:7000\"", "7000", "f:1:10: listen: \"7000\"; address:port"),
+        ("\"500ms\"", "500", "f:8:12: promised: \"500\"; a time with its unit was expected"),
+        ("\"500ms\"", "\"500 parsecs\"", "f:8:12: promised: \"500 parsecs\"; a time"),
+        ("\"500ms\"", "\"20s\"", "f:3:1: promised in 20s, but the hard limit is 10s"),
+        ("promised = \"500ms\"\n", "", "f:3:1: no promised in workload[0]"),
+        (
+            "\"deduplicated\"",
+            "\"safe\"",
+            "f:5:10: effect: \"safe\"; one of idempotent, deduplicated, unrepeatable",
+        ),
+        ("among = \"zone\"\n", "", "f:3:1: no among in workload[0]"),
+        ("\"release\"", "\"a/b\"", "f:4:8: name: \"a/b\"; up to 64 letters"),
+        ("12.5", "-1", "f:13:20: tasks-per-second: \"-1\"; a number from 0"),
+        ("12.5", "[1]", "f:13:20: array for tasks-per-second; one value"),
+        ("10.0.0.1:5000", "10.0.0.1", "f:18:11: address: \"10.0.0.1\" is no address"),
+        ("[workers]", "[wokers]", "f:14:2: unknown key \"wokers\"; workers was meant?"),
+        ("[[customer]]", "[customer]", "f:11:2: table for customer; a list was expected"),
+        ("[workers]", "[workers", "f:14:9: no TOML that can be read"),
+        ("[workers]", "[limits]\nsockets = 10\n[workers]", "f:14:2: 10 sockets are too few"),
+        (
+            "[workers]",
+            "[limits]\nmemory = \"8MB\"\n[workers]",
+            "f:14:2: 7.62939453125 MB of memory are too little",
+        ),
+        ("[workers]", "[inventory]\n[workers]", "f:14:2: no files in inventory"),
+        ("[workers]", "[inventory]\nfiles = [1]\n[workers]", "f:15:10: integer in files; a word"),
+        (
+            "[workers]",
+            "[inventory]\nfiles = [\"a\"]\n[inventory.columns]\nnme = \"n\"\n[workers]",
+            "f:17:1: \"nme\" is no field",
+        ),
+        (
+            "[workers]",
+            "[inventory]\nfiles = [\"a\"]\nguard-share = 2\n[workers]",
+            "f:16:15: guard-share: \"2\"; a number from 0 to 1",
+        ),
+        (
+            "[workers]",
+            "[log]\nlevel = \"loud\"\n[workers]",
+            "f:15:9: level: \"loud\"; one of error, warning, info, debug",
+        ),
+    ];
+    for (from, to, expected) in changes {
+        let text = GOOD.replacen(from, to, 1);
+        let told = problems(&text);
+        assert!(told.iter().any(|line| line.starts_with(expected)), "{from} -> {to}: {told:#?}");
+    }
+}
+
+#[test]
+fn all_problems_are_told_at_once() {
+    let text = "zne = 1\nseed = \"x\"\n[[workload]]\nname = \"a\"\n";
+    let told = problems(text);
+    let lines: Vec<&str> = told.iter().map(|line| &line[..4]).collect();
+    assert_eq!(lines, ["f:1:", "f:1:", "f:2:", "f:3:", "f:3:", "f:3:"], "{told:#?}");
+}
+
+#[test]
+fn what_is_said_over_the_file_must_be_known_too() {
+    let flags: BTreeMap<_, _> = [("limits.socket".to_string(), "5".to_string())].into();
+    let told = read(GOOD, &Layers { flags, ..Layers::default() }).map(|_| ()).expect_err("a problem");
+    assert_eq!(told, ["--set:1:1: unknown key \"limits.socket\"; limits.sockets was meant?"]);
+}
+
+/// The example that newcomers start from.
+#[test]
+fn the_example_is_a_configuration() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/tindock.toml");
+    let berth = tindock_berth::from_file(&path, &Layers::default()).expect("a configuration");
+    assert_eq!(berth.words.workloads, ["resize", "charge"]);
+    let old = path.with_file_name("config.json");
+    assert_eq!(
+        tindock_berth::from_file(&old, &Layers::default()).expect("JSON").words.workloads,
+        berth.words.workloads
+    );
+}
--- a/crates/roster/src/health.rs
+++ b/crates/roster/src/health.rs
@@ -42,6 +42,8 @@
     against: u32,
     under_way: bool,
     left_out: bool,
+    /// As it was told last.
+    told_out: bool,
 }
 
 pub struct Health {
@@ -82,8 +84,9 @@
         self.dismiss(name);
         let number = self.next_number;
         self.next_number += 1;
-        let (state, against, under_way, left_out) = (State::Unknown, 0, false, false);
-        self.patients.insert(name.into(), Patient { number, state, against, under_way, left_out });
+        let (state, against) = (State::Unknown, 0);
+        let (under_way, left_out, told_out) = (false, false, false);
+        self.patients.insert(name.into(), Patient { number, state, against, under_way, left_out, told_out });
         // A fleet that is read at once is looked at over one round.
         let at = now + self.terms.every.mul_f64(self.chance.rand_float() * JITTER);
         self.turns.push(Reverse((at, number, name.into())));
@@ -210,7 +213,8 @@
     pub fn change(&mut self) -> Option<(String, bool)> {
         loop {
             let name = self.changed.pop()?;
-            if let Some(patient) = self.patients.get(&name) {
+            if let Some(patient) = self.patients.get_mut(&name).filter(|p| p.left_out != p.told_out) {
+                patient.told_out = patient.left_out;
                 return Some((name, patient.left_out));
             }
         }
--- a/crates/roster/src/merging.rs
+++ b/crates/roster/src/merging.rs
@@ -119,10 +119,10 @@
             if condition == Condition::Gone {
                 row.listed = None;
                 // At another place it begins anew.
-                if row.file.is_some() {
-                    self.touched.insert(name.clone());
-                } else if row.told.is_none() {
-                    self.rows.remove(&name);
+                match (&row.file, &row.told) {
+                    (Some(_), None) => drop(self.touched.insert(name.clone())),
+                    (None, None) => drop(self.rows.remove(&name)),
+                    _ => {}
                 }
             }
             return Some(Line { name, member, condition, returns });
@@ -158,7 +158,7 @@
         }
         let leaves = self.file.as_ref().is_some_and(|(_, leaving)| *leaving);
         match (&self.told, &self.file) {
-            (Some((_, Condition::Gone)), None) => None,
+            (Some((_, Condition::Gone)), _) if self.listed.is_none() => None,
             (Some((member, Condition::Ready)), _) if leaves => Some((member.clone(), Condition::Draining)),
             (Some((member, condition)), _) => Some((member.clone(), *condition)),
             (None, Some((member, _))) if leaves || self.down => Some((member.clone(), Condition::Draining)),
--- a/crates/scheduler/src/stocking.rs
+++ b/crates/scheduler/src/stocking.rs
@@ -42,12 +42,15 @@
     pub tell: Sender<Told>,
 }
 
-struct Watching {
+/// What is known of the files, from one look to the next.
+pub struct Watching {
+    stock: Stock,
+    folder: PathBuf,
     in_force: Inventory,
     found: Vec<SocketAddr>,
     guard: Guard,
     /// What was read last, and when.
-    read: Option<(Marks, Instant)>,
+    read: Option<(Marks, Duration)>,
     /// What the last look saw.
     seen: Option<Marks>,
     /// The last problem that was told.
@@ -58,60 +61,72 @@
     /// Runs until the serving side is gone.
     pub fn run(self) {
         let began = Instant::now();
-        let guard = Guard::new(self.stock.guard_share, self.stock.confirm_after);
-        let mut watching = Watching {
-            in_force: Inventory::default(),
-            found: Vec::new(),
-            guard,
-            read: None,
-            seen: None,
-            told: String::new(),
-        };
+        let mut watching = Watching::new(self.stock, self.folder);
         loop {
-            let told = watching.look(&self, began);
+            let told = watching.look(began.elapsed());
             if told.into_iter().any(|told| self.tell.blocking_send(told).is_err()) || self.tell.is_closed() {
                 return;
             }
             std::thread::sleep(LOOK);
         }
     }
+}
+
+impl Watching {
+    pub fn new(stock: Stock, folder: PathBuf) -> Self {
+        Watching {
+            guard: Guard::new(stock.guard_share, stock.confirm_after),
+            stock,
+            folder,
+            in_force: Inventory::default(),
+            found: Vec::new(),
+            read: None,
+            seen: None,
+            told: String::new(),
+        }
+    }
+
+    /// The list in force.
+    pub fn in_force(&self) -> &Inventory {
+        &self.in_force
+    }
 
     fn accepted(&self) -> Option<u64> {
         let text = std::fs::read_to_string(accept_file(&self.folder)).ok()?;
         u64::from_str_radix(text.trim(), 16).ok()
     }
-}
 
-impl Watching {
-    fn look(&mut self, at: &Stocking, began: Instant) -> Vec<Told> {
-        let marks = match shelves::look(&at.stock.files) {
+    /// One look at the files, and what is to be told of it.
+    pub fn look(&mut self, now: Duration) -> Vec<Told> {
+        let marks = match shelves::look(&self.stock.files) {
             Ok(marks) => marks,
             Err(problems) => {
                 self.seen = None;
-                return self.problem(&problems, at);
+                return self.problem(&problems);
             }
         };
         let settled = self.seen.as_ref() == Some(&marks);
         self.seen = Some(marks.clone());
-        let fresh =
-            self.read.as_ref().is_some_and(|(read, when)| *read == marks && when.elapsed() < READ_ANEW);
-        // At the start nothing is in force that a half-written file could spoil but the start itself.
+        let fresh = self
+            .read
+            .as_ref()
+            .is_some_and(|(read, when)| *read == marks && now.saturating_sub(*when) < READ_ANEW);
         if fresh || !settled {
             return Vec::new();
         }
-        let read = shelves::take(&marks, &at.stock.columns, &at.stock.fixed);
+        let read = shelves::take(&marks, &self.stock.columns, &self.stock.fixed);
         // Guards against a file that was written while it was read.
-        if shelves::look(&at.stock.files).ok().as_ref() != Some(&marks) {
+        if shelves::look(&self.stock.files).ok().as_ref() != Some(&marks) {
             self.seen = None;
             return Vec::new();
         }
         let whole = read.and_then(|inventory| shelves::find(&inventory).map(|found| (inventory, found)));
         match whole {
             Err(problems) => {
-                self.read = Some((marks, Instant::now()));
-                self.problem(&problems, at)
+                self.read = Some((marks, now));
+                self.problem(&problems)
             }
-            Ok((inventory, found)) => self.offer(inventory, found, marks, at, began),
+            Ok((inventory, found)) => self.offer(inventory, found, marks, now),
         }
     }
 
@@ -120,10 +135,8 @@
         inventory: Inventory,
         found: Vec<SocketAddr>,
         marks: Marks,
-        at: &Stocking,
-        began: Instant,
+        now: Duration,
     ) -> Vec<Told> {
-        let now = began.elapsed();
         let changes = diff(&self.in_force, &inventory);
         let active = |e: &Entry| e.state == State::Active;
         let ready = self.in_force.entries.iter().filter(|e| active(e)).count();
@@ -135,7 +148,7 @@
         };
         let reading =
             Reading { digest: inventory.digest(), ready, taken_out: changes.iter().filter(out).count() };
-        match self.guard.offered(now, reading, at.accepted()) {
+        match self.guard.offered(now, reading, self.accepted()) {
             Verdict::Hold { first, until } => {
                 // Looked at again soon: time may let it through, or somebody's word.
                 self.read = None;
@@ -150,7 +163,7 @@
                 ))]
             }
             Verdict::Take => {
-                self.read = Some((marks, Instant::now()));
+                self.read = Some((marks, now));
                 self.told.clear();
                 let mut told = Vec::new();
                 let filed = self.filed(&inventory, &found);
@@ -159,7 +172,7 @@
                     told.push(Told::Note(format!("in force: {all} workers, {some} of them new or changed")));
                     told.push(Told::Changes(filed));
                 }
-                if let Some(path) = &at.stock.last_good {
+                if let Some(path) = &self.stock.last_good {
                     if *self.in_force.entries != inventory.entries {
                         told.extend(keep(path, &inventory).err().map(Told::Problem));
                     }
@@ -187,7 +200,7 @@
     }
 
     /// A problem is told once, until another takes its place. At the start, the list that was last good is taken.
-    fn problem(&mut self, problems: &[Problem], at: &Stocking) -> Vec<Told> {
+    fn problem(&mut self, problems: &[Problem]) -> Vec<Told> {
         self.guard.nothing();
         let mut lines: Vec<String> = problems.iter().take(MOST_TOLD).map(Problem::to_string).collect();
         if problems.len() > MOST_TOLD {
@@ -200,7 +213,7 @@
         self.told.clone_from(&line);
         let mut told = vec![Told::Problem(line)];
         if self.in_force.entries.is_empty() {
-            if let Some((inventory, found)) = at.stock.last_good.as_deref().and_then(kept) {
+            if let Some((inventory, found)) = self.stock.last_good.as_deref().and_then(kept) {
                 let filed = self.filed(&inventory, &found);
                 told.push(Told::Note(format!(
                     "the list that was last good is in force: {} workers",
--- /dev/null
+++ b/crates/scheduler/tests/peers/mod.rs
@@ -0,0 +1,216 @@
+//! Peers of the scheduler that are spoken to and answered by hand, and the scheduler as a process.
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// A step that takes this long is a failure.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One end of a connection that speaks HTTP/1.1 by hand.
+pub struct Peer(pub BufReader<TcpStream>);
+
+#[derive(Debug)]
+pub struct Message {
+    pub first: String,
+    pub headers: String,
+    pub body: String,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let line = self.headers.lines().find(|line| line.starts_with(&format!("{name}:")))?;
+        Some(line[name.len() + 1..].trim())
+    }
+}
+
+impl Peer {
+    pub fn over(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Peer(BufReader::new(stream))
+    }
+
+    pub fn connect(to: SocketAddr) -> Self {
+        Self::over(TcpStream::connect(to).expect("a connection"))
+    }
+
+    pub fn accept(listener: &TcpListener) -> Self {
+        let began = Instant::now();
+        listener.set_nonblocking(true).expect("a listener that does not wait for ever");
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).expect("a stream that waits");
+                    return Self::over(stream);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock && began.elapsed() < PATIENCE => {
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+                Err(e) => panic!("no connection: {e}"),
+            }
+        }
+    }
+
+    pub fn write(&mut self, text: &str) -> &mut Self {
+        self.0.get_mut().write_all(text.as_bytes()).expect("room to write");
+        self
+    }
+
+    /// The next message; none at the connection's end.
+    pub fn try_read(&mut self) -> Option<Message> {
+        let (mut first, mut headers) = (String::new(), String::new());
+        match self.0.read_line(&mut first) {
+            Ok(0) => return None,
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => return None,
+            read => drop(read.expect("a first line or the end")),
+        }
+        while !headers.ends_with("\r\n\r\n") && headers != "\r\n" {
+            self.0.read_line(&mut headers).expect("a head");
+        }
+        let mut message =
+            Message { first: first.trim().into(), headers: headers.to_lowercase(), body: String::new() };
+        let length = message.header("content-length").map_or(0, |n| n.parse().expect("a length"));
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).expect("a body");
+        message.body = String::from_utf8(body).expect("text");
+        Some(message)
+    }
+
+    pub fn read(&mut self) -> Message {
+        self.try_read().expect("a message, not the end")
+    }
+
+    pub fn post(&mut self, path: &str, id: &str, body: &str) -> &mut Self {
+        self.post_within(15000, path, id, body)
+    }
+
+    pub fn post_within(&mut self, ms: u64, path: &str, id: &str, body: &str) -> &mut Self {
+        let length = body.len();
+        self.write(&format!(
+            "POST {path} HTTP/1.1\r\nHost: service\r\nX-Trace-Id: {id}\r\nX-Expires-In-Ms: {ms}\r\n\
+             Idempotency-Key: mark-{id}\r\nContent-Length: {length}\r\n\r\n{body}"
+        ))
+    }
+
+    pub fn answer(&mut self, body: &str) {
+        self.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
+
+    pub fn taken(&mut self) {
+        self.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    }
+}
+
+pub const SETTINGS: &str = r#"{"instances": 1, "zone": 0, "discovery": "automatic", "areas": ["here"], "skus": ["one"],
+ "caps": {"cancel": true, "most_assignments": 3, "dial_timeout_s": 5, "keepalive_s": 300, "retry_after": true,
+          "max_retry_after_s": 0.5},
+ "rules": {"cold_share": 0.3, "overload_factor": 3.0, "warm_within_s": 8.0},
+ "domain": {"class_stretch": [2.0, 2.0]},
+ "workloads": [
+  {"name": "plan", "effect": "retryable", "hard_limit_s": 15, "promised_time_s": 3, "utility": 1},
+  {"name": "release", "effect": "fragile", "hard_limit_s": 15, "promised_time_s": 3, "utility": 1}]}"#;
+
+pub struct Scheduler {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub log: BufReader<std::process::ChildStdout>,
+}
+
+pub fn write_config(name: &str, config: &str) -> PathBuf {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
+    std::fs::write(&path, config).expect("a configuration");
+    path
+}
+
+/// Starts it with this many descriptors at the most.
+pub fn spawn(name: &str, config: &str, descriptors: usize) -> Child {
+    let path = write_config(name, config);
+    let mut command = Command::new("sh");
+    command.args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\""), env!("CARGO_BIN_EXE_tindock")]);
+    command.env("GW_CONFIG", path).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command.spawn().expect("a scheduler")
+}
+
+pub fn entry(name: &str, address: SocketAddr, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"here","type":"one","group":1,"status":"{status}","weight":2,"since_ms":0}}"#
+    )
+}
+
+pub fn config(discovery: SocketAddr, entries: &[String], sockets: usize) -> String {
+    let entries = entries.join(",");
+    format!(
+        r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+ "limits":{{"sockets":{sockets}}},"known":{{"index":41,"snapshot":true,"endpoints":[{entries}]}},"settings":{SETTINGS}}}"#
+    )
+}
+
+impl Scheduler {
+    pub fn start(name: &str, discovery: SocketAddr, entries: &[String]) -> Self {
+        Self::limited(name, discovery, entries, 1024, 1024)
+    }
+
+    /// Told of this many sockets, and held to this many descriptors.
+    pub fn limited(name: &str, agent: SocketAddr, entries: &[String], told: usize, held: usize) -> Self {
+        let mut child = spawn(name, &config(agent, entries, told), held);
+        let log = BufReader::new(child.stdout.take().expect("its log"));
+        let address = ([0, 0, 0, 0], 0).into();
+        let mut scheduler = Scheduler { child, address, log };
+        let line = scheduler.line("listens on ");
+        let address = line.split("listens on ").nth(1).expect("an address");
+        scheduler.address = address.trim().parse().expect("an address");
+        scheduler
+    }
+
+    /// Reads the log up to a line that has these words.
+    pub fn line(&mut self, words: &str) -> String {
+        loop {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).expect("a log") > 0, "the log ends before {words:?}");
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().expect("kill").success());
+    }
+
+    /// Its file is replaced, and it is told.
+    pub fn reload(&self, name: &str, config: &str) {
+        write_config(name, config);
+        self.signal("-HUP");
+    }
+
+    pub fn news(&self, text: &str) -> String {
+        let mut worker = Peer::connect(self.address);
+        worker.write(&format!(
+            "POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: {}\r\n\r\n{text}",
+            text.len()
+        ));
+        worker.read().first
+    }
+
+    pub fn done(&self, id: &str, from: &str, result: &str) {
+        let told =
+            self.news(&format!(r#"{{"id":"{id}","from":"{from}","state":"done","result":"{result}"}}"#));
+        assert_eq!(told, "HTTP/1.1 204 No Content");
+    }
+}
+
+impl Drop for Scheduler {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("its address");
+    (listener, address)
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -106,7 +106,9 @@
 
 impl Rules {
     pub fn new(sheet: DutySheet, seed: u64, now: Duration) -> Self {
-        let guess = |w: &Workload| secs(w.promised).max(0.01); // says best how long a task runs, at first
+        // The promised time says best how long a task runs, at first. Guards against shedding all of a workload whose
+        // promised time hardly grows with the run, before any has run: then it must leave room for more than the run.
+        let guess = |w: &Workload| (secs(w.promised) * ((1.0 + w.stretch) / 2.0).min(1.0)).max(0.01);
         let first = |w: &Workload| Runs { log: guess(w).ln(), mean: guess(w), seen: 0.0 };
         let runs: Vec<Runs> = sheet.workloads.iter().map(first).collect();
         let hold = runs.iter().map(|r| r.mean).sum::<f64>() / runs.len() as f64;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -218,6 +218,19 @@
     assert_snapshot!(desk.trace);
 }
 
+/// Guards against a workload all of whose tasks are shed before any has run: how long one runs is only a guess then, and
+/// a promised time that does not grow with the run must leave room for it.
+#[test]
+fn the_first_task_is_sent_whatever_the_promise() {
+    for stretch in [0.0, 0.3, 1.0, 2.0] {
+        let mut sheet = duty(&[Effect::Unrepeatable]);
+        sheet.workloads[0].stretch = stretch;
+        let mut desk = Desk::new(sheet, 1);
+        desk.arrive(0);
+        assert!(desk.trace.contains("to worker 0"), "stretch {stretch}: {}", desk.trace);
+    }
+}
+
 /// Guards against queues at workers that put little utility before much: it waits here until there is room.
 #[test]
 fn low_utility_waits_here_while_high_utility_queues() {
