--- a/crates/berth/src/layers.rs
+++ b/crates/berth/src/layers.rs
@@ -71,6 +71,16 @@
     numbered: bool,
 }
 
+impl Section<'_> {
+    /// The whole path of a key in it.
+    fn at(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            return key.into();
+        }
+        format!("{}.{key}", self.path)
+    }
+}
+
 pub(crate) struct Reader<'t> {
     file: Arc<str>,
     text: &'t str,
@@ -112,7 +122,7 @@
                 None
             }
         });
-        let path = if of.path.is_empty() { key.into() } else { format!("{}.{key}", of.path) };
+        let path = of.at(key);
         Section { path, table, place, known: Vec::new(), numbered: of.numbered }
     }
 
@@ -164,7 +174,7 @@
                 other => self.problem(&place, format!("{} in {key}; a word was expected", other.type_str())),
             }
         }
-        let path = if of.path.is_empty() { key.into() } else { format!("{}.{key}", of.path) };
+        let path = of.at(key);
         let source = words.first().map_or(Source::Default, |(_, place)| Source::File(place.clone()));
         let value = format!("{:?}", words.iter().map(|(w, _)| w.as_str()).collect::<Vec<_>>());
         self.shown.push(Shown { path, value, source });
@@ -195,7 +205,7 @@
     /// What a key says: a flag's word before a variable's before the file's.
     fn layered(&mut self, of: &mut Section<'t>, key: &'static str) -> Option<(Written, Source)> {
         of.known.push(key);
-        let path = if of.path.is_empty() { key.to_string() } else { format!("{}.{key}", of.path) };
+        let path = of.at(key);
         let over = |text: &String, name: &str| {
             let place = Place::start(name);
             Written { text: text.clone(), place }
@@ -230,7 +240,7 @@
         read: impl Fn(&Written) -> Result<T, String>,
         default: &str,
     ) -> T {
-        let path = if of.path.is_empty() { key.into() } else { format!("{}.{key}", of.path) };
+        let path = of.at(key);
         if let Some((written, source)) = self.layered(of, key) {
             match read(&written) {
                 Ok(value) => {
@@ -254,7 +264,7 @@
         key: &'static str,
         read: impl Fn(&Written) -> Result<T, String>,
     ) -> Option<T> {
-        let path = if of.path.is_empty() { key.into() } else { format!("{}.{key}", of.path) };
+        let path = of.at(key);
         let (written, source) = self.layered(of, key)?;
         match read(&written) {
             Ok(value) => {
--- a/crates/scheduler/src/cli.rs
+++ b/crates/scheduler/src/cli.rs
@@ -5,7 +5,7 @@
 use crate::stocking::accept_file;
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::path::{Path, PathBuf};
-use tindock_inventory::{diff, read, write, Change, Columns, Form, Inventory, Place, Written};
+use tindock_inventory::{diff, write, Change, Columns, Inventory, Written};
 
 /// A dispatcher beside each submitter: takes tasks from clients and pushes them to workers.
 #[derive(Debug, Parser)]
@@ -232,10 +232,3 @@
         }
     }
 }
-
-/// Reads one file as `inventory check` would, for whoever holds its bytes.
-pub fn read_one(name: &str, bytes: &[u8]) -> Result<usize, Vec<Problem>> {
-    let form = Form::of(name)
-        .ok_or_else(|| vec![Place::start(name).problem("its ending is none of .csv, .yaml, .yml")])?;
-    read(name, bytes, form, &Columns::default()).map(|entries| entries.len())
-}
--- a/crates/scheduler/src/muster.rs
+++ b/crates/scheduler/src/muster.rs
@@ -144,6 +144,15 @@
         while self.hand_on() {}
     }
 
+    /// Lines that may have changed and are not handed on yet, and workers that are given tasks.
+    pub fn pending(&self) -> usize {
+        self.files.as_ref().map_or(0, |files| files.merging.borrow().pending())
+    }
+
+    pub fn ready(&self) -> usize {
+        self.files.as_ref().map_or(0, |files| files.merging.borrow().ready())
+    }
+
     // ---- for those who look at the workers ----
 
     /// Whom to look at, and where; waits until there is somebody.
