--- a/crates/roster/src/merging.rs
+++ b/crates/roster/src/merging.rs
@@ -130,11 +130,6 @@
         None
     }
 
-    /// Workers whose line may have changed.
-    pub fn pending(&self) -> usize {
-        self.touched.len()
-    }
-
     /// Workers that are given tasks by the list.
     pub fn ready(&self) -> usize {
         self.rows.values().filter(|row| matches!(row.listed, Some((_, Condition::Ready)))).count()
--- a/crates/scheduler/benches/applying.rs
+++ b/crates/scheduler/benches/applying.rs
@@ -29,12 +29,8 @@
     entries.into_iter().map(|e| (e.name.clone(), Some((e.clone(), at(&e))))).collect()
 }
 
-async fn apply(
-    tell: &mpsc::Sender<Told>,
-    changes: Vec<Filed>,
-    muster: &Muster,
-    ready: usize,
-) -> (Duration, Duration) {
+async fn apply(tell: &mpsc::Sender<Told>, changes: Vec<Filed>, muster: &Muster) -> (Duration, Duration) {
+    let wanted = muster.handed_on() + changes.len() as u64;
     let (began, worst) = (Instant::now(), Rc::new(Cell::new(Duration::ZERO)));
     let noted = worst.clone();
     let ticker = spawn_local(async move {
@@ -47,7 +43,7 @@
     tell.send(Told::Changes(changes)).await.expect("a muster");
     loop {
         tokio::task::yield_now().await;
-        if muster.pending() == 0 && muster.ready() == ready {
+        if muster.handed_on() == wanted {
             break;
         }
     }
@@ -88,12 +84,12 @@
             let line = |what: &str, (whole, stall): (Duration, Duration)| {
                 println!("{workers:>8} {what:>24} {whole:>14.1?} {stall:>16.1?}");
             };
-            line("all are new", apply(&tell, filed(0..workers, 16), &muster, workers).await);
+            line("all are new", apply(&tell, filed(0..workers, 16), &muster).await);
             for _ in 0..3 {
                 let some = filed((0..workers).step_by(100), 32);
-                line("1% say something else", apply(&tell, some, &muster, workers).await);
+                line("1% say something else", apply(&tell, some, &muster).await);
                 let some = filed((0..workers).step_by(100), 16);
-                line("and back", apply(&tell, some, &muster, workers).await);
+                line("and back", apply(&tell, some, &muster).await);
             }
         });
     }
--- a/crates/scheduler/src/muster.rs
+++ b/crates/scheduler/src/muster.rs
@@ -4,7 +4,7 @@
 use crate::exchange::Exchange;
 use crate::stocking::{Filed, Told};
 use slog::{info, warn, Logger};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tindock::terms::Condition;
@@ -32,19 +32,20 @@
     exchange: Rc<Exchange>,
     words: RefCell<Words>,
     files: Option<Files>,
+    handed_on: Cell<u64>,
     log: Logger,
 }
 
 impl Muster {
     /// Without files, what discovery says goes on as it is.
     pub fn of_discovery(exchange: Rc<Exchange>, words: Words, log: Logger) -> Rc<Self> {
-        Rc::new(Muster { exchange, words: RefCell::new(words), files: None, log })
+        Rc::new(Muster { exchange, words: RefCell::new(words), files: None, handed_on: Cell::new(0), log })
     }
 
     pub fn with_files(exchange: Rc<Exchange>, words: Words, health: Option<Health>, log: Logger) -> Rc<Self> {
         let merging = RefCell::new(Merging::new(|one: &Entry, other| one.address == other.address));
         let files = Some(Files { merging, health: health.map(RefCell::new), looks: Notify::new() });
-        Rc::new(Muster { exchange, words: RefCell::new(words), files, log })
+        Rc::new(Muster { exchange, words: RefCell::new(words), files, handed_on: Cell::new(0), log })
     }
 
     /// Decodes an answer of discovery, which may bring words that are new to all.
@@ -75,7 +76,7 @@
                 told = told.recv() => match told {
                     None => return,
                     Some(Told::Note(line)) => info!(self.log, "inventory {line}"),
-                    Some(Told::Problem(line)) => warn!(self.log, "inventory turned down, the last good list stays: {line}"),
+                    Some(Told::Problem(line)) => warn!(self.log, "inventory {line}"),
                     Some(Told::Changes(filed)) => self.filed(filed).await,
                 },
                 () = tokio::time::sleep(LOOK) => self.tend(),
@@ -125,6 +126,7 @@
             entries.push(Entry { condition: line.condition, booted_ms, ..line.member });
         }
         drop(merging);
+        self.handed_on.set(self.handed_on.get() + entries.len() as u64);
         let more = entries.len() == SLICE;
         if !entries.is_empty() {
             self.exchange.change(entries);
@@ -144,13 +146,9 @@
         while self.hand_on() {}
     }
 
-    /// Lines that may have changed and are not handed on yet, and workers that are given tasks.
-    pub fn pending(&self) -> usize {
-        self.files.as_ref().map_or(0, |files| files.merging.borrow().pending())
-    }
-
-    pub fn ready(&self) -> usize {
-        self.files.as_ref().map_or(0, |files| files.merging.borrow().ready())
+    /// Lines of the list that were handed to the exchange since the start.
+    pub fn handed_on(&self) -> u64 {
+        self.handed_on.get()
     }
 
     // ---- for those who look at the workers ----
--- a/crates/scheduler/src/stocking.rs
+++ b/crates/scheduler/src/stocking.rs
@@ -211,7 +211,7 @@
             return Vec::new();
         }
         self.told.clone_from(&line);
-        let mut told = vec![Told::Problem(line)];
+        let mut told = vec![Told::Problem(format!("turned down, the last good list stays: {line}"))];
         if self.in_force.entries.is_empty() {
             if let Some((inventory, found)) = self.stock.last_good.as_deref().and_then(kept) {
                 let filed = self.filed(&inventory, &found);
@@ -232,7 +232,7 @@
     let beside = path.with_extension("new");
     let written = std::fs::write(&beside, write(inventory, Written::Csv));
     let kept = written.and_then(|()| std::fs::rename(&beside, path));
-    kept.map_err(|e| format!("the list in force cannot be kept in {}: {e}", path.display()))
+    kept.map_err(|e| format!("in force, but cannot be kept in {} for the next start: {e}", path.display()))
 }
 
 fn kept(path: &Path) -> Option<(Inventory, Vec<SocketAddr>)> {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,6 +34,7 @@
 const COPIES: usize = 4; // copies that wait for several slots at a time: one worker in four drains soon
 const MINE_STEP: f64 = 0.3; // weight of one tally in the own part of all traffic: what is out swings
 const TALLY: f64 = 3.0; // the whole list is added up this often: it changes in seconds
+const LONG_LIST: usize = 4096; // from here on adding up takes a millisecond: then only every TALLY
 const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
 const CROSSING: f64 = 40.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
@@ -129,7 +130,11 @@
     }
 
     pub fn list_begins(&mut self, whole: bool) {
-        (self.tallied, self.due) = (None, self.now);
+        self.due = self.now;
+        // Guards against tasks that wait while a long list, which changes by little, is added up again and again.
+        if whole || self.roster.listed < LONG_LIST {
+            self.tallied = None;
+        }
         if whole {
             self.workers.iter_mut().for_each(|w| w.on_list = false);
             self.roster.clear();
