One opener of configurations; held readings wait; no scan for who drains out

Need: the reread of the change showed work done twice: the command line opened configurations beside the loader; an inventory that is held back was read anew every 0.2 s for a minute; the serving thread looked through all workers four times a second for those that drain out; "what was found, unless there were problems" stood five times.

Change: tindock_berth::open serves both; a held reading waits for its time or for somebody's word; the merging keeps who ends as its lines change; inventory::unless; a plainer reading of a list of workers in YAML, and no guard before a judging that is idempotent. Behaviour stays as it was.

--- a/crates/berth/src/lib.rs
+++ b/crates/berth/src/lib.rs
@@ -16,17 +16,21 @@
 
 use std::path::Path;
 
-/// Reads a configuration file: TOML by its ending, else the platform's JSON. Problems are lines that name the file.
-pub fn from_file(path: &Path, layers: &Layers) -> Result<Berth, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+/// Reads a configuration file: TOML by its ending, else the platform's JSON, which tells nothing of its sources.
+/// Problems are lines that name the file.
+pub fn open(path: &Path, layers: &Layers) -> Result<(Berth, Vec<Shown>), Vec<String>> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| vec![format!("{name}: {e}")])?;
     if path.extension().is_some_and(|ending| ending == "toml") {
-        let name = path.display().to_string();
         let folder = path.parent().unwrap_or(Path::new(""));
-        let lines = |problems: Vec<Problem>| {
-            let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
-            lines.join("\n")
-        };
-        return installation::read(&name, folder, &text, layers).map(|(berth, _)| berth).map_err(lines);
+        let read = installation::read(&name, folder, &text, layers);
+        return read.map_err(|problems| problems.iter().map(Problem::to_string).collect());
     }
-    platform::read(&text).map_err(|why| format!("{}: {why}", path.display()))
+    let read = platform::read(&text).map_err(|why| vec![format!("{name}: {why}")]);
+    read.map(|berth| (berth, Vec::new()))
+}
+
+/// The configuration alone; several problems are several lines.
+pub fn from_file(path: &Path, layers: &Layers) -> Result<Berth, String> {
+    open(path, layers).map(|(berth, _)| berth).map_err(|lines| lines.join("\n"))
 }
--- a/crates/inventory/src/comma.rs
+++ b/crates/inventory/src/comma.rs
@@ -1,7 +1,7 @@
 //! CSV: a header row, then one worker a row.
 
 use crate::columns::{Columns, Value};
-use crate::entry::{Entry, Place, Problem};
+use crate::entry::{unless, Entry, Place, Problem};
 use crate::MOST_ENTRIES;
 use csv::{ReaderBuilder, StringRecord};
 use std::collections::BTreeMap;
@@ -68,11 +68,7 @@
             .collect();
         entries.extend(columns.entry(&said, &line, &mut problems));
     }
-    if problems.is_empty() {
-        Ok(entries)
-    } else {
-        Err(problems)
-    }
+    unless(problems, entries)
 }
 
 fn header(
--- a/crates/inventory/src/entry.rs
+++ b/crates/inventory/src/entry.rs
@@ -49,6 +49,15 @@
     }
 }
 
+/// What was found, unless there were problems.
+pub fn unless<T>(problems: Vec<Problem>, found: T) -> Result<T, Vec<Problem>> {
+    if problems.is_empty() {
+        Ok(found)
+    } else {
+        Err(problems)
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Host {
     Ip(IpAddr),
--- a/crates/inventory/src/groups.rs
+++ b/crates/inventory/src/groups.rs
@@ -1,7 +1,7 @@
 //! YAML as configuration tools keep it: groups with `hosts`, `children` and `vars`; or a plain list of workers.
 
 use crate::columns::{Columns, Value};
-use crate::entry::{Entry, Place, Problem};
+use crate::entry::{unless, Entry, Place, Problem};
 use crate::ranges;
 use crate::tree::{self, Is, Node, Word};
 use crate::MOST_ENTRIES;
@@ -15,13 +15,14 @@
     let root = tree::parse(name, text).map_err(|problem| vec![problem])?;
     match &root.is {
         Is::List(workers) => plain(workers, columns),
-        Is::Map(rows) => match &rows[..] {
-            [(only, node)] if only.text == "workers" && matches!(node.is, Is::List(_)) => match &node.is {
-                Is::List(workers) => plain(workers, columns),
-                _ => Ok(Vec::new()),
-            },
-            _ => Groups::new(columns, start).read(rows),
-        },
+        Is::Map(rows) => {
+            if let [(only, node)] = &rows[..] {
+                if let ("workers", Is::List(workers)) = (only.text.as_str(), &node.is) {
+                    return plain(workers, columns);
+                }
+            }
+            Groups::new(columns, start).read(rows)
+        }
         _ => Err(vec![root.place.problem("neither groups nor a list of workers")]),
     }
 }
@@ -43,11 +44,7 @@
         let place = &workers[MOST_ENTRIES].place;
         problems.push(place.problem(format!("one worker too many: {MOST_ENTRIES} at the most")));
     }
-    if problems.is_empty() {
-        Ok(entries)
-    } else {
-        Err(problems)
-    }
+    unless(problems, entries)
 }
 
 /// The variables among these that say something of a worker; what else tools keep there is passed over.
@@ -250,11 +247,7 @@
             entries.extend(self.columns.entry(&said, place, &mut problems));
         }
         entries.sort_by(|a, b| a.place.cmp(&b.place));
-        if problems.is_empty() {
-            Ok(entries)
-        } else {
-            Err(problems)
-        }
+        unless(problems, entries)
     }
 
     /// What the groups of a host, and all that hold them, say: the deepest first; two of one depth must agree.
--- a/crates/inventory/src/lib.rs
+++ b/crates/inventory/src/lib.rs
@@ -21,7 +21,7 @@
 mod writing;
 
 pub use columns::{Columns, FIELDS};
-pub use entry::{Address, Entry, Host, Place, Problem, State};
+pub use entry::{unless, Address, Entry, Host, Place, Problem, State};
 pub use merging::{diff, merge, twice_by_address, Change, Inventory};
 pub use writing::{write, Written};
 
--- a/crates/roster/src/health.rs
+++ b/crates/roster/src/health.rs
@@ -167,11 +167,8 @@
         let hurried = patient.against > 0;
         let at = now + if hurried { pause / 4 } else { pause };
         self.turns.push(Reverse((at, number, name.into())));
-        let changes = (patient.state == State::Down) != patient.left_out;
-        if changes || was != self.patients[name].state {
-            self.judge(name);
-            self.judge_all();
-        }
+        self.judge(name);
+        self.judge_all();
     }
 
     fn judge(&mut self, name: &str) {
--- a/crates/roster/src/merging.rs
+++ b/crates/roster/src/merging.rs
@@ -43,11 +43,19 @@
     /// Rows whose line may have changed.
     touched: BTreeSet<String>,
     back: BTreeSet<String>,
+    /// Rows that drain because no source names them there: looking through all would keep tasks waiting.
+    ending: BTreeSet<String>,
 }
 
 impl<M: Clone + PartialEq> Merging<M> {
     pub fn new(same_place: fn(&M, &M) -> bool) -> Self {
-        Merging { same_place, rows: BTreeMap::new(), touched: BTreeSet::new(), back: BTreeSet::new() }
+        Merging {
+            same_place,
+            rows: BTreeMap::new(),
+            touched: BTreeSet::new(),
+            back: BTreeSet::new(),
+            ending: BTreeSet::new(),
+        }
     }
 
     fn row(&mut self, name: &str) -> &mut Row<M> {
@@ -95,14 +103,17 @@
 
     /// The workers that drain because no source names them, or names them elsewhere: gone once idle.
     pub fn ending(&self) -> impl Iterator<Item = &str> {
-        let ends = |row: &Row<M>| row.busy && row.ends(self.same_place);
-        self.rows.iter().filter(move |(_, row)| ends(row)).map(|(name, _)| name.as_str())
+        self.ending.iter().map(String::as_str)
     }
 
     /// The next line that differs from what the list says.
     pub fn line(&mut self) -> Option<Line<M>> {
         while let Some(name) = self.touched.pop_first() {
             let row = self.rows.get_mut(&name)?;
+            match row.busy && row.ends(self.same_place) {
+                true => self.ending.insert(name.clone()),
+                false => self.ending.remove(&name),
+            };
             let now = row.now(self.same_place);
             let before = row.listed.as_ref().map(|(member, condition)| (member, *condition));
             if now.as_ref().map(|(member, condition)| (member, *condition)) == before {
--- a/crates/scheduler/src/cli.rs
+++ b/crates/scheduler/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line: what it takes, and the commands that end by themselves.
 
-use crate::berth::{self, Layers, Problem, Shown, Stock};
+use crate::berth::{self, open, Layers, Problem, Shown, Stock};
 use crate::shelves;
 use crate::stocking::accept_file;
 use clap::{Args, Parser, Subcommand, ValueEnum};
@@ -129,18 +129,6 @@
     problems.iter().map(Problem::to_string).collect()
 }
 
-fn open(file: &Path, layers: &Layers) -> Result<(berth::Berth, Vec<Shown>), Vec<String>> {
-    let name = file.display().to_string();
-    let text = std::fs::read_to_string(file).map_err(|e| vec![format!("{name}: {e}")])?;
-    if file.extension().is_none_or(|ending| ending != "toml") {
-        return berth::platform::read(&text)
-            .map(|b| (b, Vec::new()))
-            .map_err(|e| vec![format!("{name}: {e}")]);
-    }
-    let folder = file.parent().unwrap_or(Path::new(""));
-    berth::installation::read(&name, folder, &text, layers).map_err(lines)
-}
-
 fn stocked(stock: &Stock) -> Result<Inventory, Vec<String>> {
     let whole = || {
         let marks = shelves::look(&stock.files)?;
--- a/crates/scheduler/src/shelves.rs
+++ b/crates/scheduler/src/shelves.rs
@@ -6,7 +6,7 @@
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use tindock_inventory::{
-    merge, read, twice_by_address, Columns, Entry, Form, Host, Inventory, Place, Problem, MOST_BYTES,
+    merge, read, twice_by_address, unless, Columns, Entry, Form, Host, Inventory, Place, Problem, MOST_BYTES,
 };
 
 /// Files of one folder; a folder of millions is no inventory.
@@ -59,11 +59,7 @@
             },
         }
     }
-    if problems.is_empty() {
-        Ok(marks)
-    } else {
-        Err(problems)
-    }
+    unless(problems, marks)
 }
 
 fn folder(path: &Path) -> Result<Marks, Problem> {
@@ -137,11 +133,7 @@
     if problems.is_empty() {
         problems = twice_by_address(&inventory.entries, &found);
     }
-    if problems.is_empty() {
-        Ok(found)
-    } else {
-        Err(problems)
-    }
+    unless(problems, found)
 }
 
 fn look_up(name: &str, port: u16) -> Result<SocketAddr, String> {
--- a/crates/scheduler/src/stocking.rs
+++ b/crates/scheduler/src/stocking.rs
@@ -51,6 +51,8 @@
     guard: Guard,
     /// What was read last, and when.
     read: Option<(Marks, Duration)>,
+    /// A reading that is held back, and when it is let through by itself.
+    held: Option<(u64, Duration)>,
     /// What the last look saw.
     seen: Option<Marks>,
     /// The last problem that was told.
@@ -81,6 +83,7 @@
             in_force: Inventory::default(),
             found: Vec::new(),
             read: None,
+            held: None,
             seen: None,
             told: String::new(),
         }
@@ -111,7 +114,10 @@
             .read
             .as_ref()
             .is_some_and(|(read, when)| *read == marks && now.saturating_sub(*when) < READ_ANEW);
-        if fresh || !settled {
+        // What is held back is not read again until it may be let through.
+        let let_through =
+            self.held.is_some_and(|(digest, until)| now >= until || self.accepted() == Some(digest));
+        if fresh && !let_through || !settled {
             return Vec::new();
         }
         let read = shelves::take(&marks, &self.stock.columns, &self.stock.fixed);
@@ -150,8 +156,8 @@
             Reading { digest: inventory.digest(), ready, taken_out: changes.iter().filter(out).count() };
         match self.guard.offered(now, reading, self.accepted()) {
             Verdict::Hold { first, until } => {
-                // Looked at again soon: time may let it through, or somebody's word.
-                self.read = None;
+                self.read = Some((marks, now));
+                self.held = Some((reading.digest, until));
                 if !first {
                     return Vec::new();
                 }
@@ -164,6 +170,7 @@
             }
             Verdict::Take => {
                 self.read = Some((marks, now));
+                self.held = None;
                 self.told.clear();
                 let mut told = Vec::new();
                 let filed = self.filed(&inventory, &found);
@@ -202,6 +209,7 @@
     /// A problem is told once, until another takes its place. At the start, the list that was last good is taken.
     fn problem(&mut self, problems: &[Problem]) -> Vec<Told> {
         self.guard.nothing();
+        self.held = None;
         let mut lines: Vec<String> = problems.iter().take(MOST_TOLD).map(Problem::to_string).collect();
         if problems.len() > MOST_TOLD {
             lines.push(format!("and {} more", problems.len() - MOST_TOLD));
