Schedulers leave free slots to one another or tell what is out; data sets have homes

At fault: `hidden` knows next to nothing where 180 schedulers send three tasks a second each, `has_room` takes the unknown for room and moves tasks where a call-off stops nothing; bern: `may_queue` let all queue at workers (5 to 14% started within 40 ms), sets were not read, `place` scored the whole list again for each waiting task. Tasks wait at the scheduler for room that is sure. Reports in answers are read, moving weights are no sizes, a set's homes are drawn by highest random weight.

--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -91,6 +91,8 @@
     Ok(DutySheet {
         workloads: (0..rows).map(|row| workload(info, row)).collect::<Read<_>>()?,
         schedulers: number(info, "/instances")?.max(1.0) as usize,
+        position: optional(info, "/position")?.unwrap_or(0.0) as usize,
+        may_tell: flag(info, "/caps/peers"),
         zone: number(info, "/zone")? as usize,
         news,
         beyond_share: optional(info, "/beyond_share_utility")?.unwrap_or(1.0),
@@ -102,6 +104,7 @@
         most_assignments: number(info, "/caps/most_assignments")?.max(1.0) as usize,
         progress_every: span_of(progress).filter(|gap| !gap.is_zero()),
         tells_start: flag(info, "/domain/tells_start"),
+        moving_weights: optional_word(info, "/weights") == Some("live"),
         report_free: position("x0").filter(|_| free),
         report_waiting: position("backlog"),
         overload_factor: number(info, "/rules/overload_factor")?,
@@ -109,6 +112,7 @@
         warm_within: span(info, "/rules/warm_within_s")?,
         price_crossing: optional(info, "/penalties/cross_zone")?.unwrap_or(0.0),
         price_probe: optional(info, "/penalties/probe")?.unwrap_or(0.0),
+        price_word: optional(info, "/penalties/peer")?.unwrap_or(0.0),
     })
 }
 
--- a/crates/simhost/src/frame.rs
+++ b/crates/simhost/src/frame.rs
@@ -156,9 +156,18 @@
     }
 
     pub fn text(&mut self, code: u16, text: &str) {
-        let (offset, length) = (self.tail.len() as u32, text.len() as u32);
-        self.record(code).raw(&offset.to_le_bytes()).raw(&length.to_le_bytes());
-        self.tail.extend_from_slice(text.as_bytes());
+        self.with_tail(code, &[], text.as_bytes());
+    }
+
+    /// A message to another instance.
+    pub fn tell(&mut self, to: u32, message: &[u8]) {
+        self.with_tail(1070, &to.to_le_bytes(), message);
+    }
+
+    fn with_tail(&mut self, code: u16, before: &[u8], piece: &[u8]) {
+        let (offset, length) = (self.tail.len() as u32, piece.len() as u32);
+        self.record(code).raw(before).raw(&offset.to_le_bytes()).raw(&length.to_le_bytes());
+        self.tail.extend_from_slice(piece);
     }
 
     pub fn write(&self, number: u32, out: &mut impl Write) -> io::Result<()> {
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -2,6 +2,7 @@
 //! indices, keeps the instances apart, encodes replies. It decides nothing.
 
 mod frame;
+mod word;
 
 use frame::{Frame, Reply, Wrong};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -10,6 +11,7 @@
 use tindock::rules::Rules;
 use tindock::terms::{Condition, Decision, Ending, News, Site};
 use tindock_roster::asking::{Asking, Service, Step};
+use word::Word;
 
 const BATCH_HEADER: usize = 20;
 const EVENT: usize = 56;
@@ -26,11 +28,18 @@
     call: u64,
     asks_at: Option<Duration>,
     workloads: usize,
+    position: usize,
     places: HashMap<u64, usize>,
     ids: Vec<u64>,
     given: HashSet<u64>,
     workers: HashMap<[u8; 6], usize>,
     addresses: Vec<[u8; 6]>,
+    /// The workers' names in messages between schedulers, where no two share one.
+    shorts: Vec<Option<u16>>,
+    by_short: HashMap<u16, Option<usize>>,
+    telling: Vec<(u16, f64)>,
+    /// Messages of others that could not be read.
+    rubbish: u64,
 }
 
 impl Instance {
@@ -98,6 +107,20 @@
             }
             let booted = Some(e.span(15)?).filter(|b| !b.is_zero());
             self.rules.listed(worker, site, f64::from(e.f32(1)?), condition, booted);
+            if worker == fresh {
+                let mark = word::mark(address);
+                self.rules.marked(worker, mark);
+                // Guards against taking one worker for another: of two with the same short mark none is told of.
+                let short = word::short(mark);
+                self.shorts.push(Some(short));
+                let known = self.by_short.entry(short).or_insert(Some(worker));
+                if *known != Some(worker) {
+                    self.shorts[worker] = None;
+                    if let Some(other) = known.take() {
+                        self.shorts[other] = None;
+                    }
+                }
+            }
         }
         Ok(())
     }
@@ -125,6 +148,7 @@
                     self.ids[place] = id;
                 }
                 self.places.insert(id, place);
+                self.rules.needs(place, frame.u64(at + 18)?);
             }
             1030 => {
                 // Streams: no deployment has them; the news that the answer began is a sign of life.
@@ -135,13 +159,14 @@
             1040 => {
                 let place = self.place(frame.u64(at + 2)?, at + 2)?;
                 let assignment = frame.u8(at + 10)? as usize;
-                self.worker(frame.address(at + 11)?, at + 11)?;
+                let worker = self.worker(frame.address(at + 11)?, at + 11)?;
                 let ending = ending(frame, at + 17)?;
                 let over = frame.u8(at + 26)? != 0;
-                Self::report(frame, at + 28)?;
+                let (values, count) = Self::report(frame, at + 28)?;
                 if let Some(place) = place {
                     self.rules.ended(place, assignment, ending, over);
                 }
+                self.rules.reported(worker, &values[..count], 0.3);
             }
             1050 => {
                 if let Some(place) = self.place(frame.u64(at + 2)?, at + 2)? {
@@ -159,7 +184,8 @@
                 self.rules.probed(worker, ok, &values[..count]);
             }
             1080 => {
-                let _ = frame.tail(at + 6, 1)?;
+                let from = frame.u32(at + 2)? as usize;
+                self.word(from, frame.tail_text(at + 6)?);
             }
             1100 => {
                 let place = self.place(frame.u64(at + 2)?, at + 2)?;
@@ -176,6 +202,25 @@
         Ok(())
     }
 
+    /// A peer's word. Rubbish is dropped: only its own list makes a worker known to a scheduler.
+    fn word(&mut self, from: usize, bytes: &[u8]) {
+        match word::read(bytes).filter(|_| from != self.position) {
+            Some(Word::Leave(address, room)) => {
+                if let Some(&worker) = self.workers.get(&address) {
+                    self.rules.told(worker, room);
+                }
+            }
+            Some(Word::Held(words)) => {
+                for &[a, b, slots] in words {
+                    if let Some(&Some(worker)) = self.by_short.get(&u16::from_le_bytes([a, b])) {
+                        self.rules.holds(worker, from, f64::from(slots));
+                    }
+                }
+            }
+            None => self.rubbish += 1,
+        }
+    }
+
     /// Subscribes to the list when it is time to; there is no connection to be kept for it here.
     fn ask(&mut self, reply: &mut Reply, now: Duration) {
         let Some(asking) = &mut self.asking else { return };
@@ -218,6 +263,12 @@
                 Decision::Probe { worker } => {
                     reply.record(1040).raw(&self.addresses[worker]);
                 }
+                Decision::Leave { to, worker, room } => {
+                    reply.tell(to as u32, &word::leave(self.addresses[worker], room));
+                }
+                Decision::Tell { worker, slots } => {
+                    self.telling.extend(self.shorts[worker].map(|short| (short, slots)));
+                }
                 Decision::Release { worker } => {
                     reply.record(1030).raw(&self.addresses[worker]);
                 }
@@ -227,6 +278,10 @@
                 Decision::Log(line) => reply.text(1020, &line),
             }
         }
+        for message in word::held(&self.telling) {
+            reply.tell(u32::MAX, &message);
+        }
+        self.telling.clear();
     }
 }
 
@@ -278,6 +333,7 @@
             };
             let instance = Instance {
                 workloads: sheet.workloads.len(),
+                position: sheet.position,
                 asking,
                 call: 0,
                 asks_at: None,
@@ -287,6 +343,10 @@
                 given: HashSet::new(),
                 workers: HashMap::new(),
                 addresses: Vec::new(),
+                shorts: Vec::new(),
+                by_short: HashMap::new(),
+                telling: Vec::new(),
+                rubbish: 0,
             };
             hosted.insert(number, instance);
             continue;
--- /dev/null
+++ b/crates/simhost/src/word.rs
@@ -0,0 +1,93 @@
+//! What schedulers tell one another, on this wire.
+
+pub type Address = [u8; 6];
+
+const LEAVE: u8 = 1;
+const HELD: u8 = 2;
+/// Workers in one message: 256 bytes at the most.
+const MOST: usize = 85;
+
+/// Stands for a worker at every scheduler.
+pub fn mark(address: Address) -> u64 {
+    let [a, b, c, d, e, f] = address;
+    let word = u64::from_le_bytes([a, b, c, d, e, f, 0, 0]);
+    (word ^ (word >> 29)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
+/// The part of a mark that goes into a message.
+pub fn short(mark: u64) -> u16 {
+    (mark >> 48) as u16
+}
+
+pub fn leave(address: Address, room: f64) -> [u8; 8] {
+    let [a, b, c, d, e, f] = address;
+    [LEAVE, a, b, c, d, e, f, whole(room)]
+}
+
+fn whole(slots: f64) -> u8 {
+    slots.clamp(0.0, 255.0) as u8
+}
+
+/// Messages of what is out at workers, by their short marks.
+pub fn held(out: &[(u16, f64)]) -> impl Iterator<Item = Vec<u8>> + '_ {
+    out.chunks(MOST).map(|chunk| {
+        let words = chunk.iter().flat_map(|&(short, slots)| {
+            let [a, b] = short.to_le_bytes();
+            [a, b, whole(slots)]
+        });
+        std::iter::once(HELD).chain(words).collect()
+    })
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Word<'a> {
+    /// This many free slots of a worker are left to the receiver.
+    Leave(Address, f64),
+    /// Slots out at workers, three bytes each.
+    Held(&'a [[u8; 3]]),
+}
+
+/// None for what is short, long, of another form, or tells of no room.
+pub fn read(bytes: &[u8]) -> Option<Word<'_>> {
+    match bytes {
+        &[LEAVE, a, b, c, d, e, f, room] if room > 0 => {
+            Some(Word::Leave([a, b, c, d, e, f], f64::from(room)))
+        }
+        [HELD, rest @ ..] => match rest.as_chunks::<3>() {
+            (words @ [_, ..], []) if words.len() <= MOST => Some(Word::Held(words)),
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_told_is_read_again_and_rubbish_is_not() {
+        let address = [10, 1, 2, 3, 7, 1];
+        assert_eq!(read(&leave(address, 2.0)), Some(Word::Leave(address, 2.0)));
+        let out: Vec<(u16, f64)> = (0..90).map(|n| (n * 700, f64::from(n % 9))).collect();
+        let messages: Vec<Vec<u8>> = held(&out).collect();
+        assert!(messages.len() == 2 && messages.iter().all(|m| m.len() <= 256));
+        assert_eq!(
+            read(&messages[1]),
+            Some(Word::Held(&[
+                [0x6c, 0xe8, 4],
+                [0x28, 0xeb, 5],
+                [0xe4, 0xed, 6],
+                [0xa0, 0xf0, 7],
+                [0x5c, 0xf3, 8]
+            ]))
+        );
+        let long = [HELD; 1 + 3 * (MOST + 1)];
+        for rubbish in
+            [&[][..], &[LEAVE], &[HELD], &[HELD, 1, 2], &[HELD, 1, 2, 3, 4], &[7; 8], &[LEAVE; 9], &long]
+        {
+            assert_eq!(read(rubbish), None, "{rubbish:?}");
+        }
+        assert_eq!(read(&leave(address, 0.0)), None);
+    }
+}
--- a/src/books.rs
+++ b/src/books.rs
@@ -27,6 +27,13 @@
     /// What others have there, in slots, as of `seen`.
     pub hidden: f64,
     pub seen: Duration,
+    /// Slots that were left free for this scheduler, as of `left`.
+    pub room: f64,
+    pub left: Duration,
+    /// What the other schedulers told that they have out there.
+    pub told: Told,
+    /// Stands for the worker at every scheduler.
+    pub mark: u64,
     pub errors: f64,
     pub barred: Option<Duration>,
     pub spells: i32,
@@ -100,6 +107,8 @@
     pub workload: usize,
     pub size: f64,
     pub utility: f64,
+    /// The data set it needs; 0: none.
+    pub set: u64,
     pub born: Duration,
     pub limit: Duration,
     pub assignments: Vec<Assignment>,
@@ -146,10 +155,20 @@
         if place == self.tasks.len() {
             let assignments = Vec::with_capacity(most_assignments);
             let (stage, zero) = (Stage::Unused, Duration::ZERO);
-            let (workload, size, utility) = (0, 1.0, 0.0);
-            self.tasks.push(Task { stage, workload, size, utility, born: zero, limit: zero, assignments });
+            let (workload, size, utility, set) = (0, 1.0, 0.0, 0);
+            self.tasks.push(Task {
+                stage,
+                workload,
+                size,
+                utility,
+                set,
+                born: zero,
+                limit: zero,
+                assignments,
+            });
         }
         self.tasks[place].assignments.clear();
+        self.tasks[place].set = 0;
         place
     }
 
@@ -295,3 +314,62 @@
     let zone = &mut table[site.zone];
     zone.resize(zone.len().max(site.kind + 1), first);
 }
+
+/// Slots out at a worker by the scheduler that told of them.
+#[derive(Default)]
+pub struct Told {
+    slots: Vec<f32>,
+    pub sum: f64,
+}
+
+impl Told {
+    pub fn set(&mut self, peer: usize, slots: f64) {
+        self.slots.resize(self.slots.len().max(peer + 1), 0.0);
+        self.slots[peer] = slots as f32;
+        self.sum = self.slots.iter().map(|&s| f64::from(s)).sum();
+    }
+
+    /// What a scheduler told that has fallen silent counts no longer.
+    pub fn silence(&mut self, peer: usize) {
+        if self.slots.get(peer).is_some_and(|&s| s > 0.0) {
+            self.set(peer, 0.0);
+        }
+    }
+}
+
+/// A scheduler that told nothing for this long is down, or does not tell.
+const PEER_SILENT: Duration = Duration::from_secs(3);
+
+/// Which other schedulers tell, and what was told them.
+#[derive(Default)]
+pub struct Peers {
+    heard: Vec<Option<Duration>>,
+    pub told: Duration,
+    pub turn: usize,
+}
+
+impl Peers {
+    pub fn heard(&mut self, peer: usize, now: Duration) {
+        self.heard.resize(self.heard.len().max(peer + 1), None);
+        self.heard[peer] = Some(now);
+    }
+
+    pub fn talking(&self) -> usize {
+        self.heard.iter().flatten().count()
+    }
+
+    /// Those that have fallen silent, once each.
+    pub fn lost(&mut self, now: Duration) -> impl Iterator<Item = usize> + '_ {
+        let silent = move |at: Duration| now.saturating_sub(at) > PEER_SILENT;
+        let all = self.heard.iter_mut().enumerate();
+        all.filter_map(move |(peer, at)| at.take_if(|at| silent(*at)).map(|_| peer))
+    }
+}
+
+/// An even draw between 0 and 1 for a pair, the same wherever it is made.
+pub fn drawn(one: u64, other: u64) -> f64 {
+    let mut x = one ^ other.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64 + 1e-17
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,7 +7,7 @@
 use crate::books::*;
 use crate::terms::*;
 use oorandom::Rand64;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 // Times are in seconds unless they say otherwise.
@@ -40,6 +40,13 @@
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
 const IN_TIME: f64 = 0.75; // part of the time left that wait and run may take by estimate: both spread widely
 const SHARE_SPAN: f64 = 2.0; // a customer may save up its share for this long: arrivals come in clumps
+const ROOM_SPAN: f64 = 3.0; // room left to this scheduler counts this long: a few tasks' time
+const TELL_ALL: f64 = 0.006; // what telling all may cost a task, as a share of the whole utility
+const WORD: f64 = 3.0 / 256.0; // a worker and its slots among a message's bytes, told twice for each task
+const TELL_EVERY: Duration = Duration::from_millis(50); // tasks run for longer, messages travel about half of it
+const PATIENCE: f64 = 0.15; // part of the time to spare that is spent waiting for room that is sure
+const HOMES: usize = 4; // workers where a data set is at home: one is often full
+const SETS: usize = 8192; // data sets whose homes are remembered
 const COLD_ROOM: f64 = 0.5; // part of a cold budget that is used: tasks run long, schedulers coincide
 
 /// The paper's Whittle index (Theorem 1 with holding cost 1 and beta 0) of a worker with `n` in it.
@@ -62,6 +69,14 @@
     }
 }
 
+/// Among whom a task is scored.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Among {
+    Homes,
+    Drawn,
+    All,
+}
+
 /// One scheduler's decisions.
 #[derive(Default)]
 pub struct Rules {
@@ -84,7 +99,9 @@
     arrivals: Rate,
     setup: f64,
     others: Vec<Vec<f64>>,
-    scores: Vec<(usize, u8, f64)>,
+    scores: Vec<(usize, u8, f64, f64)>,
+    /// When no worker had room, for tasks from this size on.
+    full: Option<(Duration, f64)>,
     /// The listed workers, those seen last, and the ones a task is scored on.
     roster: Roster,
     lately: VecDeque<usize>,
@@ -96,6 +113,17 @@
     tallied: Option<Duration>,
     ready: usize,
     suspects: Vec<usize>,
+    /// Workers with room that was left to this scheduler, and those where an own task has just made some.
+    rooms: VecDeque<usize>,
+    freed: Vec<(usize, f64)>,
+    /// Own slots out, and an equal share of the fleet's.
+    out: f64,
+    fair: f64,
+    /// What the others tell is heard of; workers where the own part has changed since they were told.
+    peers: Peers,
+    untold: f64,
+    changed: VecDeque<usize>,
+    homes: HashMap<u64, [usize; HOMES]>,
     probes: f64,
     mine: f64,
     shares: Vec<Bucket>,
@@ -114,7 +142,7 @@
         let runs: Vec<Runs> = sheet.workloads.iter().map(first).collect();
         let hold = runs.iter().map(|r| r.mean).sum::<f64>() / runs.len() as f64;
         let (setup, mine) = (hold / 16.0, 1.0 / sheet.schedulers as f64); // guesses, until answers come
-        let times = Rules { now, start: now, due: now, ..Rules::default() };
+        let times = Rules { now, start: now, due: now, untold: 1.0, ..Rules::default() };
         let chance = Chance(Rand64::new(u128::from(seed)));
         Rules { chance, runs, hold, setup, mine, sheet, ..times }
     }
@@ -132,7 +160,7 @@
     pub fn list_begins(&mut self, whole: bool) {
         self.due = self.now;
         // Guards against tasks that wait while a long list, which changes by little, is added up again and again.
-        if whole || self.roster.listed < LONG_LIST {
+        if whole || self.roster.listed < LONG_LIST && !self.sheet.moving_weights {
             self.tallied = None;
         }
         if whole {
@@ -153,6 +181,9 @@
         let w = &mut self.workers[i];
         let returns = w.condition.is_some_and(|c| c != Condition::Ready) && is == Condition::Ready;
         let starts = booted.is_some() && (w.booted != booted || w.condition.is_none());
+        if w.condition != Some(is) {
+            self.homes.clear();
+        }
         if w.booted != booted || returns {
             (w.fresh, w.errors, w.barred, w.hidden) = (true, 0.0, None, 0.0);
         }
@@ -174,6 +205,16 @@
         self.workers[i].left_out = until;
     }
 
+    /// A number that stands for the worker at every scheduler.
+    pub fn marked(&mut self, i: usize, mark: u64) {
+        self.workers[i].mark = mark;
+    }
+
+    /// The data set that a task needs.
+    pub fn needs(&mut self, task: usize, set: u64) {
+        self.tasks[task].set = set;
+    }
+
     pub fn arrived(&mut self, workload: usize, size: f64, left: Duration, customer: usize) -> usize {
         // Whole slots: what rounding left of fractions passed for a task for ever, and their sum for more slots.
         let size = size.floor().max(1.0);
@@ -226,13 +267,15 @@
 
     pub fn ended(&mut self, task: usize, number: usize, ending: Ending, over: bool) {
         let Some(a) = self.tasks.out(task, number).copied() else { return };
-        let (now, i, t) = (self.now, a.worker, &mut self.tasks[task]);
+        let (now, i, sparing, t) = (self.now, a.worker, self.sparing(), &mut self.tasks[task]);
         let (size, workload, full) = (t.size, t.workload, ending == Ending::Full);
         let waited = a.started.is_none() && secs(now - a.sent) > AT_ONCE;
         t.assignments[number].ending = Some(ending);
         t.stage = if over { Stage::Over } else { t.stage };
         let w = &mut self.workers[i];
         (w.n, w.used) = ((w.n - size).max(0.0), now);
+        self.out -= size;
+        self.changed.push_back(i);
         w.waiting.retain(|x| *x != (task, number));
         if w.n == 0.0 {
             self.idle.push(i);
@@ -243,6 +286,10 @@
                 w.revive(now);
                 (w.energy, w.fresh) = (Energy::Busy, false);
                 w.errors -= ERROR_STEP * w.errors;
+                // Served in order: what started at once found room, so what it held is free again.
+                if sparing && a.started.is_some_and(|at| secs(at - a.sent) <= AT_ONCE) {
+                    self.freed.push((i, size));
+                }
                 let (kind, run) = (&mut self.kinds[w.site.kind], secs(now - a.started.unwrap_or(a.sent)));
                 learn(w, kind, &mut self.runs[workload], &mut self.hold, size, run);
             }
@@ -268,13 +315,86 @@
 
     pub fn probed(&mut self, i: usize, ok: bool, report: &[f64]) {
         self.workers[i].probing = false;
-        let value = |at: Option<usize>| at.and_then(|at| report.get(at)).copied().filter(|_| ok);
+        self.reported(i, if ok { report } else { &[] }, 0.6);
+    }
+
+    /// A worker's report of its load, and what one sighting of that age is worth.
+    pub fn reported(&mut self, i: usize, report: &[f64], weight: f64) {
+        let value = |at: Option<usize>| at.and_then(|at| report.get(at)).copied().filter(|v| v.is_finite());
         let (free, waiting) = (value(self.sheet.report_free), value(self.sheet.report_waiting));
-        let (Some(free), Some(waiting)) = (free, waiting) else { return };
+        let Some(free) = free else { return };
         let kind = &mut self.kinds[self.workers[i].site.kind];
         kind.slots = kind.slots.max(free.round());
         let slots = self.slots(i);
-        self.see(i, ((slots - free).max(0.0) + waiting * 1.3 - self.workers[i].n).max(0.0), 0.6);
+        let held = (slots - free).max(0.0) + waiting.unwrap_or(0.0) * 1.3;
+        self.see(i, (held - self.workers[i].n).max(0.0), weight);
+    }
+
+    /// Another scheduler leaves this many free slots of a worker to this one.
+    pub fn told(&mut self, i: usize, room: f64) {
+        if i < self.workers.len() && self.sparing() && room > 0.0 {
+            self.keep_room(i, room.min(self.slots(i)));
+        }
+    }
+
+    /// Another scheduler has this many slots out at a worker.
+    pub fn holds(&mut self, i: usize, peer: usize, slots: f64) {
+        if i < self.workers.len()
+            && self.tells_all()
+            && peer != self.sheet.position
+            && peer < self.sheet.schedulers
+        {
+            self.peers.heard(peer, self.now);
+            self.workers[i].told.set(peer, slots);
+        }
+    }
+
+    /// Schedulers may talk, and few enough that each tells all what it has out.
+    fn tells_all(&self) -> bool {
+        let price = 2.0 * WORD * self.sheet.price_word * (self.sheet.schedulers - 1) as f64;
+        self.sheet.may_tell && price <= TELL_ALL
+    }
+
+    /// Schedulers may talk, but so many that each word goes to one.
+    fn sparing(&self) -> bool {
+        self.sheet.may_tell && !self.tells_all()
+    }
+
+    fn keep_room(&mut self, i: usize, room: f64) {
+        let had = self.room(i);
+        (self.workers[i].room, self.workers[i].left) = ((had + room).min(self.slots(i)), self.now);
+        self.rooms.retain(|&x| x != i);
+        self.rooms.push_back(i);
+    }
+
+    /// Slots of a worker that surely are free: left by an own task or by another scheduler, lately.
+    fn room(&self, i: usize) -> f64 {
+        let w = &self.workers[i];
+        if w.room > 0.0 && secs(self.now - w.left) <= ROOM_SPAN {
+            w.room
+        } else {
+            0.0
+        }
+    }
+
+    /// Own tasks made room: it is kept for the next arrivals, else left to another scheduler by chance.
+    fn leave(&mut self) -> Option<Decision> {
+        while let Some((worker, room)) = self.freed.pop() {
+            while let Some(&i) = self.rooms.front().filter(|&&i| self.room(i) <= 0.0) {
+                self.rooms.retain(|&x| x != i);
+            }
+            let kept = self.rooms.len() as f64;
+            let others = self.sheet.schedulers.saturating_sub(1) as u64;
+            let waits = self.lines.iter().any(|line| !line.is_empty());
+            if others == 0 || (waits || kept < 1.0) && self.out + kept < self.fair {
+                self.keep_room(worker, room);
+                continue;
+            }
+            let to = self.chance.0.rand_range(0..others) as usize;
+            let to = to + usize::from(to >= self.sheet.position);
+            return Some(Decision::Leave { to, worker, room });
+        }
+        None
     }
 
     fn fade(&self, since: Duration, span: f64) -> f64 {
@@ -301,7 +421,7 @@
     /// Slots of a worker: the most seen at once on its kind; before that its size, which may count speed too.
     fn slots(&self, i: usize) -> f64 {
         let (seen, weight) = (self.kinds[self.workers[i].site.kind].slots, self.workers[i].weight);
-        if seen >= weight.floor() { seen } else { weight }.max(1.0)
+        if seen >= weight.floor() || self.sheet.moving_weights && seen > 0.0 { seen } else { weight }.max(1.0)
     }
 
     /// Share of its capacity that a worker surely has by now: it climbs evenly from the cold share.
@@ -313,9 +433,14 @@
 
     /// Slots that others have on a worker: as last seen, fading into their share of its like.
     fn hidden(&self, i: usize, most: f64) -> f64 {
-        let (w, fade) = (&self.workers[i], self.fade(self.workers[i].seen, HIDDEN_SPAN));
+        let w = &self.workers[i];
+        if self.untold <= 0.0 {
+            return w.told.sum;
+        }
+        let fade = self.fade(w.seen, HIDDEN_SPAN);
         let others = self.others[w.site.zone][w.site.kind].min(most);
-        w.hidden * fade + others * self.slots(i) * (1.0 - fade)
+        let inferred = w.hidden * fade + others * self.slots(i) * (1.0 - fade);
+        w.told.sum + self.untold * inferred
     }
 
     fn see(&mut self, i: usize, hidden: f64, weight: f64) {
@@ -333,7 +458,9 @@
         let late = |&(t, k): &(usize, usize)| secs(self.now - self.tasks[t].assignments[k].sent) > AT_ONCE;
         // Served in order: while an own task waits, all slots are taken.
         let least = if w.waiting.front().is_some_and(late) { self.slots(i) + w.n - w.running } else { 0.0 };
-        least.max(w.n + self.hidden(i, most))
+        let room = self.room(i);
+        let hidden = if room > 0.0 { (self.slots(i) - w.n - room).max(0.0) } else { self.hidden(i, most) };
+        least.max(w.n + hidden)
     }
 
     /// Time left in which a task must have waited and run to be in time.
@@ -393,7 +520,14 @@
     /// The workers that a task is scored on. Guards against schedulers that have seen almost none of a large
     /// list, which would all crowd the same few best: it scores as many as it sends in a second, drawn by
     /// chance in its zone and elsewhere, and those seen last; a list hardly longer is scored whole.
-    fn draw(&mut self, task: usize, all: bool) {
+    fn draw(&mut self, task: usize, among: Among) {
+        if among == Among::Homes {
+            let homes = self.home(self.tasks[task].set);
+            self.drawn.clear();
+            self.drawn.extend(homes.iter().filter(|&&i| i < self.workers.len()));
+            return;
+        }
+        let all = among == Among::All;
         let (reach, listed) = (1 + self.lambda() as usize, self.roster.listed);
         self.lately.truncate(reach);
         self.drawn.clear();
@@ -406,6 +540,7 @@
         let earlier = self.tasks[task].maybe_ran().next();
         let home = earlier.map_or(self.sheet.zone, |a| self.workers[a.worker].site.zone);
         self.drawn.extend(&self.lately);
+        self.drawn.extend(&self.rooms);
         for k in 0..2 * reach {
             self.drawn.extend(self.roster.pick(home, k < reach, self.chance.0.rand_u64()));
         }
@@ -415,40 +550,54 @@
 
     /// The worker of the lowest index among those open to the task, ties by chance; and whether there is room
     /// for it (3), may be in a crowded zone (2), or it would wait but be in time (1), or be late (0).
-    fn lowest(&mut self, task: usize, all: bool) -> Option<(usize, u8)> {
-        self.draw(task, all);
-        let (lambda, slack, t) = (self.lambda(), self.slack(task), &self.tasks[task]);
+    fn lowest(&mut self, task: usize, among: Among) -> Option<(usize, u8)> {
+        self.draw(task, among);
+        let (lambda, slack, t, sparing) =
+            (self.lambda(), self.slack(task), &self.tasks[task], self.sparing());
         let run = self.runs[t.workload].log.exp();
-        let (mut sum, mut count, mut best_tier) = (0.0, 0.0, 0);
+        let (mut sum, mut count, mut best_tier, mut room) = (0.0, 0.0, 0, false);
         // A task bound to its group should rather cross than be bound to a small zone that is full.
         let bound = matches!(self.sheet.workloads[t.workload].effect, Effect::Deduplicated(_));
         let price = self.sheet.price_crossing * if bound { 0.25 * CROSSING } else { CROSSING };
         let mut scores = std::mem::take(&mut self.scores);
         scores.clear();
         for &i in self.drawn.iter().filter(|&&i| self.eligible(task, i)) {
-            let (w, slots, speed, sure) = (&self.workers[i], self.slots(i), self.speed(i), !self.doubtful(i));
+            let (slots, speed, sure) = (self.slots(i), self.speed(i), !self.doubtful(i));
             let occupied = self.occupied(i, 1.0);
-            let mu = slots * speed * self.warmth(i) / self.hold;
-            let delta = (1.0 / self.setup.max(1e-3)).max(1.05 * mu);
-            let idle = w.n == 0.0 && secs(self.now.saturating_sub(w.used)) > IDLE_WINDOW;
-            let energy = if idle { Energy::Off } else { w.energy };
-            let crossing = if w.site.zone == self.sheet.zone { 0.0 } else { price };
-            let index = whittle(occupied, energy, lambda, mu, delta) * (1.0 + crossing);
-            if !w.fresh {
-                (sum, count) = (sum + index, count + 1.0);
-            }
             // Guards against late answers: first where it is in time, then where it has room; then the index.
             // Half a slot is rounding, less for several slots, which must not miss any.
             let needs = t.size.min(slots) - slots - 0.5 / t.size;
-            let (over, beyond) = (self.occupied(i, MAY_BE) + needs, occupied + needs);
+            let guess = !sparing && self.untold > 0.0;
+            let over = needs + if guess { self.occupied(i, MAY_BE) } else { occupied };
+            let beyond = occupied + needs;
             let queue = if over > 0.0 { over * self.hold / (slots * speed) } else { 0.0 };
             let in_time = queue + run / speed < IN_TIME * slack;
-            let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0) + u8::from(sure && beyond <= 0.0));
+            // Where schedulers leave room to one another, only what was left is sure.
+            let sure = sure && beyond <= 0.0 && (!sparing || self.room(i) >= t.size.min(slots));
+            let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0) + u8::from(sure));
+            room |= over <= 0.0;
             best_tier = best_tier.max(tier);
-            scores.push((i, tier, index));
+            scores.push((i, tier, occupied, slots * speed));
+        }
+        let unbound = among != Among::Homes && t.assignments.is_empty();
+        if unbound && !room && self.sheet.workloads[t.workload].kind.is_none() {
+            self.full = Some((self.now, t.size));
+        }
+        scores.retain(|s| s.1 == best_tier);
+        for score in &mut scores {
+            let (i, occupied, able) = (score.0, score.2, score.3);
+            let (w, mu) = (&self.workers[i], able * self.warmth(i) / self.hold);
+            let delta = (1.0 / self.setup.max(1e-3)).max(1.05 * mu);
+            let idle = w.n == 0.0 && secs(self.now.saturating_sub(w.used)) > IDLE_WINDOW;
+            let energy = if idle { Energy::Off } else { w.energy };
+            let crossing = if w.site.zone == self.sheet.zone { 0.0 } else { price };
+            score.2 = whittle(occupied, energy, lambda, mu, delta) * (1.0 + crossing);
+            if !w.fresh {
+                (sum, count) = (sum + score.2, count + 1.0);
+            }
         }
         let (mut best, mut lowest, mut ties) = (None, f64::INFINITY, 0u64);
-        for &(i, tier, mut index) in scores.iter().filter(|s| s.1 == best_tier) {
+        for &(i, tier, mut index, _) in &scores {
             let w = &self.workers[i];
             if w.fresh && count > 0.0 {
                 // New or returning, it stands at the others' mean until its first completion; with nothing of
@@ -478,6 +627,9 @@
             if let Some(worker) = self.idle.pop().filter(|&i| self.sparse && self.workers[i].n == 0.0) {
                 return Some(Decision::Release { worker });
             }
+            if let Some(word) = self.leave() {
+                return Some(word);
+            }
             if let Some(task) = self.loose.pop() {
                 match self.settle(task) {
                     None => continue,
@@ -565,16 +717,77 @@
         let slack = self.slack(task);
         let run = self.runs[self.tasks[task].workload].log.exp();
         // Queues at workers serve in order: only the highest utility per work may queue, the rest waits here.
-        let lowest = self.lowest(task, false).or_else(|| self.lowest(task, true));
+        // Guards against scoring the whole list again for all that waits while there is no room.
+        let t = &self.tasks[task];
+        let full = self.full.is_some_and(|(at, size)| at == self.now && t.size >= size);
+        if full && self.sheet.may_tell && t.assignments.is_empty() {
+            return (slack * IN_TIME < run).then(|| self.give_up(task));
+        }
+        let home = if self.tasks[task].set == 0 { None } else { self.lowest(task, Among::Homes) };
+        let lowest = home.filter(|h| h.1 > 2).or_else(|| self.lowest(task, Among::Drawn));
+        let lowest = lowest.or_else(|| self.lowest(task, Among::All));
         let many = self.lines[0].len() > 1 + self.workers.len() / 4;
         match lowest {
+            Some((_, 2)) if self.sparing() && self.spare_time(task) => None,
             Some((i, 2..)) => Some(self.assign(task, i)),
-            Some((i, 1)) if self.may_queue(task) => Some(self.assign(task, i)),
+            Some((i, 1)) if !self.sheet.may_tell && self.may_queue(task) => Some(self.assign(task, i)),
             Some((_, 0)) if slack * IN_TIME < run || many => Some(self.give_up(task)),
             _ => (slack < 0.5 * run).then(|| self.give_up(task)),
         }
     }
 
+    /// There is still time to wait here for room that is sure.
+    fn spare_time(&self, task: usize) -> bool {
+        let (waited, left) = (secs(self.now - self.tasks[task].born), self.slack(task));
+        waited < PATIENCE * (waited + left - self.runs[self.tasks[task].workload].log.exp())
+    }
+
+    /// The workers where a data set is at home: the same ones at every scheduler without a word said, by
+    /// highest random weight, the larger and faster ones more often. Guards against each set fetched everywhere.
+    fn home(&mut self, set: u64) -> [usize; HOMES] {
+        if let Some(homes) = self.homes.get(&set) {
+            return *homes;
+        }
+        let mut best = [(f64::INFINITY, usize::MAX); HOMES];
+        for i in (0..self.workers.len()).filter(|&i| self.workers[i].ready()) {
+            let w = &self.workers[i];
+            let weight = self.slots(i) * self.kinds[w.site.kind].speed.exp();
+            let draw = -drawn(set, w.mark).ln() / weight;
+            if draw < best[HOMES - 1].0 {
+                best[HOMES - 1] = (draw, i);
+                best.sort_by(|a, b| a.0.total_cmp(&b.0));
+            }
+        }
+        if self.homes.len() >= SETS {
+            self.homes.clear();
+        }
+        let homes = best.map(|b| b.1);
+        self.homes.insert(set, homes);
+        homes
+    }
+
+    /// Tells the others what is out, so that their n counts it: what changed, and one worker more in turn.
+    fn tell(&mut self) {
+        let listed = self.workers.len();
+        if !self.tells_all() || self.sheet.schedulers < 2 || listed == 0 {
+            return self.changed.clear();
+        }
+        if self.now < self.peers.told + TELL_EVERY || self.changed.is_empty() {
+            return;
+        }
+        self.peers.told = self.now;
+        self.peers.turn = (self.peers.turn + 1) % listed;
+        self.changed.push_back(self.peers.turn);
+        self.changed.make_contiguous().sort_unstable();
+        let mut last = usize::MAX;
+        while let Some(worker) = self.changed.pop_front() {
+            if worker != last {
+                self.say.push_back(Decision::Tell { worker, slots: self.workers[worker].n });
+            }
+            last = worker;
+        }
+    }
+
     /// Utility per work of a task, by what its workload usually takes.
     fn density(&self, task: usize) -> f64 {
         self.tasks[task].utility / self.runs[self.tasks[task].workload].mean
@@ -597,6 +810,9 @@
         let number = t.assignments.len();
         t.assignments.push(Assignment::new(i, now, w.n, off));
         (w.n, w.used, w.rest) = (w.n + t.size, now, now + pause);
+        w.room = (w.room - t.size).max(0.0);
+        self.out += t.size;
+        self.changed.push_back(i);
         w.waiting.push_back((task, number));
         t.stage = Stage::Out;
         self.due = self.due.min(now + Duration::from_secs_f64(AT_ONCE));
@@ -630,7 +846,8 @@
                 |a: &Assignment| a.ending.is_none() && (self.overdue(a) || self.workers[a.worker].silent);
             let silent = repeatable && t.assignments.iter().any(silent);
             let stuck = self.stuck(task);
-            let several = stuck && t.size > 1.0 && self.sheet.second_copies && t.out() < COPIES;
+            let several =
+                stuck && t.size > 1.0 && self.sheet.second_copies && t.out() < COPIES && !self.sparing();
             let hope = if runs { limit } else { self.slack(task) - run };
             let mut next = limit.min(hope);
             if next <= 0.0 {
@@ -642,7 +859,7 @@
                 self.call_off(task, false); // of several copies one has started
             } else if several && self.may_queue(task) {
                 // Guards against waiting for several slots at one worker: it waits at a few, for the first.
-                if let Some((i, _)) = self.lowest(task, false) {
+                if let Some((i, _)) = self.lowest(task, Among::Drawn) {
                     let copy = self.assign(task, i);
                     self.say.push_back(copy);
                 }
@@ -652,6 +869,10 @@
         }
         self.bar();
         self.probe();
+        self.tell();
+        if !self.changed.is_empty() {
+            self.due = self.due.min(self.peers.told + TELL_EVERY);
+        }
     }
 
     /// Guards against waiting behind hidden traffic: what has not started at once, and may be sent again.
@@ -665,7 +886,9 @@
     }
 
     fn has_room(&self, task: usize, i: usize) -> bool {
-        self.eligible(task, i) && self.occupied(i, MAY_BE) + self.tasks[task].size <= self.slots(i) + 0.1
+        let sure = !self.sparing() || self.room(i) >= self.tasks[task].size;
+        sure && self.eligible(task, i)
+            && self.occupied(i, MAY_BE) + self.tasks[task].size <= self.slots(i) + 0.1
     }
 
     /// Adds up the list, rarely: the ready workers, the own part of all traffic, the mean speed (kept at 1).
@@ -681,6 +904,11 @@
             self.ready += usize::from(w.ready());
         }
         level(&mut self.kinds, &mut self.runs, &mut self.hold, sum / f64::max(fleet, 1.0));
+        self.fair = fleet / self.sheet.schedulers as f64;
+        for peer in self.peers.lost(self.now) {
+            self.workers.iter_mut().for_each(|w| w.told.silence(peer));
+        }
+        self.untold = 1.0 - self.peers.talking() as f64 / (self.sheet.schedulers.max(2) - 1) as f64;
         self.mine += MINE_STEP * (own / (own + others).max(1.0) - self.mine);
     }
 
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -64,6 +64,10 @@
 pub struct DutySheet {
     pub workloads: Vec<Workload>,
     pub schedulers: usize,
+    /// Which of them this one is, counted from 0.
+    pub position: usize,
+    /// Schedulers may send one another words about workers.
+    pub may_tell: bool,
     pub zone: usize,
     pub news: News,
     /// Share of the utility that a task beyond its customer's share still has.
@@ -80,7 +84,9 @@
     /// Gap between progress notes, none where workers send none.
     pub progress_every: Option<Duration>,
     pub tells_start: bool,
-    /// Positions of free slots and of waiting tasks among the values of a probe's report.
+    /// The list's weights fall with the tasks a worker holds, so they are no sizes.
+    pub moving_weights: bool,
+    /// Positions of free slots and of waiting tasks among the values of a worker's report.
     pub report_free: Option<usize>,
     pub report_waiting: Option<usize>,
     pub overload_factor: f64,
@@ -90,6 +96,8 @@
     pub price_crossing: f64,
     /// The same for one probe a task.
     pub price_probe: f64,
+    /// The same for one full message to another scheduler a task.
+    pub price_word: f64,
 }
 
 /// A worker's state on the list.
@@ -165,6 +173,17 @@
     Probe {
         worker: usize,
     },
+    /// Word to another scheduler: this many slots of the worker are free and left to it.
+    Leave {
+        to: usize,
+        worker: usize,
+        room: f64,
+    },
+    /// Word to all other schedulers: this many slots are out at the worker.
+    Tell {
+        worker: usize,
+        slots: f64,
+    },
     /// Close the idle connections to the worker.
     Release {
         worker: usize,
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -124,6 +124,10 @@
                 Decision::BreakOff { task } => format!("break off task {task}"),
                 Decision::CallOff { task, assignment } => format!("call off {task}/{assignment}"),
                 Decision::Probe { worker } => format!("probe worker {worker}"),
+                Decision::Leave { to, worker, room } => {
+                    format!("leave {room} slots of worker {worker} to scheduler {to}")
+                }
+                Decision::Tell { worker, slots } => format!("tell all: {slots} slots out at worker {worker}"),
                 Decision::Release { worker } => format!("release worker {worker}"),
                 Decision::Log(line) => format!("log: {line}"),
             };
