A task is in time by its short and its long run; no scoring of whole lists without room

At fault: place and lowest (scored whole lists for each waiting task), slack (typical run only: a short run's promised time is shorter by its stretch). Changed: spare() asks both runs, one spread below and above the typical one; after four tasks without room the rest of that moment waits. Ruled out: words and reports (peer price 0.0002).

--- a/src/books.rs
+++ b/src/books.rs
@@ -125,10 +125,11 @@
     }
 }
 
-/// What is learned of a workload: logarithm of the running time at speed 1, its mean, and how often.
+/// What is learned of a workload: logarithm of the running time at speed 1 and its spread, its mean, and how often.
 #[derive(Clone, Copy)]
 pub struct Runs {
     pub log: f64,
+    pub spread: f64,
     pub mean: f64,
     pub seen: f64,
 }
@@ -289,6 +290,8 @@
     let off = run.ln() - (r.log - kind.speed);
     r.seen += 1.0;
     r.log += off * (1.0 / r.seen).max(0.03);
+    // The mean distance of a normal spread is 0.8 of it; a worker that has slowed down adds its own.
+    r.spread += (1.25 * (off + w.apart).abs().min(2.0) - r.spread) * 0.02;
     if r.seen > 8.0 {
         kind.speed -= 0.02 * off;
         w.completions += 1.0;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,13 +38,13 @@
 const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
 const CROSSING: f64 = 40.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
-const IN_TIME: f64 = 0.75; // part of the time left that wait and run may take by estimate: both spread widely
 const SHARE_SPAN: f64 = 2.0; // a customer may save up its share for this long: arrivals come in clumps
 const ROOM_SPAN: f64 = 3.0; // room left to this scheduler counts this long: a few tasks' time
 const TELL_ALL: f64 = 0.006; // what telling all may cost a task, as a share of the whole utility
 const WORD: f64 = 3.0 / 256.0; // a worker and its slots among a message's bytes, told twice for each task
 const TELL_EVERY: Duration = Duration::from_millis(50); // tasks run for longer, messages travel about half of it
 const PATIENCE: f64 = 0.15; // part of the time to spare that is spent waiting for room that is sure
+const MISSES: usize = 4; // tasks that find no room before the others of that moment are not tried
 const HOMES: usize = 4; // workers where a data set is at home: one is often full
 const SETS: usize = 8192; // data sets whose homes are remembered
 const COLD_ROOM: f64 = 0.5; // part of a cold budget that is used: tasks run long, schedulers coincide
@@ -100,8 +100,8 @@
     setup: f64,
     others: Vec<Vec<f64>>,
     scores: Vec<(usize, u8, f64, f64)>,
-    /// When no worker had room, for tasks from this size on.
-    full: Option<(Duration, f64)>,
+    /// How many tasks found no room, last time.
+    full: Option<(Duration, usize)>,
     /// The listed workers, those seen last, and the ones a task is scored on.
     roster: Roster,
     lately: VecDeque<usize>,
@@ -119,6 +119,8 @@
     /// Own slots out, and an equal share of the fleet's.
     out: f64,
     fair: f64,
+    /// The speed of the fastest kind.
+    fastest: f64,
     /// What the others tell is heard of; workers where the own part has changed since they were told.
     peers: Peers,
     untold: f64,
@@ -138,11 +140,11 @@
         // The promised time says best how long a task runs, at first. Guards against shedding all of a workload whose
         // promised time hardly grows with the run, before any has run: then it must leave room for more than the run.
         let guess = |w: &Workload| (secs(w.promised) * ((1.0 + w.stretch) / 2.0).min(1.0)).max(0.01);
-        let first = |w: &Workload| Runs { log: guess(w).ln(), mean: guess(w), seen: 0.0 };
+        let first = |w: &Workload| Runs { log: guess(w).ln(), mean: guess(w), spread: LOG_SPREAD, seen: 0.0 };
         let runs: Vec<Runs> = sheet.workloads.iter().map(first).collect();
         let hold = runs.iter().map(|r| r.mean).sum::<f64>() / runs.len() as f64;
         let (setup, mine) = (hold / 16.0, 1.0 / sheet.schedulers as f64); // guesses, until answers come
-        let times = Rules { now, start: now, due: now, untold: 1.0, ..Rules::default() };
+        let times = Rules { fastest: 1.0, now, start: now, due: now, untold: 1.0, ..Rules::default() };
         let chance = Chance(Rand64::new(u128::from(seed)));
         Rules { chance, runs, hold, setup, mine, sheet, ..times }
     }
@@ -463,12 +465,16 @@
         least.max(w.n + hidden)
     }
 
-    /// Time left in which a task must have waited and run to be in time.
-    fn slack(&self, task: usize) -> f64 {
-        let t = &self.tasks[task];
-        let row = &self.sheet.workloads[t.workload];
-        let promised = secs(t.born + row.promised) + row.stretch * self.runs[t.workload].log.exp();
-        promised.min(secs(t.limit) - LAST_CALL) - secs(self.now)
+    /// Time that may still pass before a task starts at that speed and is in time, be it short or long: its
+    /// promised time grows with its own run, so a short one is bound by its wait, a long one by a slow worker.
+    fn spare(&self, task: usize, speed: f64) -> f64 {
+        let (t, now) = (&self.tasks[task], secs(self.now));
+        let (row, r) = (&self.sheet.workloads[t.workload], &self.runs[t.workload]);
+        let left = |run: f64| {
+            let promised = secs(t.born + row.promised) + row.stretch * run;
+            promised.min(secs(t.limit) - LAST_CALL) - now - run / speed
+        };
+        left((r.log - r.spread).exp()).min(left((r.log + r.spread).exp()))
     }
 
     /// Guards against pushing over a cold worker: the own share of its budget needs this long for a work.
@@ -552,10 +558,8 @@
     /// for it (3), may be in a crowded zone (2), or it would wait but be in time (1), or be late (0).
     fn lowest(&mut self, task: usize, among: Among) -> Option<(usize, u8)> {
         self.draw(task, among);
-        let (lambda, slack, t, sparing) =
-            (self.lambda(), self.slack(task), &self.tasks[task], self.sparing());
-        let run = self.runs[t.workload].log.exp();
-        let (mut sum, mut count, mut best_tier, mut room) = (0.0, 0.0, 0, false);
+        let (lambda, t, sparing) = (self.lambda(), &self.tasks[task], self.sparing());
+        let (mut sum, mut count, mut best_tier) = (0.0, 0.0, 0);
         // A task bound to its group should rather cross than be bound to a small zone that is full.
         let bound = matches!(self.sheet.workloads[t.workload].effect, Effect::Deduplicated(_));
         let price = self.sheet.price_crossing * if bound { 0.25 * CROSSING } else { CROSSING };
@@ -571,17 +575,16 @@
             let over = needs + if guess { self.occupied(i, MAY_BE) } else { occupied };
             let beyond = occupied + needs;
             let queue = if over > 0.0 { over * self.hold / (slots * speed) } else { 0.0 };
-            let in_time = queue + run / speed < IN_TIME * slack;
+            let in_time = queue < self.spare(task, speed);
             // Where schedulers leave room to one another, only what was left is sure.
             let sure = sure && beyond <= 0.0 && (!sparing || self.room(i) >= t.size.min(slots));
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0) + u8::from(sure));
-            room |= over <= 0.0;
             best_tier = best_tier.max(tier);
             scores.push((i, tier, occupied, slots * speed));
         }
-        let unbound = among != Among::Homes && t.assignments.is_empty();
-        if unbound && !room && self.sheet.workloads[t.workload].kind.is_none() {
-            self.full = Some((self.now, t.size));
+        if among != Among::Homes && best_tier < 2 {
+            let misses = self.full.filter(|f| f.0 == self.now).map_or(0, |f| f.1);
+            self.full = Some((self.now, misses + 1));
         }
         scores.retain(|s| s.1 == best_tier);
         for score in &mut scores {
@@ -703,7 +706,7 @@
         if self.tasks[task].stage != Stage::Out || self.tasks[task].out() > 0 {
             return None;
         }
-        let more = self.tasks[task].assignments.len() < self.sheet.most_assignments && self.slack(task) > 0.0;
+        let more = self.tasks[task].assignments.len() < self.sheet.most_assignments && self.spare(task, self.fastest) > 0.0;
         if !more || !(0..self.workers.len()).any(|i| self.allowed(task, i)) {
             return Some(self.give_up(task));
         }
@@ -714,14 +717,12 @@
 
     /// A waiting task: to the lowest index; given up as soon as it cannot be in time.
     fn place(&mut self, task: usize) -> Option<Decision> {
-        let slack = self.slack(task);
-        let run = self.runs[self.tasks[task].workload].log.exp();
+        let late = self.spare(task, self.fastest) <= 0.0;
         // Queues at workers serve in order: only the highest utility per work may queue, the rest waits here.
         // Guards against scoring the whole list again for all that waits while there is no room.
-        let t = &self.tasks[task];
-        let full = self.full.is_some_and(|(at, size)| at == self.now && t.size >= size);
-        if full && self.sheet.may_tell && t.assignments.is_empty() {
-            return (slack * IN_TIME < run).then(|| self.give_up(task));
+        let full = self.full.is_some_and(|(at, misses)| at == self.now && misses >= MISSES);
+        if full && self.sheet.may_tell && self.tasks[task].assignments.is_empty() {
+            return late.then(|| self.give_up(task));
         }
         let home = if self.tasks[task].set == 0 { None } else { self.lowest(task, Among::Homes) };
         let lowest = home.filter(|h| h.1 > 2).or_else(|| self.lowest(task, Among::Drawn));
@@ -731,15 +732,15 @@
             Some((_, 2)) if self.sparing() && self.spare_time(task) => None,
             Some((i, 2..)) => Some(self.assign(task, i)),
             Some((i, 1)) if !self.sheet.may_tell && self.may_queue(task) => Some(self.assign(task, i)),
-            Some((_, 0)) if slack * IN_TIME < run || many => Some(self.give_up(task)),
-            _ => (slack < 0.5 * run).then(|| self.give_up(task)),
+            Some((_, 0)) if many => Some(self.give_up(task)),
+            _ => late.then(|| self.give_up(task)),
         }
     }
 
     /// There is still time to wait here for room that is sure.
     fn spare_time(&self, task: usize) -> bool {
-        let (waited, left) = (secs(self.now - self.tasks[task].born), self.slack(task));
-        waited < PATIENCE * (waited + left - self.runs[self.tasks[task].workload].log.exp())
+        let waited = secs(self.now - self.tasks[task].born);
+        waited < PATIENCE * (waited + self.spare(task, self.fastest))
     }
 
     /// The workers where a data set is at home: the same ones at every scheduler without a word said, by
@@ -839,7 +840,7 @@
             if t.stage != Stage::Out {
                 continue;
             }
-            let (limit, run) = (secs(t.limit) - secs(now) - LAST_CALL, self.runs[t.workload].log.exp());
+            let limit = secs(t.limit) - secs(now) - LAST_CALL;
             let runs = t.assignments.iter().any(|a| a.live() && a.started.is_some());
             let repeatable = self.sheet.workloads[t.workload].effect != Effect::Unrepeatable;
             let silent =
@@ -848,7 +849,7 @@
             let stuck = self.stuck(task);
             let several =
                 stuck && t.size > 1.0 && self.sheet.second_copies && t.out() < COPIES && !self.sparing();
-            let hope = if runs { limit } else { self.slack(task) - run };
+            let hope = if runs { limit } else { self.spare(task, self.fastest) };
             let mut next = limit.min(hope);
             if next <= 0.0 {
                 let answer = self.give_up(task);
@@ -904,6 +905,7 @@
             self.ready += usize::from(w.ready());
         }
         level(&mut self.kinds, &mut self.runs, &mut self.hold, sum / f64::max(fleet, 1.0));
+        self.fastest = self.kinds.iter().map(|k| k.speed.exp()).fold(0.0, f64::max);
         self.fair = fleet / self.sheet.schedulers as f64;
         for peer in self.peers.lost(self.now) {
             self.workers.iter_mut().for_each(|w| w.told.silence(peer));
