Last free slots go to who left them or has care; a surprise outweighs past speed

A run 2.5 spreads off counts a sixth at once (books::learn), since a worker slows down from one task to the next.

--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -38,6 +38,7 @@
     shorts: Vec<Option<u16>>,
     by_short: HashMap<u16, Option<usize>>,
     telling: Vec<(u16, f64)>,
+    told: u16,
     /// Messages of others that could not be read.
     rubbish: u64,
 }
@@ -210,10 +211,10 @@
                     self.rules.told(worker, room);
                 }
             }
-            Some(Word::Held(words)) => {
+            Some(Word::Held(number, words)) => {
                 for &[a, b, slots] in words {
                     if let Some(&Some(worker)) = self.by_short.get(&u16::from_le_bytes([a, b])) {
-                        self.rules.holds(worker, from, f64::from(slots));
+                        self.rules.holds(worker, from, number, f64::from(slots));
                     }
                 }
             }
@@ -278,7 +279,8 @@
                 Decision::Log(line) => reply.text(1020, &line),
             }
         }
-        for message in word::held(&self.telling) {
+        self.told = self.told.wrapping_add(u16::from(!self.telling.is_empty()));
+        for message in word::held(self.told, &self.telling) {
             reply.tell(u32::MAX, &message);
         }
         self.telling.clear();
@@ -346,6 +348,7 @@
                 shorts: Vec::new(),
                 by_short: HashMap::new(),
                 telling: Vec::new(),
+                told: 0,
                 rubbish: 0,
             };
             hosted.insert(number, instance);
--- a/crates/simhost/src/word.rs
+++ b/crates/simhost/src/word.rs
@@ -5,7 +5,7 @@
 const LEAVE: u8 = 1;
 const HELD: u8 = 2;
 /// Workers in one message: 256 bytes at the most.
-const MOST: usize = 85;
+const MOST: usize = 84;
 
 /// Stands for a worker at every scheduler.
 pub fn mark(address: Address) -> u64 {
@@ -29,13 +29,12 @@
 }
 
 /// Messages of what is out at workers, by their short marks.
-pub fn held(out: &[(u16, f64)]) -> impl Iterator<Item = Vec<u8>> + '_ {
-    out.chunks(MOST).map(|chunk| {
+pub fn held(number: u16, out: &[(u16, f64)]) -> impl Iterator<Item = Vec<u8>> + '_ { out.chunks(MOST).map(move |chunk| {
         let words = chunk.iter().flat_map(|&(short, slots)| {
             let [a, b] = short.to_le_bytes();
             [a, b, whole(slots)]
         });
-        std::iter::once(HELD).chain(words).collect()
+        {let [low, high] = number.to_le_bytes(); [HELD, low, high]}.into_iter().chain(words).collect()
     })
 }
 
@@ -43,8 +42,8 @@
 pub enum Word<'a> {
     /// This many free slots of a worker are left to the receiver.
     Leave(Address, f64),
-    /// Slots out at workers, three bytes each.
-    Held(&'a [[u8; 3]]),
+    /// The message's number, which wraps, and slots out at workers, three bytes each.
+    Held(u16, &'a [[u8; 3]]),
 }
 
 /// None for what is short, long, of another form, or tells of no room.
@@ -53,8 +52,8 @@
         &[LEAVE, a, b, c, d, e, f, room] if room > 0 => {
             Some(Word::Leave([a, b, c, d, e, f], f64::from(room)))
         }
-        [HELD, rest @ ..] => match rest.as_chunks::<3>() {
-            (words @ [_, ..], []) if words.len() <= MOST => Some(Word::Held(words)),
+        [HELD, low, high, rest @ ..] => match rest.as_chunks::<3>() {
+            (words @ [_, ..], []) if words.len() <= MOST => Some(Word::Held(u16::from_le_bytes([*low, *high]), words)),
             _ => None,
         },
         _ => None,
@@ -70,21 +69,13 @@
         let address = [10, 1, 2, 3, 7, 1];
         assert_eq!(read(&leave(address, 2.0)), Some(Word::Leave(address, 2.0)));
         let out: Vec<(u16, f64)> = (0..90).map(|n| (n * 700, f64::from(n % 9))).collect();
-        let messages: Vec<Vec<u8>> = held(&out).collect();
+        let messages: Vec<Vec<u8>> = held(3, &out).collect();
         assert!(messages.len() == 2 && messages.iter().all(|m| m.len() <= 256));
-        assert_eq!(
-            read(&messages[1]),
-            Some(Word::Held(&[
-                [0x6c, 0xe8, 4],
-                [0x28, 0xeb, 5],
-                [0xe4, 0xed, 6],
-                [0xa0, 0xf0, 7],
-                [0x5c, 0xf3, 8]
-            ]))
-        );
-        let long = [HELD; 1 + 3 * (MOST + 1)];
+        let last = [0x34, 0xe6, 3, 0x6c, 0xe8, 4, 0x28, 0xeb, 5, 0xe4, 0xed, 6, 0xa0, 0xf0, 7, 0x5c, 0xf3, 8];
+        assert_eq!(read(&messages[1]), Some(Word::Held(3, last.as_chunks().0)));
+        let long = [HELD; 3 + 3 * (MOST + 1)];
         for rubbish in
-            [&[][..], &[LEAVE], &[HELD], &[HELD, 1, 2], &[HELD, 1, 2, 3, 4], &[7; 8], &[LEAVE; 9], &long]
+            [&[][..], &[LEAVE], &[HELD], &[HELD, 1, 0], &[HELD, 1, 0, 2, 3], &[HELD, 1, 0, 2, 3, 4, 5], &[7; 8], &[LEAVE; 9], &long]
         {
             assert_eq!(read(rubbish), None, "{rubbish:?}");
         }
--- a/src/books.rs
+++ b/src/books.rs
@@ -282,6 +282,10 @@
 
 /// Completions that a worker's own speed is smoothed over: enough to tell half from full speed.
 pub const OWN_SPEED_SPAN: f64 = 12.0;
+/// Completions before a worker's own speed may replace its kind's.
+pub const OWN_SPEED_AFTER: f64 = 6.0;
+/// From so many spreads on a run is a surprise: one in a hundred, about.
+const SURPRISE: f64 = 2.5;
 
 /// Takes down a run: run times by workload and speeds by kind from their logarithms, so that neither the
 /// mix of workloads nor one very long task passes as speed.
@@ -294,6 +298,10 @@
     r.spread += (1.25 * (off + w.apart).abs().min(2.0) - r.spread) * 0.02;
     if r.seen > 8.0 {
         kind.speed -= 0.02 * off;
+        // What surprises outweighs what was: a worker slows down from one task to the next.
+        if (off + w.apart).abs() > SURPRISE * r.spread {
+            w.completions = w.completions.min(OWN_SPEED_AFTER - 1.0);
+        }
         w.completions += 1.0;
         w.apart += (-off - w.apart) * (1.0 / w.completions).max(1.0 / OWN_SPEED_SPAN);
     }
@@ -321,21 +329,26 @@
 /// Slots out at a worker by the scheduler that told of them.
 #[derive(Default)]
 pub struct Told {
-    slots: Vec<f32>,
+    /// By scheduler, with the number of its message, which wraps.
+    slots: Vec<Option<(u16, f32)>>,
     pub sum: f64,
 }
 
 impl Told {
-    pub fn set(&mut self, peer: usize, slots: f64) {
-        self.slots.resize(self.slots.len().max(peer + 1), 0.0);
-        self.slots[peer] = slots as f32;
-        self.sum = self.slots.iter().map(|&s| f64::from(s)).sum();
+    /// Messages overtake one another: guards against an older one undoing what a newer one told.
+    pub fn set(&mut self, peer: usize, number: u16, slots: f64) {
+        self.slots.resize(self.slots.len().max(peer + 1), None);
+        let (last, held) = self.slots[peer].unwrap_or((number, 0.0));
+        if number.wrapping_sub(last) < u16::MAX / 2 {
+            self.sum += slots - f64::from(held);
+            self.slots[peer] = Some((number, slots as f32));
+        }
     }
 
     /// What a scheduler told that has fallen silent counts no longer.
     pub fn silence(&mut self, peer: usize) {
-        if self.slots.get(peer).is_some_and(|&s| s > 0.0) {
-            self.set(peer, 0.0);
+        if let Some((_, held)) = self.slots.get_mut(peer).and_then(Option::take) {
+            self.sum -= f64::from(held);
         }
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,7 +19,6 @@
 const AT_ONCE: f64 = 0.04; // a shorter wait is a connection and a way across zones; a longer one a queue
 const MEMORY_MARGIN: Duration = Duration::from_millis(50); // a repeat's way to a group that forgets soon
 const LOG_SPREAD: f64 = 0.7; // running times are heavy-tailed: their logarithm spreads by about this
-const OWN_SPEED_AFTER: f64 = 6.0; // completions before a worker's own speed may replace its kind's
 const FORGET_SPAN: f64 = 8.0; // an own speed is forgotten over this while the worker is not used
 const NOTE_GRACE: f64 = 0.7; // a progress note this late is no common pause
 const ERRORS_BAR: f64 = 0.45; // smoothed share of errors that bars a worker: two on end reach it
@@ -42,9 +41,10 @@
 const ROOM_SPAN: f64 = 3.0; // room left to this scheduler counts this long: a few tasks' time
 const TELL_ALL: f64 = 0.006; // what telling all may cost a task, as a share of the whole utility
 const WORD: f64 = 3.0 / 256.0; // a worker and its slots among a message's bytes, told twice for each task
-const TELL_EVERY: Duration = Duration::from_millis(50); // tasks run for longer, messages travel about half of it
+const TELL_EVERY: Duration = Duration::from_millis(20); // as long as a message travels, about
 const PATIENCE: f64 = 0.15; // part of the time to spare that is spent waiting for room that is sure
 const MISSES: usize = 4; // tasks that find no room before the others of that moment are not tried
+const CLAIMED: f64 = 2.0; // free slots of a worker that others may take at the same moment
 const HOMES: usize = 4; // workers where a data set is at home: one is often full
 const SETS: usize = 8192; // data sets whose homes are remembered
 const COLD_ROOM: f64 = 0.5; // part of a cold budget that is used: tasks run long, schedulers coincide
@@ -269,7 +269,7 @@
 
     pub fn ended(&mut self, task: usize, number: usize, ending: Ending, over: bool) {
         let Some(a) = self.tasks.out(task, number).copied() else { return };
-        let (now, i, sparing, t) = (self.now, a.worker, self.sparing(), &mut self.tasks[task]);
+        let (now, i, t) = (self.now, a.worker, &mut self.tasks[task]);
         let (size, workload, full) = (t.size, t.workload, ending == Ending::Full);
         let waited = a.started.is_none() && secs(now - a.sent) > AT_ONCE;
         t.assignments[number].ending = Some(ending);
@@ -289,7 +289,7 @@
                 (w.energy, w.fresh) = (Energy::Busy, false);
                 w.errors -= ERROR_STEP * w.errors;
                 // Served in order: what started at once found room, so what it held is free again.
-                if sparing && a.started.is_some_and(|at| secs(at - a.sent) <= AT_ONCE) {
+                if self.sheet.may_tell && a.started.is_some_and(|at| secs(at - a.sent) <= AT_ONCE) {
                     self.freed.push((i, size));
                 }
                 let (kind, run) = (&mut self.kinds[w.site.kind], secs(now - a.started.unwrap_or(a.sent)));
@@ -340,14 +340,14 @@
     }
 
     /// Another scheduler has this many slots out at a worker.
-    pub fn holds(&mut self, i: usize, peer: usize, slots: f64) {
+    pub fn holds(&mut self, i: usize, peer: usize, number: u16, slots: f64) {
         if i < self.workers.len()
             && self.tells_all()
             && peer != self.sheet.position
             && peer < self.sheet.schedulers
         {
             self.peers.heard(peer, self.now);
-            self.workers[i].told.set(peer, slots);
+            self.workers[i].told.set(peer, number, slots);
         }
     }
 
@@ -372,11 +372,10 @@
     /// Slots of a worker that surely are free: left by an own task or by another scheduler, lately.
     fn room(&self, i: usize) -> f64 {
         let w = &self.workers[i];
-        if w.room > 0.0 && secs(self.now - w.left) <= ROOM_SPAN {
-            w.room
-        } else {
-            0.0
-        }
+        // What others are told of they take soon.
+        let span = if self.tells_all() { secs(TELL_EVERY) } else { ROOM_SPAN };
+        let fresh = w.room > 0.0 && secs(self.now - w.left) <= span;
+        if fresh { w.room } else { 0.0 }
     }
 
     /// Own tasks made room: it is kept for the next arrivals, else left to another scheduler by chance.
@@ -388,7 +387,7 @@
             let kept = self.rooms.len() as f64;
             let others = self.sheet.schedulers.saturating_sub(1) as u64;
             let waits = self.lines.iter().any(|line| !line.is_empty());
-            if others == 0 || (waits || kept < 1.0) && self.out + kept < self.fair {
+            if others == 0 || self.tells_all() || (waits || kept < 1.0) && self.out + kept < self.fair {
                 self.keep_room(worker, room);
                 continue;
             }
@@ -460,7 +459,7 @@
         let late = |&(t, k): &(usize, usize)| secs(self.now - self.tasks[t].assignments[k].sent) > AT_ONCE;
         // Served in order: while an own task waits, all slots are taken.
         let least = if w.waiting.front().is_some_and(late) { self.slots(i) + w.n - w.running } else { 0.0 };
-        let room = self.room(i);
+        let room = if self.tells_all() { 0.0 } else { self.room(i) };
         let hidden = if room > 0.0 { (self.slots(i) - w.n - room).max(0.0) } else { self.hidden(i, most) };
         least.max(w.n + hidden)
     }
@@ -576,13 +575,15 @@
             let beyond = occupied + needs;
             let queue = if over > 0.0 { over * self.hold / (slots * speed) } else { 0.0 };
             let in_time = queue < self.spare(task, speed);
-            // Where schedulers leave room to one another, only what was left is sure.
-            let sure = sure && beyond <= 0.0 && (!sparing || self.room(i) >= t.size.min(slots));
+            // Where schedulers talk, others go for the last slots too: only what was left to this one is sure.
+            let care = self.workers[i].mark % self.sheet.schedulers as u64 == self.sheet.position as u64;
+            let left = self.room(i) >= t.size.min(slots) || !sparing && (care || beyond <= -CLAIMED);
+            let sure = sure && beyond <= 0.0 && (!self.sheet.may_tell || left);
             let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0) + u8::from(sure));
             best_tier = best_tier.max(tier);
             scores.push((i, tier, occupied, slots * speed));
         }
-        if among != Among::Homes && best_tier < 2 {
+        if among != Among::Homes && best_tier < 3 {
             let misses = self.full.filter(|f| f.0 == self.now).map_or(0, |f| f.1);
             self.full = Some((self.now, misses + 1));
         }
@@ -729,7 +730,7 @@
         let lowest = lowest.or_else(|| self.lowest(task, Among::All));
         let many = self.lines[0].len() > 1 + self.workers.len() / 4;
         match lowest {
-            Some((_, 2)) if self.sparing() && self.spare_time(task) => None,
+            Some((_, 2)) if self.tells_all() || self.sparing() && self.spare_time(task) => late.then(|| self.give_up(task)),
             Some((i, 2..)) => Some(self.assign(task, i)),
             Some((i, 1)) if !self.sheet.may_tell && self.may_queue(task) => Some(self.assign(task, i)),
             Some((_, 0)) if many => Some(self.give_up(task)),
@@ -849,7 +850,8 @@
             let stuck = self.stuck(task);
             let several =
                 stuck && t.size > 1.0 && self.sheet.second_copies && t.out() < COPIES && !self.sparing();
-            let hope = if runs { limit } else { self.spare(task, self.fastest) };
+            let grace = if self.sparing() { self.runs[t.workload].log.exp() } else { 0.0 };
+            let hope = if runs { limit } else { self.spare(task, self.fastest) + grace };
             let mut next = limit.min(hope);
             if next <= 0.0 {
                 let answer = self.give_up(task);
@@ -880,8 +882,10 @@
     fn stuck(&self, task: usize) -> bool {
         let t = &self.tasks[task];
         let waits = |a: &Assignment| a.ending.is_none() && a.started.is_none();
+        // Where all is told, room was there: a task that waits met others on the way, or its worker stands still.
+        let long = if self.tells_all() { self.hold } else { AT_ONCE };
         self.sheet.tells_start
-            && t.assignments.last().is_some_and(|a| waits(a) && secs(self.now - a.sent) >= AT_ONCE)
+            && t.assignments.last().is_some_and(|a| waits(a) && secs(self.now - a.sent) >= long)
             && t.assignments.len() < self.sheet.most_assignments
             && self.sheet.workloads[t.workload].effect != Effect::Unrepeatable
     }
