A data set has homes by its share of arrivals; an overrun tells of a slow worker

Slow workers were known only when their tasks ended, 2 to 4 s later; ruled out: news of ends (in time), reports (half a second old at the least). At fault: home (four homes for each set, then any worker at once), learn (short runs of an exponential workload passed for surprises). Changed: homes by share, in groups, with a part of the spare time waited for them; only long runs surprise; a run under way counts once when it is 2.5 spreads over the usual.

--- a/src/books.rs
+++ b/src/books.rs
@@ -53,6 +53,16 @@
         self.on_list && self.condition == Some(Condition::Ready)
     }
 
+    /// Takes down a logarithm of its speed against its kind's. A surprisingly long run outweighs what was: a worker
+    /// slows down from one task to the next.
+    pub fn adapt(&mut self, apart: f64, spread: f64) {
+        if apart < self.apart - SURPRISE * spread {
+            self.completions = self.completions.min(OWN_SPEED_AFTER - 1.0);
+        }
+        self.completions += 1.0;
+        self.apart += (apart - self.apart) * (1.0 / self.completions).max(1.0 / OWN_SPEED_SPAN);
+    }
+
     /// Heard from: it does not stand still, and what barred it for silence is lifted.
     pub fn revive(&mut self, now: Duration) {
         self.heard = now;
@@ -80,12 +90,14 @@
     pub cold: bool,
     pub ending: Option<Ending>,
     pub called_off: bool,
+    /// It was taken down that this one runs for surprisingly long.
+    pub overran: bool,
 }
 
 impl Assignment {
     pub fn new(worker: usize, now: Duration, ahead: f64, cold: bool) -> Self {
-        let (started, ending, called_off) = (None, None, false);
-        Assignment { worker, sent: now, started, heard: now, ahead, cold, ending, called_off }
+        let (started, ending, called_off, overran) = (None, None, false, false);
+        Assignment { worker, sent: now, started, heard: now, ahead, cold, ending, called_off, overran }
     }
 
     pub fn live(&self) -> bool {
@@ -285,7 +297,7 @@
 /// Completions before a worker's own speed may replace its kind's.
 pub const OWN_SPEED_AFTER: f64 = 6.0;
 /// From so many spreads on a run is a surprise: one in a hundred, about.
-const SURPRISE: f64 = 2.5;
+pub const SURPRISE: f64 = 2.5;
 
 /// Takes down a run: run times by workload and speeds by kind from their logarithms, so that neither the
 /// mix of workloads nor one very long task passes as speed.
@@ -298,12 +310,7 @@
     r.spread += (1.25 * (off + w.apart).abs().min(2.0) - r.spread) * 0.02;
     if r.seen > 8.0 {
         kind.speed -= 0.02 * off;
-        // What surprises outweighs what was: a worker slows down from one task to the next.
-        if (off + w.apart).abs() > SURPRISE * r.spread {
-            w.completions = w.completions.min(OWN_SPEED_AFTER - 1.0);
-        }
-        w.completions += 1.0;
-        w.apart += (-off - w.apart) * (1.0 / w.completions).max(1.0 / OWN_SPEED_SPAN);
+        w.adapt(-off, r.spread);
     }
     let plain = run * kind.speed.exp();
     r.mean += (plain - r.mean) * (1.0 / r.seen).max(0.02);
@@ -389,3 +396,19 @@
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64 + 1e-17
 }
+
+/// Workers where a data set may be at home: enough for one that a third of the tasks need.
+pub const HOMES: usize = 16;
+
+/// A data set: where it is at home, as of which list, and how often it is asked for.
+pub struct Home {
+    pub workers: [usize; HOMES],
+    pub lists: usize,
+    pub asked: Rate,
+}
+
+impl Default for Home {
+    fn default() -> Self {
+        Home { workers: [usize::MAX; HOMES], lists: usize::MAX, asked: Rate::default() }
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,7 +45,6 @@
 const PATIENCE: f64 = 0.15; // part of the time to spare that is spent waiting for room that is sure
 const MISSES: usize = 4; // tasks that find no room before the others of that moment are not tried
 const CLAIMED: f64 = 2.0; // free slots of a worker that others may take at the same moment
-const HOMES: usize = 4; // workers where a data set is at home: one is often full
 const SETS: usize = 8192; // data sets whose homes are remembered
 const COLD_ROOM: f64 = 0.5; // part of a cold budget that is used: tasks run long, schedulers coincide
 
@@ -72,7 +71,7 @@
 /// Among whom a task is scored.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Among {
-    Homes,
+    Homes(usize),
     Drawn,
     All,
 }
@@ -125,7 +124,9 @@
     peers: Peers,
     untold: f64,
     changed: VecDeque<usize>,
-    homes: HashMap<u64, [usize; HOMES]>,
+    sets: HashMap<u64, Home>,
+    /// Counts the changes of the list that move homes.
+    lists: usize,
     probes: f64,
     mine: f64,
     shares: Vec<Bucket>,
@@ -184,7 +185,7 @@
         let returns = w.condition.is_some_and(|c| c != Condition::Ready) && is == Condition::Ready;
         let starts = booted.is_some() && (w.booted != booted || w.condition.is_none());
         if w.condition != Some(is) {
-            self.homes.clear();
+            self.lists += 1;
         }
         if w.booted != booted || returns {
             (w.fresh, w.errors, w.barred, w.hidden) = (true, 0.0, None, 0.0);
@@ -215,6 +216,9 @@
     /// The data set that a task needs.
     pub fn needs(&mut self, task: usize, set: u64) {
         self.tasks[task].set = set;
+        if set != 0 && (self.sets.len() < SETS || self.sets.contains_key(&set)) {
+            self.sets.entry(set).or_default().asked.add(1.0, self.now, RATE_SPAN);
+        }
     }
 
     pub fn arrived(&mut self, workload: usize, size: f64, left: Duration, customer: usize) -> usize {
@@ -526,9 +530,10 @@
     /// list, which would all crowd the same few best: it scores as many as it sends in a second, drawn by
     /// chance in its zone and elsewhere, and those seen last; a list hardly longer is scored whole.
     fn draw(&mut self, task: usize, among: Among) {
-        if among == Among::Homes {
-            let homes = self.home(self.tasks[task].set);
+        if let Among::Homes(group) = among {
             self.drawn.clear();
+            let (from, to) = self.settle_homes(self.tasks[task].set, group);
+            let homes = self.sets.get(&self.tasks[task].set).map_or(&[][..], |h| &h.workers[from..to]);
             self.drawn.extend(homes.iter().filter(|&&i| i < self.workers.len()));
             return;
         }
@@ -583,7 +588,7 @@
             best_tier = best_tier.max(tier);
             scores.push((i, tier, occupied, slots * speed));
         }
-        if among != Among::Homes && best_tier < 3 {
+        if !matches!(among, Among::Homes(_)) && best_tier < 3 {
             let misses = self.full.filter(|f| f.0 == self.now).map_or(0, |f| f.1);
             self.full = Some((self.now, misses + 1));
         }
@@ -725,8 +730,14 @@
         if full && self.sheet.may_tell && self.tasks[task].assignments.is_empty() {
             return late.then(|| self.give_up(task));
         }
-        let home = if self.tasks[task].set == 0 { None } else { self.lowest(task, Among::Homes) };
-        let lowest = home.filter(|h| h.1 > 2).or_else(|| self.lowest(task, Among::Drawn));
+        let mut home = None;
+        for group in 0..if self.tasks[task].set == 0 { 0 } else { 2 } {
+            home = home.or_else(|| self.lowest(task, Among::Homes(group)).filter(|h| h.1 > 2));
+        }
+        if home.is_none() && self.tasks[task].set != 0 && self.spare_time(task) {
+            return None;
+        }
+        let lowest = home.or_else(|| self.lowest(task, Among::Drawn));
         let lowest = lowest.or_else(|| self.lowest(task, Among::All));
         let many = self.lines[0].len() > 1 + self.workers.len() / 4;
         match lowest {
@@ -744,28 +755,30 @@
         waited < PATIENCE * (waited + self.spare(task, self.fastest))
     }
 
-    /// The workers where a data set is at home: the same ones at every scheduler without a word said, by
-    /// highest random weight, the larger and faster ones more often. Guards against each set fetched everywhere.
-    fn home(&mut self, set: u64) -> [usize; HOMES] {
-        if let Some(homes) = self.homes.get(&set) {
-            return *homes;
-        }
-        let mut best = [(f64::INFINITY, usize::MAX); HOMES];
-        for i in (0..self.workers.len()).filter(|&i| self.workers[i].ready()) {
-            let w = &self.workers[i];
-            let weight = self.slots(i) * self.kinds[w.site.kind].speed.exp();
-            let draw = -drawn(set, w.mark).ln() / weight;
-            if draw < best[HOMES - 1].0 {
-                best[HOMES - 1] = (draw, i);
-                best.sort_by(|a, b| a.0.total_cmp(&b.0));
+    /// The workers where a data set is at home: the same ones at every scheduler without a word said, by highest
+    /// random weight, the larger and faster ones more often. Guards against each set being fetched everywhere.
+    /// Gives the part of them that makes a group: as many as the set's share of all arrivals needs.
+    fn settle_homes(&mut self, set: u64, group: usize) -> (usize, usize) {
+        let listed = self.roster.listed as f64;
+        let Some(mut home) = self.sets.remove(&set) else { return (0, 0) };
+        if home.lists != self.lists {
+            (home.lists, home.workers) = (self.lists, [usize::MAX; HOMES]);
+            let mut best = [(f64::INFINITY, usize::MAX); HOMES];
+            for i in (0..self.workers.len()).filter(|&i| self.workers[i].ready()) {
+                let w = &self.workers[i];
+                let draw = -drawn(set, w.mark).ln() / (self.slots(i) * self.kinds[w.site.kind].speed.exp());
+                let place = best.partition_point(|b| b.0 <= draw);
+                if place < HOMES {
+                    best[place..].rotate_right(1);
+                    best[place] = (draw, i);
+                }
             }
+            home.workers = best.map(|b| b.1);
         }
-        if self.homes.len() >= SETS {
-            self.homes.clear();
-        }
-        let homes = best.map(|b| b.1);
-        self.homes.insert(set, homes);
-        homes
+        let share = home.asked.a_second(self.now, RATE_SPAN) / self.lambda();
+        let many = (share * listed).ceil().clamp(1.0, HOMES as f64) as usize;
+        self.sets.insert(set, home);
+        ((group * many).min(HOMES), ((group + 1) * many).min(HOMES))
     }
 
     /// Tells the others what is out, so that their n counts it: what changed, and one worker more in turn.
@@ -836,6 +849,7 @@
         for task in 0..self.tasks.len() {
             for k in 0..self.tasks[task].assignments.len() {
                 self.look_for_silence(self.tasks[task].assignments[k]);
+                self.overrun(task, k);
             }
             let t = &self.tasks[task];
             if t.stage != Stage::Out {
@@ -940,6 +954,19 @@
         }
     }
 
+    /// Guards against sending on to a worker that has slowed down or stands still before any task there has ended:
+    /// one that runs for surprisingly long already tells so, once.
+    fn overrun(&mut self, task: usize, number: usize) {
+        let (t, a) = (&self.tasks[task], self.tasks[task].assignments[number]);
+        let Some(at) = a.started.filter(|_| a.live() && !a.overran) else { return };
+        let (w, r) = (&self.workers[a.worker], &self.runs[t.workload]);
+        let apart = r.log - self.kinds[w.site.kind].speed - secs(self.now - at).max(1e-3).ln();
+        if apart < w.apart.min(0.0) - SURPRISE * r.spread {
+            self.workers[a.worker].adapt(apart, r.spread);
+            self.tasks[task].assignments[number].overran = true;
+        }
+    }
+
     /// Its errors are judged at the next sweep, which is due now.
     fn suspect(&mut self, i: usize) {
         self.due = self.now;
