--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,6 +43,7 @@
 const WORD: f64 = 3.0 / 256.0; // a worker and its slots among a message's bytes, told twice for each task
 const TELL_EVERY: Duration = Duration::from_millis(20); // as long as a message travels, about
 const PATIENCE: f64 = 0.15; // part of the time to spare that is spent waiting for room that is sure
+const HOMESICK: f64 = 0.65; // the same for room where the data set is at home: fetching takes half a run
 const MISSES: usize = 4; // tasks that find no room before the others of that moment are not tried
 const CLAIMED: f64 = 2.0; // free slots of a worker that others may take at the same moment
 const SETS: usize = 8192; // data sets whose homes are remembered
@@ -734,14 +735,14 @@
         for group in 0..if self.tasks[task].set == 0 { 0 } else { 2 } {
             home = home.or_else(|| self.lowest(task, Among::Homes(group)).filter(|h| h.1 > 2));
         }
-        if home.is_none() && self.tasks[task].set != 0 && self.spare_time(task) {
+        if home.is_none() && self.tasks[task].set != 0 && self.spare_time(task, HOMESICK) {
             return None;
         }
         let lowest = home.or_else(|| self.lowest(task, Among::Drawn));
         let lowest = lowest.or_else(|| self.lowest(task, Among::All));
         let many = self.lines[0].len() > 1 + self.workers.len() / 4;
         match lowest {
-            Some((_, 2)) if self.tells_all() || self.sparing() && self.spare_time(task) => late.then(|| self.give_up(task)),
+            Some((_, 2)) if self.tells_all() || self.sparing() && self.spare_time(task, PATIENCE) => late.then(|| self.give_up(task)),
             Some((i, 2..)) => Some(self.assign(task, i)),
             Some((i, 1)) if !self.sheet.may_tell && self.may_queue(task) => Some(self.assign(task, i)),
             Some((_, 0)) if many => Some(self.give_up(task)),
@@ -750,9 +751,9 @@
     }
 
     /// There is still time to wait here for room that is sure.
-    fn spare_time(&self, task: usize) -> bool {
+    fn spare_time(&self, task: usize, part: f64) -> bool {
         let waited = secs(self.now - self.tasks[task].born);
-        waited < PATIENCE * (waited + self.spare(task, self.fastest))
+        waited < part * (waited + self.spare(task, self.fastest))
     }
 
     /// The workers where a data set is at home: the same ones at every scheduler without a word said, by highest
