--- a/src/rules.rs
+++ b/src/rules.rs
@@ -392,7 +392,7 @@
             let kept = self.rooms.len() as f64;
             let others = self.sheet.schedulers.saturating_sub(1) as u64;
             let waits = self.lines.iter().any(|line| !line.is_empty());
-            if others == 0 || self.tells_all() || (waits || kept < 1.0) && self.out + kept < self.fair {
+            if others == 0 || self.tells_all() || (waits || kept < 2.0) && self.out + kept < self.fair {
                 self.keep_room(worker, room);
                 continue;
             }
@@ -634,7 +634,7 @@
                 return Some(said);
             }
             // Guards against full connection tables: who seldom comes back to a worker keeps no place there.
-            if let Some(worker) = self.idle.pop().filter(|&i| self.sparse && self.workers[i].n == 0.0) {
+            if let Some(worker) = self.idle.pop().filter(|&i| self.sparse && !self.sheet.may_tell && self.workers[i].n == 0.0) {
                 return Some(Decision::Release { worker });
             }
             if let Some(word) = self.leave() {
