--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -200,7 +200,7 @@
                 Decision::Probe { worker } => self.order(Order::Probe { worker }),
                 Decision::Release { worker } => self.order(Order::Release { worker }),
                 // The platform has no way between schedulers: the settings never allow it there.
-                Decision::Leave { .. } | Decision::Tell { .. } => {}
+                Decision::Leave { .. } | Decision::Seek { .. } | Decision::Tell { .. } => {}
                 Decision::Wake { after } => {
                     state.bell = Some(now + after);
                     self.bell_moved.notify_one();
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -206,6 +206,7 @@
     /// A peer's word. Rubbish is dropped: only its own list makes a worker known to a scheduler.
     fn word(&mut self, from: usize, bytes: &[u8]) {
         match word::read(bytes).filter(|_| from != self.position) {
+            Some(Word::Seek) => self.rules.sought(from),
             Some(Word::Leave(address, room)) => {
                 if let Some(&worker) = self.workers.get(&address) {
                     self.rules.told(worker, room);
@@ -267,6 +268,7 @@
                 Decision::Leave { to, worker, room } => {
                     reply.tell(to as u32, &word::leave(self.addresses[worker], room));
                 }
+                Decision::Seek { to } => reply.tell(to as u32, &word::seek()),
                 Decision::Tell { worker, slots } => {
                     self.telling.extend(self.shorts[worker].map(|short| (short, slots)));
                 }
--- a/crates/simhost/src/word.rs
+++ b/crates/simhost/src/word.rs
@@ -4,6 +4,7 @@
 
 const LEAVE: u8 = 1;
 const HELD: u8 = 2;
+const SEEK: u8 = 3;
 /// Workers in one message: 256 bytes at the most.
 const MOST: usize = 84;
 
@@ -24,6 +25,10 @@
     [LEAVE, a, b, c, d, e, f, whole(room)]
 }
 
+pub fn seek() -> [u8; 1] {
+    [SEEK]
+}
+
 fn whole(slots: f64) -> u8 {
     slots.clamp(0.0, 255.0) as u8
 }
@@ -40,6 +45,8 @@
 
 #[derive(Debug, PartialEq)]
 pub enum Word<'a> {
+    /// The sender looks for room.
+    Seek,
     /// This many free slots of a worker are left to the receiver.
     Leave(Address, f64),
     /// The message's number, which wraps, and slots out at workers, three bytes each.
@@ -49,6 +56,7 @@
 /// None for what is short, long, of another form, or tells of no room.
 pub fn read(bytes: &[u8]) -> Option<Word<'_>> {
     match bytes {
+        &[SEEK] => Some(Word::Seek),
         &[LEAVE, a, b, c, d, e, f, room] if room > 0 => {
             Some(Word::Leave([a, b, c, d, e, f], f64::from(room)))
         }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,6 +44,10 @@
 const TELL_EVERY: Duration = Duration::from_millis(20); // as long as a message travels, about
 const PATIENCE: f64 = 0.15; // part of the time to spare that is spent waiting for room that is sure
 const HOMESICK: f64 = 0.65; // the same for room where the data set is at home: fetching takes half a run
+const SOUGHT: usize = 3; // schedulers asked for room at a time: every other one has some
+const SEEK_EVERY: Duration = Duration::from_millis(60); // an answer has come by then, if any
+const ASKERS: usize = 64; // more who ask at a time than could be answered
+const KEPT: f64 = 2.0; // workers with room that are kept for the next arrivals
 const MISSES: usize = 4; // tasks that find no room before the others of that moment are not tried
 const CLAIMED: f64 = 2.0; // free slots of a worker that others may take at the same moment
 const SETS: usize = 8192; // data sets whose homes are remembered
@@ -116,6 +120,9 @@
     /// Workers with room that was left to this scheduler, and those where an own task has just made some.
     rooms: VecDeque<usize>,
     freed: Vec<(usize, f64)>,
+    /// Schedulers that asked for room, and when it was last asked for here.
+    askers: Vec<usize>,
+    asked: Duration,
     /// Own slots out, and an equal share of the fleet's.
     out: f64,
     fair: f64,
@@ -344,6 +351,13 @@
         }
     }
 
+    /// Another scheduler has tasks that wait and asks for room.
+    pub fn sought(&mut self, from: usize) {
+        if self.sparing() && from < self.sheet.schedulers && self.askers.len() < ASKERS {
+            self.askers.push(from);
+        }
+    }
+
     /// Another scheduler has this many slots out at a worker.
     pub fn holds(&mut self, i: usize, peer: usize, number: u16, slots: f64) {
         if i < self.workers.len()
@@ -383,24 +397,47 @@
         if fresh { w.room } else { 0.0 }
     }
 
-    /// Own tasks made room: it is kept for the next arrivals, else left to another scheduler by chance.
+    /// Own tasks made room: it is kept for the next arrivals, else left to another scheduler by chance. What was
+    /// kept goes to those who ask for it, unless tasks wait here.
     fn leave(&mut self) -> Option<Decision> {
+        if self.freed.is_empty() && self.askers.is_empty() {
+            return None;
+        }
+        let mut rooms = std::mem::take(&mut self.rooms);
+        rooms.retain(|&i| self.room(i) > 0.0);
+        self.rooms = rooms;
+        let waits = self.lines.iter().any(|line| !line.is_empty());
         while let Some((worker, room)) = self.freed.pop() {
-            while let Some(&i) = self.rooms.front().filter(|&&i| self.room(i) <= 0.0) {
-                self.rooms.retain(|&x| x != i);
-            }
             let kept = self.rooms.len() as f64;
-            let others = self.sheet.schedulers.saturating_sub(1) as u64;
-            let waits = self.lines.iter().any(|line| !line.is_empty());
-            if others == 0 || self.tells_all() || (waits || kept < 2.0) && self.out + kept < self.fair {
+            if self.tells_all() || (waits || kept < KEPT) && self.out + kept < self.fair {
                 self.keep_room(worker, room);
-                continue;
+            } else if let Some(to) = self.another() {
+                return Some(Decision::Leave { to, worker, room });
+            }
+        }
+        let to = self.askers.pop().filter(|_| !waits)?;
+        let worker = self.rooms.pop_front()?;
+        let room = std::mem::take(&mut self.workers[worker].room);
+        Some(Decision::Leave { to, worker, room })
+    }
+
+    /// Another scheduler by chance.
+    fn another(&mut self) -> Option<usize> {
+        let others = self.sheet.schedulers.saturating_sub(1) as u64;
+        let to = (others > 0).then(|| self.chance.0.rand_range(0..others) as usize)?;
+        Some(to + usize::from(to >= self.sheet.position))
+    }
+
+    /// Asks a few others for room while tasks wait here.
+    fn seek(&mut self) {
+        let waits = self.lines.iter().any(|line| !line.is_empty());
+        if waits && self.sparing() && self.now >= self.asked + SEEK_EVERY {
+            self.asked = self.now;
+            for _ in 0..SOUGHT {
+                let asked = self.another().map(|to| Decision::Seek { to });
+                self.say.extend(asked);
             }
-            let to = self.chance.0.rand_range(0..others) as usize;
-            let to = to + usize::from(to >= self.sheet.position);
-            return Some(Decision::Leave { to, worker, room });
         }
-        None
     }
 
     fn fade(&self, since: Duration, span: f64) -> f64 {
@@ -888,6 +925,7 @@
         self.bar();
         self.probe();
         self.tell();
+        self.seek();
         if !self.changed.is_empty() {
             self.due = self.due.min(self.peers.told + TELL_EVERY);
         }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -179,6 +179,8 @@
         worker: usize,
         room: f64,
     },
+    /// Word to another scheduler: tasks wait here, any room to leave?
+    Seek { to: usize },
     /// Word to all other schedulers: this many slots are out at the worker.
     Tell {
         worker: usize,
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -127,6 +127,7 @@
                 Decision::Leave { to, worker, room } => {
                     format!("leave {room} slots of worker {worker} to scheduler {to}")
                 }
+                Decision::Seek { to } => format!("ask scheduler {to} for room"),
                 Decision::Tell { worker, slots } => format!("tell all: {slots} slots out at worker {worker}"),
                 Decision::Release { worker } => format!("release worker {worker}"),
                 Decision::Log(line) => format!("log: {line}"),
