Free slots in an answer's report count as room by half; a guess leaves no rounding

Cause by the trace: words of room had run out (tasks that waited leave none), and the others' share, learned at a high, is never corrected without a send. Ruled out: hung workers (none there), lost words, cold workers. At fault: reported (a report of four free slots went into a blurred mean only), lowest (guesses shut off for good). Changed: an answer's report adds half of its free slots to the room that its task leaves, so what still runs finds the rest again; a guess counts whole slots.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,6 +47,7 @@
 const SOUGHT: usize = 3; // schedulers asked for room at a time: every other one has some
 const SEEK_EVERY: Duration = Duration::from_millis(60); // an answer has come by then, if any
 const ASKERS: usize = 64; // more who ask at a time than could be answered
+const REPORTED: f64 = 0.5; // part of the free slots in an answer's report that still are free: it is a task old
 const KEPT: f64 = 2.0; // workers with room that are kept for the next arrivals
 const MISSES: usize = 4; // tasks that find no room before the others of that moment are not tried
 const CLAIMED: f64 = 2.0; // free slots of a worker that others may take at the same moment
@@ -340,6 +341,10 @@
         let kind = &mut self.kinds[self.workers[i].site.kind];
         kind.slots = kind.slots.max(free.round());
         let slots = self.slots(i);
+        // Guards against a standstill: room that nobody knows of is found again by the answers of what still runs.
+        if let Some((_, room)) = self.freed.iter_mut().find(|f| f.0 == i) {
+            *room += ((free - *room) * REPORTED).floor().max(0.0);
+        }
         let held = (slots - free).max(0.0) + waiting.unwrap_or(0.0) * 1.3;
         self.see(i, (held - self.workers[i].n).max(0.0), weight);
     }
@@ -612,7 +617,8 @@
             let occupied = self.occupied(i, 1.0);
             // Guards against late answers: first where it is in time, then where it has room; then the index.
             // Half a slot is rounding, less for several slots, which must not miss any.
-            let needs = t.size.min(slots) - slots - 0.5 / t.size;
+            let rounding = if sparing { 0.0 } else { 0.5 / t.size };
+            let needs = t.size.min(slots) - slots - rounding;
             let guess = !sparing && self.untold > 0.0;
             let over = needs + if guess { self.occupied(i, MAY_BE) } else { occupied };
             let beyond = occupied + needs;
