No probes and no closing of idle connections; a kind's slots also from what all use

Closing idle connections served long lists with few connections a worker. At fault: slots (the most seen free or in own use). The words between schedulers stand in a crate of their own, tindock-words, for the program to use.

--- /dev/null
+++ b/crates/scheduler/src/peers.rs
@@ -0,0 +1,115 @@
+//! Words between schedulers as datagrams. The module says what is told; here it is packed, sent and read. What comes from
+//! a stranger, cannot be read or names nobody is dropped and counted.
+
+use crate::exchange::Exchange;
+use slog::{info, Logger};
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tindock::terms::Decision;
+use tindock_berth::berth::Others;
+use tindock_words::{self as words, Address, Word, LONGEST};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+/// Sums of what was dropped are told this often, if anything was.
+const SUMS_EVERY: Duration = Duration::from_secs(60);
+/// Messages that wait to be sent; beyond them words are lost, which is harmless.
+pub const WAITING: usize = 256;
+
+/// A message and the scheduler it is for; none: for all.
+pub type Message = (Option<usize>, Vec<u8>);
+
+/// A worker's address as it stands in messages; none where it does not fit.
+pub fn address(of: SocketAddr) -> Option<Address> {
+    let IpAddr::V4(ip) = of.ip() else { return None };
+    let ([a, b, c, d], [high, low]) = (ip.octets(), of.port().to_be_bytes());
+    Some([a, b, c, d, high, low])
+}
+
+/// Collects what the module says at one time: what is out goes into common messages.
+#[derive(Default)]
+pub struct Telling {
+    number: u16,
+    held: Vec<(u16, f64)>,
+    messages: Vec<Message>,
+}
+
+impl Telling {
+    pub fn say(&mut self, decision: &Decision, names: &words::Names) {
+        match *decision {
+            Decision::Leave { to, worker, room } => {
+                let message = names.address(worker).map(|at| (Some(to), words::leave(at, room).to_vec()));
+                self.messages.extend(message);
+            }
+            Decision::Seek { to } => self.messages.push((Some(to), words::seek().to_vec())),
+            Decision::Tell { worker, slots } => {
+                self.held.extend(names.short(worker).map(|short| (short, slots)));
+            }
+            _ => {}
+        }
+    }
+
+    /// The messages of this time.
+    pub fn messages(&mut self) -> impl Iterator<Item = Message> + '_ {
+        self.number = self.number.wrapping_add(u16::from(!self.held.is_empty()));
+        self.messages.extend(words::held(self.number, &self.held).map(|message| (None, message)));
+        self.held.clear();
+        self.messages.drain(..)
+    }
+}
+
+pub struct Peers {
+    pub exchange: Rc<Exchange>,
+    pub socket: Rc<UdpSocket>,
+    pub others: Others,
+    pub log: Logger,
+}
+
+impl Peers {
+    pub async fn send(socket: Rc<UdpSocket>, others: Others, mut messages: mpsc::Receiver<Message>) {
+        while let Some((to, message)) = messages.recv().await {
+            let all = others.all.iter().enumerate().filter(|(place, _)| *place != others.position);
+            for (_, &address) in all.filter(|(place, _)| to.is_none_or(|to| to == *place)) {
+                // A scheduler that is not there hears nothing: words may be lost.
+                let _ = socket.send_to(&message, address).await;
+            }
+        }
+    }
+
+    /// Hears the others until the process ends.
+    pub async fn hear(self) {
+        let places: HashMap<SocketAddr, usize> =
+            self.others.all.iter().enumerate().map(|(place, &at)| (at, place)).collect();
+        let (mut bytes, mut dropped) = ([0; LONGEST + 1], 0u64);
+        let mut sums = tokio::time::interval(SUMS_EVERY);
+        loop {
+            tokio::select! {
+                heard = self.socket.recv_from(&mut bytes) => {
+                    // An error here tells of an earlier message that met nobody.
+                    let Ok((length, from)) = heard else { continue };
+                    let place = places.get(&from).copied().filter(|&place| place != self.others.position);
+                    match place.zip(words::read(&bytes[..length])) {
+                        Some((place, word)) => self.word(place, word),
+                        None => dropped += 1,
+                    }
+                }
+                _ = sums.tick() => {
+                    if dropped > 0 {
+                        info!(self.log, "{dropped} messages dropped that no known scheduler sent or nobody can read");
+                        dropped = 0;
+                    }
+                }
+            }
+        }
+    }
+
+    fn word(&self, from: usize, word: Word) {
+        match word {
+            Word::Seek => self.exchange.sought(from),
+            Word::Leave(address, room) => self.exchange.room_left(address, room),
+            Word::Held(number, words) => self.exchange.held(from, number, words),
+        }
+    }
+}
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -99,7 +99,7 @@
         quotas: list(info, "/tenants").iter().map(quota).collect::<Read<_>>()?,
         may_cancel: flag(info, "/caps/cancel"),
         second_copies: flag(info, "/caps/second_copies"),
-        may_probe: flag(info, "/caps/may_probe"),
+        
         come_back: come_back.transpose()?,
         most_assignments: number(info, "/caps/most_assignments")?.max(1.0) as usize,
         progress_every: span_of(progress).filter(|gap| !gap.is_zero()),
@@ -111,7 +111,7 @@
         cold_share: number(info, "/rules/cold_share")?,
         warm_within: span(info, "/rules/warm_within_s")?,
         price_crossing: optional(info, "/penalties/cross_zone")?.unwrap_or(0.0),
-        price_probe: optional(info, "/penalties/probe")?.unwrap_or(0.0),
+        
         price_word: optional(info, "/penalties/peer")?.unwrap_or(0.0),
     })
 }
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -2,7 +2,6 @@
 //! indices, keeps the instances apart, encodes replies. It decides nothing.
 
 mod frame;
-mod word;
 
 use frame::{Frame, Reply, Wrong};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -11,7 +10,7 @@
 use tindock::rules::Rules;
 use tindock::terms::{Condition, Decision, Ending, News, Site};
 use tindock_roster::asking::{Asking, Service, Step};
-use word::Word;
+use tindock_words::{self as words, Names, Word};
 
 const BATCH_HEADER: usize = 20;
 const EVENT: usize = 56;
@@ -34,9 +33,8 @@
     given: HashSet<u64>,
     workers: HashMap<[u8; 6], usize>,
     addresses: Vec<[u8; 6]>,
-    /// The workers' names in messages between schedulers, where no two share one.
-    shorts: Vec<Option<u16>>,
-    by_short: HashMap<u16, Option<usize>>,
+    /// The workers' names in messages between schedulers, and what is to be told.
+    names: Names,
     telling: Vec<(u16, f64)>,
     told: u16,
     /// Messages of others that could not be read.
@@ -109,18 +107,8 @@
             let booted = Some(e.span(15)?).filter(|b| !b.is_zero());
             self.rules.listed(worker, site, f64::from(e.f32(1)?), condition, booted);
             if worker == fresh {
-                let mark = word::mark(address);
+                let mark = self.names.enter(Some(address));
                 self.rules.marked(worker, mark);
-                // Guards against taking one worker for another: of two with the same short mark none is told of.
-                let short = word::short(mark);
-                self.shorts.push(Some(short));
-                let known = self.by_short.entry(short).or_insert(Some(worker));
-                if *known != Some(worker) {
-                    self.shorts[worker] = None;
-                    if let Some(other) = known.take() {
-                        self.shorts[other] = None;
-                    }
-                }
             }
         }
         Ok(())
@@ -167,7 +155,7 @@
                 if let Some(place) = place {
                     self.rules.ended(place, assignment, ending, over);
                 }
-                self.rules.reported(worker, &values[..count], 0.3);
+                self.rules.reported(worker, &values[..count]);
             }
             1050 => {
                 if let Some(place) = self.place(frame.u64(at + 2)?, at + 2)? {
@@ -179,10 +167,10 @@
                 _ => self.rules.bell(),
             },
             1070 => {
-                let worker = self.worker(frame.address(at + 10)?, at + 10)?;
-                let ok = ending(frame, at + 16)? == Ending::Finished;
-                let (values, count) = Self::report(frame, at + 17)?;
-                self.rules.probed(worker, ok, &values[..count]);
+                // No probes are sent here; what is told of one all the same is checked and left.
+                self.worker(frame.address(at + 10)?, at + 10)?;
+                ending(frame, at + 16)?;
+                Self::report(frame, at + 17)?;
             }
             1080 => {
                 let from = frame.u32(at + 2)? as usize;
@@ -205,7 +193,7 @@
 
     /// A peer's word. Rubbish is dropped: only its own list makes a worker known to a scheduler.
     fn word(&mut self, from: usize, bytes: &[u8]) {
-        match word::read(bytes).filter(|_| from != self.position) {
+        match words::read(bytes).filter(|_| from != self.position) {
             Some(Word::Seek) => self.rules.sought(from),
             Some(Word::Leave(address, room)) => {
                 if let Some(&worker) = self.workers.get(&address) {
@@ -213,8 +201,7 @@
                 }
             }
             Some(Word::Held(number, words)) => {
-                for &[a, b, slots] in words {
-                    if let Some(&Some(worker)) = self.by_short.get(&u16::from_le_bytes([a, b])) {
+                for &[a, b, slots] in words { if let Some(worker) = self.names.by_short([a, b]) {
                         self.rules.holds(worker, from, number, f64::from(slots));
                     }
                 }
@@ -262,18 +249,12 @@
                 Decision::CallOff { task, assignment } => {
                     reply.record(1060).u64(self.ids[task]).raw(&[assignment as u8]);
                 }
-                Decision::Probe { worker } => {
-                    reply.record(1040).raw(&self.addresses[worker]);
-                }
                 Decision::Leave { to, worker, room } => {
-                    reply.tell(to as u32, &word::leave(self.addresses[worker], room));
+                    reply.tell(to as u32, &words::leave(self.addresses[worker], room));
                 }
-                Decision::Seek { to } => reply.tell(to as u32, &word::seek()),
+                Decision::Seek { to } => reply.tell(to as u32, &words::seek()),
                 Decision::Tell { worker, slots } => {
-                    self.telling.extend(self.shorts[worker].map(|short| (short, slots)));
-                }
-                Decision::Release { worker } => {
-                    reply.record(1030).raw(&self.addresses[worker]);
+                    self.telling.extend(self.names.short(worker).map(|short| (short, slots)));
                 }
                 Decision::Wake { after } => {
                     reply.record(1090).f64(after.as_secs_f64()).u64(0);
@@ -282,7 +263,7 @@
             }
         }
         self.told = self.told.wrapping_add(u16::from(!self.telling.is_empty()));
-        for message in word::held(self.told, &self.telling) {
+        for message in words::held(self.told, &self.telling) {
             reply.tell(u32::MAX, &message);
         }
         self.telling.clear();
@@ -347,8 +328,7 @@
                 given: HashSet::new(),
                 workers: HashMap::new(),
                 addresses: Vec::new(),
-                shorts: Vec::new(),
-                by_short: HashMap::new(),
+                names: Names::default(),
                 telling: Vec::new(),
                 told: 0,
                 rubbish: 0,
--- a/crates/simhost/src/word.rs
+++ b/crates/words/src/lib.rs
@@ -1,30 +1,27 @@
-//! What schedulers tell one another, on this wire.
+//! What schedulers tell one another, in messages of 256 bytes at the most. Words are told once: a lost, late or doubled
+//! one is harmless, and one that cannot be read is dropped by the host.
 
+mod names;
+
+pub use names::Names;
+
+/// A worker's address and port, first byte first.
 pub type Address = [u8; 6];
 
 const LEAVE: u8 = 1;
 const HELD: u8 = 2;
 const SEEK: u8 = 3;
-/// Workers in one message: 256 bytes at the most.
-const MOST: usize = 84;
-
-/// Stands for a worker at every scheduler.
-pub fn mark(address: Address) -> u64 {
-    let [a, b, c, d, e, f] = address;
-    let word = u64::from_le_bytes([a, b, c, d, e, f, 0, 0]);
-    (word ^ (word >> 29)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
-}
-
-/// The part of a mark that goes into a message.
-pub fn short(mark: u64) -> u16 {
-    (mark >> 48) as u16
-}
+/// The longest message, and the workers that one tells of.
+pub const LONGEST: usize = 256;
+const MOST: usize = (LONGEST - 3) / 3;
 
+/// This many free slots of a worker are left to the receiver.
 pub fn leave(address: Address, room: f64) -> [u8; 8] {
     let [a, b, c, d, e, f] = address;
     [LEAVE, a, b, c, d, e, f, whole(room)]
 }
 
+/// Tasks wait here: has the receiver room to leave?
 pub fn seek() -> [u8; 1] {
     [SEEK]
 }
@@ -33,13 +30,15 @@
     slots.clamp(0.0, 255.0) as u8
 }
 
-/// Messages of what is out at workers, by their short marks.
-pub fn held(number: u16, out: &[(u16, f64)]) -> impl Iterator<Item = Vec<u8>> + '_ { out.chunks(MOST).map(move |chunk| {
+/// Messages of what is out at workers, by their short names, under a number that tells which is the newer one.
+pub fn held(number: u16, out: &[(u16, f64)]) -> impl Iterator<Item = Vec<u8>> + '_ {
+    out.chunks(MOST).map(move |chunk| {
+        let [low, high] = number.to_le_bytes();
         let words = chunk.iter().flat_map(|&(short, slots)| {
             let [a, b] = short.to_le_bytes();
             [a, b, whole(slots)]
         });
-        {let [low, high] = number.to_le_bytes(); [HELD, low, high]}.into_iter().chain(words).collect()
+        [HELD, low, high].into_iter().chain(words).collect()
     })
 }
 
@@ -49,7 +48,7 @@
     Seek,
     /// This many free slots of a worker are left to the receiver.
     Leave(Address, f64),
-    /// The message's number, which wraps, and slots out at workers, three bytes each.
+    /// The message's number, which wraps, and slots out at workers: a short name and a count, three bytes.
     Held(u16, &'a [[u8; 3]]),
 }
 
@@ -61,7 +60,9 @@
             Some(Word::Leave([a, b, c, d, e, f], f64::from(room)))
         }
         [HELD, low, high, rest @ ..] => match rest.as_chunks::<3>() {
-            (words @ [_, ..], []) if words.len() <= MOST => Some(Word::Held(u16::from_le_bytes([*low, *high]), words)),
+            (words @ [_, ..], []) if words.len() <= MOST => {
+                Some(Word::Held(u16::from_le_bytes([*low, *high]), words))
+            }
             _ => None,
         },
         _ => None,
@@ -76,16 +77,26 @@
     fn what_is_told_is_read_again_and_rubbish_is_not() {
         let address = [10, 1, 2, 3, 7, 1];
         assert_eq!(read(&leave(address, 2.0)), Some(Word::Leave(address, 2.0)));
+        assert_eq!(read(&seek()), Some(Word::Seek));
         let out: Vec<(u16, f64)> = (0..90).map(|n| (n * 700, f64::from(n % 9))).collect();
-        let messages: Vec<Vec<u8>> = held(3, &out).collect();
-        assert!(messages.len() == 2 && messages.iter().all(|m| m.len() <= 256));
+        let messages: Vec<Vec<u8>> = held(300, &out).collect();
+        assert!(messages.len() == 2 && messages.iter().all(|m| m.len() <= LONGEST));
         let last = [0x34, 0xe6, 3, 0x6c, 0xe8, 4, 0x28, 0xeb, 5, 0xe4, 0xed, 6, 0xa0, 0xf0, 7, 0x5c, 0xf3, 8];
-        assert_eq!(read(&messages[1]), Some(Word::Held(3, last.as_chunks().0)));
+        assert_eq!(read(&messages[1]), Some(Word::Held(300, last.as_chunks().0)));
         let long = [HELD; 3 + 3 * (MOST + 1)];
-        for rubbish in
-            [&[][..], &[LEAVE], &[HELD], &[HELD, 1, 0], &[HELD, 1, 0, 2, 3], &[HELD, 1, 0, 2, 3, 4, 5], &[7; 8], &[LEAVE; 9], &long]
-        {
-            assert_eq!(read(rubbish), None, "{rubbish:?}");
+        let rubbish: [&[u8]; 9] = [
+            &[],
+            &[LEAVE],
+            &[HELD, 1, 0],
+            &[HELD, 1, 0, 2, 3],
+            &[HELD, 1, 0, 2, 3, 4, 5],
+            &[SEEK, 0],
+            &[7; 8],
+            &[LEAVE; 9],
+            &long,
+        ];
+        for bytes in rubbish {
+            assert_eq!(read(bytes), None, "{bytes:?}");
         }
         assert_eq!(read(&leave(address, 0.0)), None);
     }
--- a/src/books.rs
+++ b/src/books.rs
@@ -44,8 +44,7 @@
     pub rest: Duration,
     /// Gave a sign of leaving on an old list: no own task before then.
     pub left_out: Duration,
-    pub probed: Duration,
-    pub probing: bool,
+    
 }
 
 impl Worker {
@@ -77,6 +76,9 @@
     /// Logarithm of the speed, and the most slots seen in use or free at once.
     pub speed: f64,
     pub slots: f64,
+    /// While the list is added up: what all schedulers have out on it, and its workers.
+    pub out: f64,
+    pub listed: f64,
 }
 
 #[derive(Clone, Copy)]
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,13 +28,11 @@
 const HIDDEN_SPAN: f64 = 2.0; // what others have on a worker is forgotten over this: about a task or two
 const OTHERS_STEP: f64 = 0.05; // weight of one sighting in the others' share: some twenty count
 const OTHERS_FIRST: f64 = 0.2; // before any sighting: most workers have room
-const PROBES_SAVED: f64 = 12.0; // probes not sent may be saved up: a zone's workers, about
 const MAY_BE: f64 = 0.5; // where nothing was seen lately there may be room, or nothing would be seen again
 const COPIES: usize = 4; // copies that wait for several slots at a time: one worker in four drains soon
 const MINE_STEP: f64 = 0.3; // weight of one tally in the own part of all traffic: what is out swings
 const TALLY: f64 = 3.0; // the whole list is added up this often: it changes in seconds
 const LONG_LIST: usize = 4096; // from here on adding up takes a millisecond: then only every TALLY
-const PROBE_SPEND: f64 = 0.003; // what probes may cost a task, as a share of the whole utility
 const CROSSING: f64 = 40.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
 const SHARE_SPAN: f64 = 2.0; // a customer may save up its share for this long: arrivals come in clumps
@@ -47,6 +45,7 @@
 const SOUGHT: usize = 3; // schedulers asked for room at a time: every other one has some
 const SEEK_EVERY: Duration = Duration::from_millis(60); // an answer has come by then, if any
 const ASKERS: usize = 64; // more who ask at a time than could be answered
+const REPORT_STEP: f64 = 0.3; // weight of a report in what is hidden: half a second old at the least
 const REPORTED: f64 = 0.5; // part of the free slots in an answer's report that still are free: it is a task old
 const KEPT: f64 = 2.0; // workers with room that are kept for the next arrivals
 const MISSES: usize = 4; // tasks that find no room before the others of that moment are not tried
@@ -96,7 +95,7 @@
     lines: [VecDeque<usize>; 2],
     passed: [usize; 2],
     loose: Vec<usize>,
-    idle: Vec<usize>,
+    
     say: VecDeque<Decision>,
     runs: Vec<Runs>,
     /// Mean time a slot is held at speed 1, and the slots that arrive.
@@ -136,7 +135,7 @@
     sets: HashMap<u64, Home>,
     /// Counts the changes of the list that move homes.
     lists: usize,
-    probes: f64,
+    
     mine: f64,
     shares: Vec<Bucket>,
 }
@@ -234,7 +233,6 @@
         // Whole slots: what rounding left of fractions passed for a task for ever, and their sum for more slots.
         let size = size.floor().max(1.0);
         self.arrivals.add(size, self.now, RATE_SPAN);
-        self.probes = (self.probes + PROBE_SPEND / self.sheet.price_probe.max(1e-4)).min(PROBES_SAVED);
         // Guards against one customer's rush: beyond the own part of its share a task has less utility.
         let mut utility = self.sheet.workloads[workload].utility;
         if let Some(quota) = self.sheet.quotas.get(customer).map(|q| q * self.mine) {
@@ -292,9 +290,7 @@
         self.out -= size;
         self.changed.push_back(i);
         w.waiting.retain(|x| *x != (task, number));
-        if w.n == 0.0 {
-            self.idle.push(i);
-        }
+        
         w.running -= if a.started.is_some() { size.min(w.running) } else { 0.0 };
         match ending {
             Ending::Finished => {
@@ -328,25 +324,20 @@
         }
     }
 
-    pub fn probed(&mut self, i: usize, ok: bool, report: &[f64]) {
-        self.workers[i].probing = false;
-        self.reported(i, if ok { report } else { &[] }, 0.6);
-    }
-
-    /// A worker's report of its load, and what one sighting of that age is worth.
-    pub fn reported(&mut self, i: usize, report: &[f64], weight: f64) {
+    /// A worker's report of its load, as it comes with an answer.
+    pub fn reported(&mut self, i: usize, report: &[f64]) {
         let value = |at: Option<usize>| at.and_then(|at| report.get(at)).copied().filter(|v| v.is_finite());
         let (free, waiting) = (value(self.sheet.report_free), value(self.sheet.report_waiting));
         let Some(free) = free else { return };
         let kind = &mut self.kinds[self.workers[i].site.kind];
         kind.slots = kind.slots.max(free.round());
-        let slots = self.slots(i);
+        let (slots, sparing) = (self.slots(i), self.sparing());
         // Guards against a standstill: room that nobody knows of is found again by the answers of what still runs.
-        if let Some((_, room)) = self.freed.iter_mut().find(|f| f.0 == i) {
+        if let Some((_, room)) = self.freed.iter_mut().find(|f| f.0 == i).filter(|_| sparing) {
             *room += ((free - *room) * REPORTED).floor().max(0.0);
         }
         let held = (slots - free).max(0.0) + waiting.unwrap_or(0.0) * 1.3;
-        self.see(i, (held - self.workers[i].n).max(0.0), weight);
+        self.see(i, (held - self.workers[i].n).max(0.0), REPORT_STEP);
     }
 
     /// Another scheduler leaves this many free slots of a worker to this one.
@@ -605,11 +596,10 @@
     /// for it (3), may be in a crowded zone (2), or it would wait but be in time (1), or be late (0).
     fn lowest(&mut self, task: usize, among: Among) -> Option<(usize, u8)> {
         self.draw(task, among);
-        let (lambda, t, sparing) = (self.lambda(), &self.tasks[task], self.sparing());
+        let (lambda, t) = (self.lambda(), &self.tasks[task]);
+        let (sparing, tells_all) = (self.sparing(), self.tells_all());
         let (mut sum, mut count, mut best_tier) = (0.0, 0.0, 0);
-        // A task bound to its group should rather cross than be bound to a small zone that is full.
-        let bound = matches!(self.sheet.workloads[t.workload].effect, Effect::Deduplicated(_));
-        let price = self.sheet.price_crossing * if bound { 0.25 * CROSSING } else { CROSSING };
+        let price = CROSSING * self.sheet.price_crossing;
         let mut scores = std::mem::take(&mut self.scores);
         scores.clear();
         for &i in self.drawn.iter().filter(|&&i| self.eligible(task, i)) {
@@ -626,13 +616,15 @@
             let in_time = queue < self.spare(task, speed);
             // Where schedulers talk, others go for the last slots too: only what was left to this one is sure.
             let care = self.workers[i].mark % self.sheet.schedulers as u64 == self.sheet.position as u64;
-            let left = self.room(i) >= t.size.min(slots) || !sparing && (care || beyond <= -CLAIMED);
+            let plenty = tells_all && beyond <= -CLAIMED;
+            let left = plenty || tells_all && care || self.room(i) >= t.size.min(slots);
             let sure = sure && beyond <= 0.0 && (!self.sheet.may_tell || left);
-            let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0) + u8::from(sure));
+            let room = u8::from(over <= 0.0) + u8::from(sure) + u8::from(sure && plenty);
+            let tier = u8::from(in_time) * (1 + room);
             best_tier = best_tier.max(tier);
             scores.push((i, tier, occupied, slots * speed));
         }
-        if !matches!(among, Among::Homes(_)) && best_tier < 3 {
+        if !matches!(among, Among::Homes(_)) && best_tier < 4 {
             let misses = self.full.filter(|f| f.0 == self.now).map_or(0, |f| f.1);
             self.full = Some((self.now, misses + 1));
         }
@@ -676,10 +668,6 @@
             if let Some(said) = self.say.pop_front() {
                 return Some(said);
             }
-            // Guards against full connection tables: who seldom comes back to a worker keeps no place there.
-            if let Some(worker) = self.idle.pop().filter(|&i| self.sparse && !self.sheet.may_tell && self.workers[i].n == 0.0) {
-                return Some(Decision::Release { worker });
-            }
             if let Some(word) = self.leave() {
                 return Some(word);
             }
@@ -778,13 +766,15 @@
         for group in 0..if self.tasks[task].set == 0 { 0 } else { 2 } {
             home = home.or_else(|| self.lowest(task, Among::Homes(group)).filter(|h| h.1 > 2));
         }
-        if home.is_none() && self.tasks[task].set != 0 && self.spare_time(task, HOMESICK) {
+        let homesick = home.is_none() && self.tasks[task].set != 0 && self.spare_time(task, HOMESICK);
+        if homesick && self.spare_time(task, PATIENCE) {
             return None;
         }
         let lowest = home.or_else(|| self.lowest(task, Among::Drawn));
         let lowest = lowest.or_else(|| self.lowest(task, Among::All));
         let many = self.lines[0].len() > 1 + self.workers.len() / 4;
         match lowest {
+            Some((_, ..=3)) if homesick => None,
             Some((_, 2)) if self.tells_all() || self.sparing() && self.spare_time(task, PATIENCE) => late.then(|| self.give_up(task)),
             Some((i, 2..)) => Some(self.assign(task, i)),
             Some((i, 1)) if !self.sheet.may_tell && self.may_queue(task) => Some(self.assign(task, i)),
@@ -878,7 +868,7 @@
         Decision::Assign { task, worker: i }
     }
 
-    /// Looks over all that is out: silence, doomed tasks, hard limits, the list and probes.
+    /// Looks over all that is out: silence, doomed tasks, hard limits, the list, words.
     fn sweep(&mut self) {
         let now = self.now;
         self.due = Duration::MAX;
@@ -929,7 +919,7 @@
             self.due = self.due.min(now + Duration::from_secs_f64(next.max(0.0)).max(SWEEP));
         }
         self.bar();
-        self.probe();
+        
         self.tell();
         self.seek();
         if !self.changed.is_empty() {
@@ -966,6 +956,13 @@
             sum += self.kinds[w.site.kind].speed * slots;
             others += self.others[w.site.zone][w.site.kind] * slots;
             self.ready += usize::from(w.ready());
+            let kind = &mut self.kinds[w.site.kind];
+            (kind.out, kind.listed) = (kind.out + w.n + w.told.sum, kind.listed + 1.0);
+        }
+        // Guards against a kind that is never used since few of its slots were seen: it has as many as all use.
+        for kind in &mut self.kinds {
+            kind.slots = kind.slots.max((kind.out / f64::max(kind.listed, 1.0)).round());
+            (kind.out, kind.listed) = (0.0, 0.0);
         }
         level(&mut self.kinds, &mut self.runs, &mut self.hold, sum / f64::max(fleet, 1.0));
         self.fastest = self.kinds.iter().map(|k| k.speed.exp()).fold(0.0, f64::max);
@@ -1048,22 +1045,4 @@
         });
         self.suspects = suspects;
     }
-
-    /// Probes the worker not looked at for longest, as often as own arrivals and the price allow.
-    fn probe(&mut self) {
-        // With most workers out of sight, probes are for tasks that wait for room, and stay in the own zone.
-        let waits = !self.sparse || self.lines.iter().any(|line| !line.is_empty());
-        let reports = self.sheet.report_free.is_some() && self.sheet.report_waiting.is_some();
-        if !self.sheet.may_probe || !reports || self.probes < if waits { 1.0 } else { PROBES_SAVED } {
-            return;
-        }
-        self.due = self.due.min(self.now + SWEEP);
-        let home = |w: &Worker| !self.sparse || w.site.zone == self.sheet.zone;
-        let stalest = self.workers.iter().enumerate().filter(|(_, w)| w.ready() && !w.probing && home(w));
-        if let Some((i, _)) = stalest.min_by_key(|(_, w)| w.probed.max(w.seen)) {
-            self.probes -= 1.0;
-            (self.workers[i].probing, self.workers[i].probed) = (true, self.now);
-            self.say.push_back(Decision::Probe { worker: i });
-        }
-    }
 }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -77,7 +77,7 @@
     pub may_cancel: bool,
     /// Two assignments of one task may be out together.
     pub second_copies: bool,
-    pub may_probe: bool,
+    
     /// Longest come-back time that clients heed; none where they are not told.
     pub come_back: Option<Duration>,
     pub most_assignments: usize,
@@ -94,8 +94,7 @@
     pub warm_within: Duration,
     /// Points lost, as a share of all utility, if every task crosses zones once.
     pub price_crossing: f64,
-    /// The same for one probe a task.
-    pub price_probe: f64,
+    
     /// The same for one full message to another scheduler a task.
     pub price_word: f64,
 }
@@ -170,9 +169,7 @@
         task: usize,
         assignment: usize,
     },
-    Probe {
-        worker: usize,
-    },
+    
     /// Word to another scheduler: this many slots of the worker are free and left to it.
     Leave {
         to: usize,
@@ -186,10 +183,6 @@
         worker: usize,
         slots: f64,
     },
-    /// Close the idle connections to the worker.
-    Release {
-        worker: usize,
-    },
     /// Ring the bell after this span.
     Wake {
         after: Duration,
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -26,7 +26,6 @@
         schedulers: 2,
         news: News::Pushed,
         may_cancel: true,
-        may_probe: true,
         come_back: Some(ms(2000)),
         most_assignments: 5,
         progress_every: Some(ms(1000)),
@@ -123,13 +122,11 @@
                 Decision::Shed { task, come_back } => format!("shed task {task}, come back {come_back:?}"),
                 Decision::BreakOff { task } => format!("break off task {task}"),
                 Decision::CallOff { task, assignment } => format!("call off {task}/{assignment}"),
-                Decision::Probe { worker } => format!("probe worker {worker}"),
                 Decision::Leave { to, worker, room } => {
                     format!("leave {room} slots of worker {worker} to scheduler {to}")
                 }
                 Decision::Seek { to } => format!("ask scheduler {to} for room"),
                 Decision::Tell { worker, slots } => format!("tell all: {slots} slots out at worker {worker}"),
-                Decision::Release { worker } => format!("release worker {worker}"),
                 Decision::Log(line) => format!("log: {line}"),
             };
             self.trace += &format!("{:5} {said}\n", self.now);
