--- a/crates/berth/src/berth.rs
+++ b/crates/berth/src/berth.rs
@@ -30,6 +30,8 @@
     /// The discovery agent, if there is one.
     pub discovery: Option<SocketAddr>,
     pub inventory: Option<Stock>,
+    /// The schedulers that tell one another of workers, where they do.
+    pub others: Option<Others>,
     pub seed: u64,
     pub sheet: DutySheet,
     pub words: Words,
@@ -41,6 +43,13 @@
     pub log: LogForm,
 }
 
+/// Schedulers that tell one another of workers by datagrams: where each hears, and which of them this one is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Others {
+    pub all: Vec<SocketAddr>,
+    pub position: usize,
+}
+
 /// Where the list of workers is kept in files, and how changes to it are taken.
 #[derive(Clone, Debug)]
 pub struct Stock {
--- a/crates/berth/src/installation.rs
+++ b/crates/berth/src/installation.rs
@@ -1,7 +1,7 @@
 //! An installation's own form of the configuration: TOML, in the operators' words. The keys, their units, ranges and
 //! defaults are listed in `docs/operating/configuration.md`.
 
-use crate::berth::{Berth, HealthTerms, Level, LogForm, Rooms, Stock};
+use crate::berth::{Berth, HealthTerms, Level, LogForm, Others, Rooms, Stock};
 use crate::layers::{Layers, Reader, Section, Shown, Written};
 use crate::units;
 use crate::words::Words;
@@ -115,6 +115,7 @@
     let (quotas, beyond_share) = customers(r, top, &mut words);
     let mut sheet = DutySheet { workloads, quotas, beyond_share, news: News::Pushed, ..DutySheet::default() };
     let (dial, keep) = workers(r, top, &mut sheet, &mut words);
+    let others = others(r, top, &mut sheet);
     let inventory = inventory(r, top, folder);
     if inventory.is_none() && discovery.is_none() {
         r.problem(
@@ -139,6 +140,7 @@
         listen,
         discovery,
         inventory,
+        others,
         seed,
         sheet,
         words,
@@ -252,7 +254,7 @@
     let mut s = r.section(top, "workers");
     sheet.schedulers = r.value(&mut s, "schedulers", whole(1, 100_000), "1") as usize;
     sheet.may_cancel = r.value(&mut s, "call-off", flag, "true");
-    sheet.second_copies = r.value(&mut s, "second-copies", flag, "false");
+
     sheet.most_assignments = r.value(&mut s, "most-assignments", whole(1, 100), "5") as usize;
     sheet.tells_start = r.value(&mut s, "tell-start", flag, "false");
     sheet.progress_every = r.optional(&mut s, "progress-every", span(10 * MS));
@@ -261,8 +263,7 @@
     sheet.warm_within = r.value(&mut s, "warm-within", span(Duration::ZERO), "10s");
     sheet.price_crossing = r.value(&mut s, "price-of-crossing", number(0.0, 1.0), "0.02");
     sheet.come_back = r.optional(&mut s, "come-back-at-most", span(MS));
-    sheet.may_probe = r.value(&mut s, "probes", flag, "false");
-    sheet.price_probe = r.value(&mut s, "price-of-probe", number(0.0, 1.0), "0.002");
+    sheet.moving_weights = r.value(&mut s, "weights", one_of(&[("sizes", false), ("moving", true)]), "sizes");
     let reports = r.words(&mut s, "reports");
     sheet.report_free = reports.iter().position(|(w, _)| w == "free-slots");
     sheet.report_waiting = reports.iter().position(|(w, _)| w == "backlog");
@@ -273,6 +274,43 @@
     (dial, keep)
 }
 
+/// The most schedulers that tell one another of workers.
+const MOST_TALKERS: usize = 1000;
+
+/// The other schedulers that this one tells of workers, and is told by.
+fn others<'t>(r: &mut Reader<'t>, top: &mut Section<'t>, sheet: &mut DutySheet) -> Option<Others> {
+    let mut s = r.section(top, "peers");
+    let place = s.place.clone();
+    let listen = r.optional(&mut s, "listen", address);
+    let mut all: Vec<SocketAddr> = Vec::new();
+    for (word, place) in r.words(&mut s, "all") {
+        match word.parse() {
+            Ok(at) if all.contains(&at) => r.problem(&place, format!("{word:?} again")),
+            Ok(at) => all.push(at),
+            Err(_) => r.problem(&place, format!("{word:?}; address:port was expected")),
+        }
+    }
+    sheet.price_word = r.value(&mut s, "price-of-word", number(0.0, 1.0), "0.01");
+    r.close(&s);
+    let Some(listen) = listen else {
+        if !all.is_empty() {
+            r.problem(&place, "peers.all without peers.listen: which of them is this scheduler?");
+        }
+        return None;
+    };
+    let position = all.iter().position(|&at| at == listen);
+    if position.is_none() {
+        r.problem(&place, format!("peers.all does not name {listen}, which is peers.listen"));
+    }
+    if all.len() > sheet.schedulers.min(MOST_TALKERS) {
+        let most = sheet.schedulers.min(MOST_TALKERS);
+        r.problem(&place, format!("peers.all names {} schedulers; {most} at the most", all.len()));
+    }
+    let position = position?;
+    (sheet.talkers, sheet.position) = (all.len(), position);
+    Some(Others { all, position })
+}
+
 fn inventory<'t>(r: &mut Reader<'t>, top: &mut Section<'t>, folder: &Path) -> Option<Stock> {
     let fixed = fixed(r, top);
     let mut s = r.section(top, "inventory");
--- a/crates/berth/src/lib.rs
+++ b/crates/berth/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod units;
 mod words;
 
-pub use berth::{Berth, HealthTerms, Level, LogForm, Rooms, Stock};
+pub use berth::{Berth, HealthTerms, Level, LogForm, Others, Rooms, Stock};
 pub use layers::{Layers, Shown, Source};
 pub use tindock_inventory::{Place, Problem};
 pub use words::Words;
--- a/crates/berth/src/platform.rs
+++ b/crates/berth/src/platform.rs
@@ -40,7 +40,9 @@
 /// Reads the file's text.
 pub fn read(text: &str) -> Result<Berth, String> {
     let doc: Doc = serde_json::from_str(text).map_err(|e| e.to_string())?;
-    let sheet = tindock_sheet::read(&doc.settings)?;
+    let mut sheet = tindock_sheet::read(&doc.settings)?;
+    // The platform tells no addresses of other schedulers, so there is no way for words between them.
+    sheet.talkers = 0;
     let mut words = Words {
         workloads: words(&doc.settings, "workloads", Some("name"))?,
         customers: words(&doc.settings, "tenants", Some("name"))?,
@@ -57,6 +59,7 @@
         listen: address(&doc.listen, "listen")?,
         discovery: Some(address(&doc.discovery, "discovery")?),
         inventory: None,
+        others: None,
         seed: u64::from_str_radix(&doc.seed, 16).map_err(|_| format!("seed {:?} is no number", doc.seed))?,
         sheet,
         words,
--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -3,7 +3,9 @@
 
 use crate::clock::Clock;
 use crate::endings::Close;
+use crate::loads;
 use crate::news::{News, State as Said};
+use crate::peers::{self, Message, Telling};
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use slog::{info, Logger};
@@ -16,6 +18,7 @@
 use tindock::terms::{Condition, Decision};
 use tindock_berth::listing::{Entry, Listing};
 use tindock_roster::vouching::Vouching;
+use tindock_words::{Address, Names};
 use tokio::sync::{mpsc, oneshot, Notify};
 
 /// A task as a client handed it in.
@@ -72,12 +75,6 @@
     Drop {
         ticket: Ticket,
     },
-    Probe {
-        worker: usize,
-    },
-    Release {
-        worker: usize,
-    },
 }
 
 /// A client's hold on its task; the answer comes on `answer`.
@@ -116,6 +113,11 @@
     lives: u64,
     workers: Vec<Listed>,
     names: HashMap<Rc<str>, usize>,
+    reports: Vec<String>,
+    /// The workers' names in words between schedulers, and the words themselves.
+    names_told: Names,
+    telling: Telling,
+    told: Option<mpsc::Sender<Message>>,
     /// Hard limits of tasks in hand, soonest first.
     limits: BTreeSet<(Duration, usize, u64)>,
     bell: Option<Duration>,
@@ -149,6 +151,10 @@
             lives: 0,
             workers: Vec::new(),
             names: HashMap::new(),
+            reports: Vec::new(),
+            names_told: Names::default(),
+            telling: Telling::default(),
+            told: None,
             limits: BTreeSet::new(),
             bell: None,
         };
@@ -197,10 +203,9 @@
                         self.order(Order::CallOff { ticket, worker: out.worker, id });
                     }
                 }
-                Decision::Probe { worker } => self.order(Order::Probe { worker }),
-                Decision::Release { worker } => self.order(Order::Release { worker }),
-                // The platform has no way between schedulers: the settings never allow it there.
-                Decision::Leave { .. } | Decision::Seek { .. } | Decision::Tell { .. } => {}
+                Decision::Leave { .. } | Decision::Seek { .. } | Decision::Tell { .. } => {
+                    state.telling.say(&decision, &state.names_told);
+                }
                 Decision::Wake { after } => {
                     state.bell = Some(now + after);
                     self.bell_moved.notify_one();
@@ -208,6 +213,17 @@
                 Decision::Log(line) => info!(self.log, "{line}"),
             }
         }
+        let told = state.told.clone();
+        for message in state.telling.messages() {
+            // One that finds no room is lost, as any may be.
+            told.iter().for_each(|told| drop(told.try_send(message.clone())));
+        }
+    }
+
+    /// The names of the values in load reports, and where words to other schedulers go, if there are any.
+    pub fn equip(&self, reports: Vec<String>, told: Option<mpsc::Sender<Message>>) {
+        let mut state = self.state.borrow_mut();
+        (state.reports, state.told) = (reports, told);
     }
 
     fn order(&self, order: Order) {
@@ -277,6 +293,7 @@
         self.feed(|state| {
             let place = state.places.get(&*news.id).copied();
             let worker = state.names.get(&*news.from).copied();
+            let report = news.load.and_then(|load| loads::decode(load.as_bytes(), &state.reports));
             let (Some(place), Some(worker)) = (place, worker) else { return };
             // The module sends a task to a worker once, so id and name tell the assignment.
             let outs = &state.hands[place].outs;
@@ -292,6 +309,9 @@
                 }
                 Said::Lost => state.ended(place, number, Close::Lost, None),
             }
+            if let Some(report) = report {
+                state.rules.reported(worker, &report);
+            }
         });
     }
 
@@ -346,8 +366,28 @@
         self.state.borrow().workers[worker].address
     }
 
-    pub fn probed(&self, worker: usize, ok: bool, report: &[f64]) {
-        self.feed(|state| state.rules.probed(worker, ok, report));
+    // ---- other schedulers ----
+
+    pub fn sought(&self, from: usize) {
+        self.feed(|state| state.rules.sought(from));
+    }
+
+    pub fn room_left(&self, address: Address, room: f64) {
+        self.feed(|state| {
+            if let Some(worker) = state.names_told.worker(address) {
+                state.rules.told(worker, room);
+            }
+        });
+    }
+
+    pub fn held(&self, from: usize, number: u16, words: &[[u8; 3]]) {
+        self.feed(|state| {
+            for &[a, b, slots] in words {
+                if let Some(worker) = state.names_told.by_short([a, b]) {
+                    state.rules.holds(worker, from, number, f64::from(slots));
+                }
+            }
+        });
     }
 
     // ---- discovery ----
@@ -503,7 +543,14 @@
             self.workers.push(Listed { address: entry.address, condition: entry.condition });
         }
         let listed = &mut self.workers[at];
+        if at < fresh && listed.address != entry.address {
+            self.names_told.forget(at);
+        }
         (listed.address, listed.condition) = (entry.address, entry.condition);
         self.rules.listed(at, entry.site, entry.weight, entry.condition, booted);
+        if at == fresh {
+            let mark = self.names_told.enter(peers::address(entry.address));
+            self.rules.marked(at, mark);
+        }
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,5 +1,5 @@
 //! The scheduler on sockets, by the stages of a task: `berth` (start), `door`, `guest`, `heads`, `reading`, `answering` (server
-//! side), `exchange`, `pool`, `gauge`, `sending` (client side), `loads`, `news`, `discovery`, `endings`, `reloading`, `stopping`.
+//! side), `exchange`, `pool`, `gauge`, `sending` (client side), `loads`, `news`, `peers`, `discovery`, `endings`, `reloading`, `stopping`.
 
 pub use tindock_berth as berth;
 pub use tindock_berth::listing;
@@ -17,6 +17,7 @@
 pub mod loads;
 pub mod muster;
 pub mod news;
+pub mod peers;
 pub mod pool;
 pub mod probing;
 pub mod reading;
--- a/crates/scheduler/src/news.rs
+++ b/crates/scheduler/src/news.rs
@@ -2,12 +2,15 @@
 
 use bytes::Bytes;
 use serde::Deserialize;
+use serde_json::Value;
 
 #[derive(Debug, PartialEq)]
 pub struct News {
     pub id: String,
     pub from: String,
     pub state: State,
+    /// The worker's load report, as it came.
+    pub load: Option<String>,
 }
 
 #[derive(Debug, PartialEq)]
@@ -28,6 +31,7 @@
     #[serde(default)]
     share: f64,
     result: Option<String>,
+    load: Option<Value>,
 }
 
 pub fn decode(body: &[u8]) -> Result<News, String> {
@@ -41,5 +45,7 @@
         "lost" => State::Lost,
         other => return Err(format!("unknown state {other:?}")),
     };
-    Ok(News { id: doc.id, from: doc.from, state })
+    // A text, or an object by names: what it holds is looked at where the names are known.
+    let load = doc.load.map(|load| load.as_str().map_or_else(|| load.to_string(), String::from));
+    Ok(News { id: doc.id, from: doc.from, state, load })
 }
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tindock::terms::Decision;
-use tindock_berth::berth::Others;
+use tindock_berth::Others;
 use tindock_words::{self as words, Address, Word, LONGEST};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
--- a/crates/scheduler/src/sending.rs
+++ b/crates/scheduler/src/sending.rs
@@ -2,7 +2,6 @@
 
 use crate::endings::Close;
 use crate::exchange::{Call, Exchange, Order, Ticket};
-use crate::loads;
 use crate::pool::{Line, Pool};
 use crate::reading;
 use bytes::Bytes;
@@ -20,8 +19,7 @@
 
 /// How long the word that a task is called off may take before it counts as told.
 const CALL_OFF_WAIT: Duration = Duration::from_millis(300);
-/// How long a probe may take: as long as a task may wait for a connection and some more.
-const PROBE_WAIT: Duration = Duration::from_millis(500);
+
 /// A worker that did not answer for this long may be cut off, and the idle connections to it with it.
 const CUT_OFF: Duration = Duration::from_millis(250);
 const TRACE: &str = "x-trace-id";
@@ -31,8 +29,7 @@
 pub struct Sending {
     exchange: Rc<Exchange>,
     pool: Rc<Pool>,
-    /// Names of the values in a load report, in the module's order.
-    reports: Vec<String>,
+
     /// Assignments whose 202 has not come.
     under_way: RefCell<HashMap<Ticket, AbortHandle>>,
     log: Logger,
@@ -67,8 +64,8 @@
 }
 
 impl Sending {
-    pub fn new(exchange: Rc<Exchange>, pool: Rc<Pool>, reports: Vec<String>, log: Logger) -> Rc<Self> {
-        Rc::new(Sending { exchange, pool, reports, under_way: RefCell::default(), log })
+    pub fn new(exchange: Rc<Exchange>, pool: Rc<Pool>, log: Logger) -> Rc<Self> {
+        Rc::new(Sending { exchange, pool, under_way: RefCell::default(), log })
     }
 
     pub async fn carry_out(self: Rc<Self>, mut orders: mpsc::UnboundedReceiver<Order>) {
@@ -86,8 +83,6 @@
                     }
                 }
                 Order::Drop { ticket } => drop(self.close(ticket)),
-                Order::Probe { worker } => drop(tokio::task::spawn_local(self.clone().probe(worker))),
-                Order::Release { worker } => self.pool.release(worker),
             }
         }
     }
@@ -184,14 +179,6 @@
         self.exchange.ended(ticket, Close::CalledOff);
     }
 
-    async fn probe(self: Rc<Self>, worker: usize) {
-        let path = if self.reports.is_empty() { "/healthz" } else { "/load" };
-        let answer = timeout(PROBE_WAIT, self.ask(worker, Method::GET, path, "")).await.ok().flatten();
-        let ok = answer.as_ref().is_some_and(|(status, _)| *status == StatusCode::OK);
-        let report = answer.filter(|_| ok).and_then(|(_, body)| loads::decode(&body, &self.reports));
-        self.exchange.probed(worker, ok, &report.unwrap_or_default());
-    }
-
     /// A message without a body, and its whole answer.
     async fn ask(&self, worker: usize, method: Method, path: &str, id: &str) -> Option<(StatusCode, Bytes)> {
         loop {
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -6,6 +6,7 @@
 use crate::door::Door;
 use crate::exchange::Exchange;
 use crate::muster::Muster;
+use crate::peers::{self, Peers};
 use crate::pool::Pool;
 use crate::probing;
 use crate::reading::Rooms;
@@ -20,7 +21,7 @@
 use tindock::rules::Rules;
 use tindock_roster::asking::{Asking, Service, LONG_WATCH};
 use tindock_roster::health::{Health, Terms};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
@@ -89,8 +90,18 @@
         None => exchange.without_discovery(),
     }
     let pool = Rc::new(Pool::new(berth.rooms.for_workers, berth.dial, berth.keep));
-    let reports = berth.words.reports.clone();
-    let sending = Sending::new(exchange.clone(), pool.clone(), reports, part("workers"));
+    let sending = Sending::new(exchange.clone(), pool.clone(), part("workers"));
+    let mut told = None;
+    if let Some(others) = berth.others {
+        let at = others.all[others.position];
+        let socket = UdpSocket::bind(at).await.map_err(|e| format!("peers, {at}: {e}"))?;
+        let (socket, (tell, messages)) = (Rc::new(socket), mpsc::channel(peers::WAITING));
+        told = Some(tell);
+        spawn_local(Peers::send(socket.clone(), others.clone(), messages));
+        let peers = Peers { exchange: exchange.clone(), socket, others, log: part("peers") };
+        spawn_local(peers.hear());
+    }
+    exchange.equip(berth.words.reports.clone(), told);
     let words = Rc::new(berth.words);
     let door = Door::new(
         exchange.clone(),
--- a/crates/scheduler/tests/exchange.rs
+++ b/crates/scheduler/tests/exchange.rs
@@ -117,7 +117,6 @@
                     format!("  call off {id} at w{worker}: ticket {:?}", number(&self.tickets, ticket))
                 }
                 Order::Drop { ticket } => format!("  drop ticket {:?}", number(&self.tickets, ticket)),
-                other => format!("  {other:?}"),
             };
             self.note(&line);
         }
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -86,32 +86,36 @@
         other => return Err(format!("settings: unknown discovery {other:?}")),
     };
     let quota = |t: &Value| optional(t, "/quota_per_s").map(|q| q.unwrap_or(f64::INFINITY));
+    let schedulers = number(info, "/instances")?.max(1.0) as usize;
     let progress = optional(info, "/domain/progress_s")?.unwrap_or(0.0);
     let come_back = flag(info, "/caps/retry_after").then(|| span(info, "/caps/max_retry_after_s"));
     Ok(DutySheet {
         workloads: (0..rows).map(|row| workload(info, row)).collect::<Read<_>>()?,
-        schedulers: number(info, "/instances")?.max(1.0) as usize,
+        schedulers,
+        talkers: if flag(info, "/caps/peers") { schedulers } else { 0 },
         position: optional(info, "/position")?.unwrap_or(0.0) as usize,
-        may_tell: flag(info, "/caps/peers"),
         zone: number(info, "/zone")? as usize,
         news,
         beyond_share: optional(info, "/beyond_share_utility")?.unwrap_or(1.0),
         quotas: list(info, "/tenants").iter().map(quota).collect::<Read<_>>()?,
         may_cancel: flag(info, "/caps/cancel"),
-        second_copies: flag(info, "/caps/second_copies"),
-        
+
         come_back: come_back.transpose()?,
         most_assignments: number(info, "/caps/most_assignments")?.max(1.0) as usize,
         progress_every: span_of(progress).filter(|gap| !gap.is_zero()),
         tells_start: flag(info, "/domain/tells_start"),
-        moving_weights: optional_word(info, "/weights") == Some("live"),
+        moving_weights: match optional_word(info, "/weights") {
+            Some("live") => true,
+            None | Some("silent" | "nominal" | "rough") => false,
+            Some(other) => return Err(format!("settings: unknown weights {other:?}")),
+        },
         report_free: position("x0").filter(|_| free),
         report_waiting: position("backlog"),
         overload_factor: number(info, "/rules/overload_factor")?,
         cold_share: number(info, "/rules/cold_share")?,
         warm_within: span(info, "/rules/warm_within_s")?,
         price_crossing: optional(info, "/penalties/cross_zone")?.unwrap_or(0.0),
-        
+
         price_word: optional(info, "/penalties/peer")?.unwrap_or(0.0),
     })
 }
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -201,7 +201,8 @@
                 }
             }
             Some(Word::Held(number, words)) => {
-                for &[a, b, slots] in words { if let Some(worker) = self.names.by_short([a, b]) {
+                for &[a, b, slots] in words {
+                    if let Some(worker) = self.names.by_short([a, b]) {
                         self.rules.holds(worker, from, number, f64::from(slots));
                     }
                 }
--- a/crates/words/src/names.rs
+++ b/crates/words/src/names.rs
@@ -44,6 +44,16 @@
         mark
     }
 
+    /// The worker moved to another address: nothing is told of it any more.
+    pub fn forget(&mut self, worker: usize) {
+        if let Some(address) = self.addresses[worker].take() {
+            self.by_address.remove(&address);
+            if let Some(short) = self.shorts[worker].take() {
+                self.by_short.remove(&short);
+            }
+        }
+    }
+
     pub fn address(&self, worker: usize) -> Option<Address> {
         self.addresses.get(worker).copied().flatten()
     }
@@ -87,5 +97,7 @@
         assert_eq!(names.worker(address(7)), Some(7));
         assert_eq!(names.worker(address(2000)), None);
         assert_eq!((names.enter(None), names.short(2000)), (0, None));
+        names.forget(7);
+        assert_eq!((names.worker(address(7)), names.address(7), names.short(7)), (None, None, None));
     }
 }
--- a/src/books.rs
+++ b/src/books.rs
@@ -2,7 +2,7 @@
 
 use crate::terms::{Condition, Ending, Energy, Site};
 use oorandom::Rand64;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::ops::{Deref, DerefMut};
 use std::time::Duration;
 
@@ -44,7 +44,6 @@
     pub rest: Duration,
     /// Gave a sign of leaving on an old list: no own task before then.
     pub left_out: Duration,
-    
 }
 
 impl Worker {
@@ -62,6 +61,35 @@
         self.apart += (apart - self.apart) * (1.0 / self.completions).max(1.0 / OWN_SPEED_SPAN);
     }
 
+    /// Slots left free to this scheduler by an own task or by another scheduler, for this long.
+    pub fn room_left(&self, now: Duration, span: Duration) -> f64 {
+        if now <= self.left + span {
+            self.room
+        } else {
+            0.0
+        }
+    }
+
+    /// Share of its capacity that it surely has by now: it climbs evenly from the cold share.
+    pub fn warmth(&self, now: Duration, cold_share: f64, warm_within: Duration) -> f64 {
+        let Some(booted) = self.booted else { return 1.0 };
+        let age = now.saturating_sub(booted).as_secs_f64() / warm_within.as_secs_f64().max(1e-3);
+        (cold_share + (1.0 - cold_share) * age).min(1.0)
+    }
+
+    /// Logarithm of its own speed against its kind's, where it is clearly apart; forgotten while it is not used.
+    pub fn own_speed(&self, now: Duration) -> f64 {
+        let clear = self.completions >= OWN_SPEED_AFTER
+            && self.apart.abs() * self.completions.min(OWN_SPEED_SPAN).sqrt() > 2.0 * LOG_SPREAD;
+        // Guards against shunning a worker that was slow for a while: unused, it becomes like its kind.
+        let unused = now.saturating_sub(self.used).as_secs_f64();
+        if clear {
+            self.apart * (-unused / FORGET_SPAN).exp()
+        } else {
+            0.0
+        }
+    }
+
     /// Heard from: it does not stand still, and what barred it for silence is lifted.
     pub fn revive(&mut self, now: Duration) {
         self.heard = now;
@@ -92,14 +120,12 @@
     pub cold: bool,
     pub ending: Option<Ending>,
     pub called_off: bool,
-    /// It was taken down that this one runs for surprisingly long.
-    pub overran: bool,
 }
 
 impl Assignment {
     pub fn new(worker: usize, now: Duration, ahead: f64, cold: bool) -> Self {
-        let (started, ending, called_off, overran) = (None, None, false, false);
-        Assignment { worker, sent: now, started, heard: now, ahead, cold, ending, called_off, overran }
+        let (started, ending, called_off) = (None, None, false);
+        Assignment { worker, sent: now, started, heard: now, ahead, cold, ending, called_off }
     }
 
     pub fn live(&self) -> bool {
@@ -139,6 +165,34 @@
     }
 }
 
+impl Kind {
+    /// The list was added up: its workers have at least as many slots as all schedulers use on the average.
+    pub fn close(&mut self) {
+        self.slots = self.slots.max((self.out / self.listed.max(1.0)).round());
+        (self.out, self.listed) = (0.0, 0.0);
+    }
+}
+
+/// Sums over the list: slots, own and others' ones in use, speeds by slots, and ready workers.
+#[derive(Default)]
+pub struct Sums {
+    pub fleet: f64,
+    pub own: f64,
+    pub others: f64,
+    pub speed: f64,
+    pub ready: usize,
+}
+
+impl Sums {
+    pub fn add(&mut self, w: &Worker, kind: &mut Kind, slots: f64, others: f64) {
+        (self.own, self.fleet) = (self.own + w.n, self.fleet + slots);
+        self.speed += kind.speed * slots;
+        self.others += others * slots;
+        self.ready += usize::from(w.ready());
+        (kind.out, kind.listed) = (kind.out + w.n + w.told.sum, kind.listed + 1.0);
+    }
+}
+
 /// What is learned of a workload: logarithm of the running time at speed 1 and its spread, its mean, and how often.
 #[derive(Clone, Copy)]
 pub struct Runs {
@@ -296,10 +350,14 @@
 
 /// Completions that a worker's own speed is smoothed over: enough to tell half from full speed.
 pub const OWN_SPEED_SPAN: f64 = 12.0;
+/// Running times are heavy-tailed: at first their logarithm spreads by about this.
+pub const LOG_SPREAD: f64 = 0.7;
+/// An own speed is forgotten over this many seconds while the worker is not used.
+const FORGET_SPAN: f64 = 8.0;
 /// Completions before a worker's own speed may replace its kind's.
 pub const OWN_SPEED_AFTER: f64 = 6.0;
 /// From so many spreads on a run is a surprise: one in a hundred, about.
-pub const SURPRISE: f64 = 2.5;
+const SURPRISE: f64 = 2.5;
 
 /// Takes down a run: run times by workload and speeds by kind from their logarithms, so that neither the
 /// mix of workloads nor one very long task passes as speed.
@@ -370,7 +428,7 @@
 pub struct Peers {
     heard: Vec<Option<Duration>>,
     pub told: Duration,
-    pub turn: usize,
+    turn: usize,
 }
 
 impl Peers {
@@ -379,6 +437,12 @@
         self.heard[peer] = Some(now);
     }
 
+    /// They are told now: of what changed, and of one worker more in turn, since words may be lost.
+    pub fn next_turn(&mut self, now: Duration, listed: usize) -> usize {
+        (self.told, self.turn) = (now, (self.turn + 1) % listed);
+        self.turn
+    }
+
     pub fn talking(&self) -> usize {
         self.heard.iter().flatten().count()
     }
@@ -402,15 +466,77 @@
 /// Workers where a data set may be at home: enough for one that a third of the tasks need.
 pub const HOMES: usize = 16;
 
+/// Data sets that are remembered.
+const SETS: usize = 8192;
+
 /// A data set: where it is at home, as of which list, and how often it is asked for.
+#[derive(Default)]
 pub struct Home {
     pub workers: [usize; HOMES],
-    pub lists: usize,
+    lists: usize,
     pub asked: Rate,
 }
 
-impl Default for Home {
-    fn default() -> Self {
-        Home { workers: [usize::MAX; HOMES], lists: usize::MAX, asked: Rate::default() }
+#[derive(Default)]
+pub struct Sets {
+    homes: HashMap<u64, Home>,
+    /// Counts the changes of the list that move homes.
+    pub lists: usize,
+}
+
+impl Sets {
+    pub fn ask(&mut self, set: u64, now: Duration, span: f64) {
+        if set != 0 && (self.homes.len() < SETS || self.homes.contains_key(&set)) {
+            self.homes.entry(set).or_default().asked.add(1.0, now, span);
+        }
+    }
+
+    /// A set's row, its homes drawn anew among these workers, with their marks and what they can do, if the list has
+    /// changed since.
+    pub fn home<W>(&mut self, set: u64, workers: impl FnOnce() -> W) -> Option<&Home>
+    where
+        W: Iterator<Item = (usize, u64, f64)>,
+    {
+        let home = self.homes.get_mut(&set)?;
+        if home.lists != self.lists {
+            let mut best = [(f64::INFINITY, usize::MAX); HOMES];
+            for (worker, mark, able) in workers() {
+                let draw = -drawn(set, mark).ln() / able;
+                let place = best.partition_point(|b| b.0 <= draw);
+                if place < HOMES {
+                    best[place..].rotate_right(1);
+                    best[place] = (draw, worker);
+                }
+            }
+            (home.lists, home.workers) = (self.lists, best.map(|b| b.1));
+        }
+        Some(home)
     }
 }
+
+/// Where room was left to this scheduler or freed by its own tasks, who asks for some, and when it last asked.
+#[derive(Default)]
+pub struct Rooms {
+    pub at: VecDeque<usize>,
+    pub freed: Vec<(usize, f64)>,
+    pub askers: Vec<usize>,
+    pub asked: Duration,
+}
+
+/// Whether schedulers tell one another of workers: each tells all what it has out, or, where that is too dear
+/// since they are many, leaves free slots to one other.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+pub enum Talk {
+    #[default]
+    Silent,
+    ToAll,
+    ToOne,
+}
+
+/// Among whom a task is scored: a group of the homes of its data set, some by chance, or the whole list.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Among {
+    Homes(usize),
+    Drawn,
+    All,
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,7 +7,7 @@
 use crate::books::*;
 use crate::terms::*;
 use oorandom::Rand64;
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 // Times are in seconds unless they say otherwise.
@@ -18,8 +18,6 @@
 const LAST_CALL: f64 = 0.1; // final answers come this long before the hard limit: some sweeps
 const AT_ONCE: f64 = 0.04; // a shorter wait is a connection and a way across zones; a longer one a queue
 const MEMORY_MARGIN: Duration = Duration::from_millis(50); // a repeat's way to a group that forgets soon
-const LOG_SPREAD: f64 = 0.7; // running times are heavy-tailed: their logarithm spreads by about this
-const FORGET_SPAN: f64 = 8.0; // an own speed is forgotten over this while the worker is not used
 const NOTE_GRACE: f64 = 0.7; // a progress note this late is no common pause
 const ERRORS_BAR: f64 = 0.45; // smoothed share of errors that bars a worker: two on end reach it
 const DOUBT: f64 = 0.5; // smoothed share of errors up to which a barred worker is better than none
@@ -29,14 +27,13 @@
 const OTHERS_STEP: f64 = 0.05; // weight of one sighting in the others' share: some twenty count
 const OTHERS_FIRST: f64 = 0.2; // before any sighting: most workers have room
 const MAY_BE: f64 = 0.5; // where nothing was seen lately there may be room, or nothing would be seen again
-const COPIES: usize = 4; // copies that wait for several slots at a time: one worker in four drains soon
 const MINE_STEP: f64 = 0.3; // weight of one tally in the own part of all traffic: what is out swings
 const TALLY: f64 = 3.0; // the whole list is added up this often: it changes in seconds
 const LONG_LIST: usize = 4096; // from here on adding up takes a millisecond: then only every TALLY
 const CROSSING: f64 = 40.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
 const SHARE_SPAN: f64 = 2.0; // a customer may save up its share for this long: arrivals come in clumps
-const ROOM_SPAN: f64 = 3.0; // room left to this scheduler counts this long: a few tasks' time
+const ROOM_SPAN: Duration = Duration::from_secs(3); // room left to this scheduler counts this long: a few tasks' time
 const TELL_ALL: f64 = 0.006; // what telling all may cost a task, as a share of the whole utility
 const WORD: f64 = 3.0 / 256.0; // a worker and its slots among a message's bytes, told twice for each task
 const TELL_EVERY: Duration = Duration::from_millis(20); // as long as a message travels, about
@@ -50,7 +47,6 @@
 const KEPT: f64 = 2.0; // workers with room that are kept for the next arrivals
 const MISSES: usize = 4; // tasks that find no room before the others of that moment are not tried
 const CLAIMED: f64 = 2.0; // free slots of a worker that others may take at the same moment
-const SETS: usize = 8192; // data sets whose homes are remembered
 const COLD_ROOM: f64 = 0.5; // part of a cold budget that is used: tasks run long, schedulers coincide
 
 /// The paper's Whittle index (Theorem 1 with holding cost 1 and beta 0) of a worker with `n` in it.
@@ -73,18 +69,11 @@
     }
 }
 
-/// Among whom a task is scored.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Among {
-    Homes(usize),
-    Drawn,
-    All,
-}
-
 /// One scheduler's decisions.
 #[derive(Default)]
 pub struct Rules {
     sheet: DutySheet,
+    talk: Talk,
     chance: Chance,
     now: Duration,
     start: Duration,
@@ -95,7 +84,7 @@
     lines: [VecDeque<usize>; 2],
     passed: [usize; 2],
     loose: Vec<usize>,
-    
+
     say: VecDeque<Decision>,
     runs: Vec<Runs>,
     /// Mean time a slot is held at speed 1, and the slots that arrive.
@@ -106,9 +95,9 @@
     scores: Vec<(usize, u8, f64, f64)>,
     /// How many tasks found no room, last time.
     full: Option<(Duration, usize)>,
-    /// The listed workers, those seen last, and the ones a task is scored on.
+    /// The listed workers, and the ones a task is scored on.
     roster: Roster,
-    lately: VecDeque<usize>,
+
     drawn: Vec<usize>,
     sparse: bool,
     /// When something is next due, the earliest bell asked for, and when the list was last added up.
@@ -117,12 +106,7 @@
     tallied: Option<Duration>,
     ready: usize,
     suspects: Vec<usize>,
-    /// Workers with room that was left to this scheduler, and those where an own task has just made some.
-    rooms: VecDeque<usize>,
-    freed: Vec<(usize, f64)>,
-    /// Schedulers that asked for room, and when it was last asked for here.
-    askers: Vec<usize>,
-    asked: Duration,
+    rooms: Rooms,
     /// Own slots out, and an equal share of the fleet's.
     out: f64,
     fair: f64,
@@ -131,11 +115,9 @@
     /// What the others tell is heard of; workers where the own part has changed since they were told.
     peers: Peers,
     untold: f64,
-    changed: VecDeque<usize>,
-    sets: HashMap<u64, Home>,
-    /// Counts the changes of the list that move homes.
-    lists: usize,
-    
+    changed: Vec<usize>,
+    sets: Sets,
+
     mine: f64,
     shares: Vec<Bucket>,
 }
@@ -155,7 +137,10 @@
         let (setup, mine) = (hold / 16.0, 1.0 / sheet.schedulers as f64); // guesses, until answers come
         let times = Rules { fastest: 1.0, now, start: now, due: now, untold: 1.0, ..Rules::default() };
         let chance = Chance(Rand64::new(u128::from(seed)));
-        Rules { chance, runs, hold, setup, mine, sheet, ..times }
+        let price = 2.0 * WORD * sheet.price_word * sheet.talkers as f64;
+        let talk = if price <= TELL_ALL { Talk::ToAll } else { Talk::ToOne };
+        let talk = if sheet.talkers > 1 { talk } else { Talk::Silent };
+        Rules { talk, chance, runs, hold, setup, mine, sheet, ..times }
     }
 
     // ---- inputs: they only update what is known ----
@@ -193,7 +178,7 @@
         let returns = w.condition.is_some_and(|c| c != Condition::Ready) && is == Condition::Ready;
         let starts = booted.is_some() && (w.booted != booted || w.condition.is_none());
         if w.condition != Some(is) {
-            self.lists += 1;
+            self.sets.lists += 1;
         }
         if w.booted != booted || returns {
             (w.fresh, w.errors, w.barred, w.hidden) = (true, 0.0, None, 0.0);
@@ -224,9 +209,7 @@
     /// The data set that a task needs.
     pub fn needs(&mut self, task: usize, set: u64) {
         self.tasks[task].set = set;
-        if set != 0 && (self.sets.len() < SETS || self.sets.contains_key(&set)) {
-            self.sets.entry(set).or_default().asked.add(1.0, self.now, RATE_SPAN);
-        }
+        self.sets.ask(set, self.now, RATE_SPAN);
     }
 
     pub fn arrived(&mut self, workload: usize, size: f64, left: Duration, customer: usize) -> usize {
@@ -280,7 +263,7 @@
 
     pub fn ended(&mut self, task: usize, number: usize, ending: Ending, over: bool) {
         let Some(a) = self.tasks.out(task, number).copied() else { return };
-        let (now, i, t) = (self.now, a.worker, &mut self.tasks[task]);
+        let (now, i, talks, t) = (self.now, a.worker, self.talk != Talk::Silent, &mut self.tasks[task]);
         let (size, workload, full) = (t.size, t.workload, ending == Ending::Full);
         let waited = a.started.is_none() && secs(now - a.sent) > AT_ONCE;
         t.assignments[number].ending = Some(ending);
@@ -288,9 +271,9 @@
         let w = &mut self.workers[i];
         (w.n, w.used) = ((w.n - size).max(0.0), now);
         self.out -= size;
-        self.changed.push_back(i);
+        self.changed.push(i);
         w.waiting.retain(|x| *x != (task, number));
-        
+
         w.running -= if a.started.is_some() { size.min(w.running) } else { 0.0 };
         match ending {
             Ending::Finished => {
@@ -298,8 +281,8 @@
                 (w.energy, w.fresh) = (Energy::Busy, false);
                 w.errors -= ERROR_STEP * w.errors;
                 // Served in order: what started at once found room, so what it held is free again.
-                if self.sheet.may_tell && a.started.is_some_and(|at| secs(at - a.sent) <= AT_ONCE) {
-                    self.freed.push((i, size));
+                if talks && a.started.is_some_and(|at| secs(at - a.sent) <= AT_ONCE) {
+                    self.rooms.freed.push((i, size));
                 }
                 let (kind, run) = (&mut self.kinds[w.site.kind], secs(now - a.started.unwrap_or(a.sent)));
                 learn(w, kind, &mut self.runs[workload], &mut self.hold, size, run);
@@ -331,9 +314,9 @@
         let Some(free) = free else { return };
         let kind = &mut self.kinds[self.workers[i].site.kind];
         kind.slots = kind.slots.max(free.round());
-        let (slots, sparing) = (self.slots(i), self.sparing());
+        let (slots, sparing) = (self.slots(i), self.talk == Talk::ToOne);
         // Guards against a standstill: room that nobody knows of is found again by the answers of what still runs.
-        if let Some((_, room)) = self.freed.iter_mut().find(|f| f.0 == i).filter(|_| sparing) {
+        if let Some((_, room)) = self.rooms.freed.iter_mut().find(|f| f.0 == i).filter(|_| sparing) {
             *room += ((free - *room) * REPORTED).floor().max(0.0);
         }
         let held = (slots - free).max(0.0) + waiting.unwrap_or(0.0) * 1.3;
@@ -342,104 +325,90 @@
 
     /// Another scheduler leaves this many free slots of a worker to this one.
     pub fn told(&mut self, i: usize, room: f64) {
-        if i < self.workers.len() && self.sparing() && room > 0.0 {
+        if i < self.workers.len() && self.talk == Talk::ToOne && room > 0.0 {
             self.keep_room(i, room.min(self.slots(i)));
         }
     }
 
     /// Another scheduler has tasks that wait and asks for room.
     pub fn sought(&mut self, from: usize) {
-        if self.sparing() && from < self.sheet.schedulers && self.askers.len() < ASKERS {
-            self.askers.push(from);
+        if self.talk == Talk::ToOne && from < self.sheet.talkers && self.rooms.askers.len() < ASKERS {
+            self.rooms.askers.push(from);
         }
     }
 
     /// Another scheduler has this many slots out at a worker.
     pub fn holds(&mut self, i: usize, peer: usize, number: u16, slots: f64) {
-        if i < self.workers.len()
-            && self.tells_all()
-            && peer != self.sheet.position
-            && peer < self.sheet.schedulers
-        {
+        let known = i < self.workers.len() && peer != self.sheet.position && peer < self.sheet.talkers;
+        if known && self.talk == Talk::ToAll {
             self.peers.heard(peer, self.now);
             self.workers[i].told.set(peer, number, slots);
         }
     }
 
-    /// Schedulers may talk, and few enough that each tells all what it has out.
-    fn tells_all(&self) -> bool {
-        let price = 2.0 * WORD * self.sheet.price_word * (self.sheet.schedulers - 1) as f64;
-        self.sheet.may_tell && price <= TELL_ALL
+    fn keep_room(&mut self, i: usize, room: f64) {
+        let (had, most) = (self.room(i), self.slots(i));
+        (self.workers[i].room, self.workers[i].left) = ((had + room).min(most), self.now);
+        self.rooms.at.retain(|&x| x != i);
+        self.rooms.at.push_back(i);
     }
 
-    /// Schedulers may talk, but so many that each word goes to one.
-    fn sparing(&self) -> bool {
-        self.sheet.may_tell && !self.tells_all()
+    /// How long room that was left to this scheduler counts: what others are told of they take soon.
+    fn room_span(&self) -> Duration {
+        if self.talk == Talk::ToAll {
+            TELL_EVERY
+        } else {
+            ROOM_SPAN
+        }
     }
 
-    fn keep_room(&mut self, i: usize, room: f64) {
-        let had = self.room(i);
-        (self.workers[i].room, self.workers[i].left) = ((had + room).min(self.slots(i)), self.now);
-        self.rooms.retain(|&x| x != i);
-        self.rooms.push_back(i);
+    fn room(&self, i: usize) -> f64 {
+        self.workers[i].room_left(self.now, self.room_span())
     }
 
-    /// Slots of a worker that surely are free: left by an own task or by another scheduler, lately.
-    fn room(&self, i: usize) -> f64 {
-        let w = &self.workers[i];
-        // What others are told of they take soon.
-        let span = if self.tells_all() { secs(TELL_EVERY) } else { ROOM_SPAN };
-        let fresh = w.room > 0.0 && secs(self.now - w.left) <= span;
-        if fresh { w.room } else { 0.0 }
+    fn waits(&self) -> bool {
+        self.lines.iter().any(|line| !line.is_empty())
     }
 
     /// Own tasks made room: it is kept for the next arrivals, else left to another scheduler by chance. What was
     /// kept goes to those who ask for it, unless tasks wait here.
     fn leave(&mut self) -> Option<Decision> {
-        if self.freed.is_empty() && self.askers.is_empty() {
+        if self.rooms.freed.is_empty() && self.rooms.askers.is_empty() {
             return None;
         }
-        let mut rooms = std::mem::take(&mut self.rooms);
-        rooms.retain(|&i| self.room(i) > 0.0);
-        self.rooms = rooms;
-        let waits = self.lines.iter().any(|line| !line.is_empty());
-        while let Some((worker, room)) = self.freed.pop() {
-            let kept = self.rooms.len() as f64;
-            if self.tells_all() || (waits || kept < KEPT) && self.out + kept < self.fair {
+        let (waits, span) = (self.waits(), self.room_span());
+        self.rooms.at.retain(|&i| self.workers[i].room_left(self.now, span) > 0.0);
+        while let Some((worker, room)) = self.rooms.freed.pop() {
+            let kept = self.rooms.at.len() as f64;
+            if self.talk == Talk::ToAll || (waits || kept < KEPT) && self.out + kept < self.fair {
                 self.keep_room(worker, room);
-            } else if let Some(to) = self.another() {
-                return Some(Decision::Leave { to, worker, room });
+            } else {
+                return Some(Decision::Leave { to: self.another(), worker, room });
             }
         }
-        let to = self.askers.pop().filter(|_| !waits)?;
-        let worker = self.rooms.pop_front()?;
+        let to = self.rooms.askers.pop().filter(|_| !waits)?;
+        let worker = self.rooms.at.pop_front()?;
         let room = std::mem::take(&mut self.workers[worker].room);
         Some(Decision::Leave { to, worker, room })
     }
 
     /// Another scheduler by chance.
-    fn another(&mut self) -> Option<usize> {
-        let others = self.sheet.schedulers.saturating_sub(1) as u64;
-        let to = (others > 0).then(|| self.chance.0.rand_range(0..others) as usize)?;
-        Some(to + usize::from(to >= self.sheet.position))
+    fn another(&mut self) -> usize {
+        let to = self.chance.0.rand_range(0..self.sheet.talkers as u64 - 1) as usize;
+        to + usize::from(to >= self.sheet.position)
     }
 
     /// Asks a few others for room while tasks wait here.
     fn seek(&mut self) {
-        let waits = self.lines.iter().any(|line| !line.is_empty());
-        if waits && self.sparing() && self.now >= self.asked + SEEK_EVERY {
-            self.asked = self.now;
+        if self.waits() && self.talk == Talk::ToOne && self.now >= self.rooms.asked + SEEK_EVERY {
+            self.rooms.asked = self.now;
             for _ in 0..SOUGHT {
-                let asked = self.another().map(|to| Decision::Seek { to });
-                self.say.extend(asked);
+                let to = self.another();
+                self.say.push_back(Decision::Seek { to });
             }
         }
     }
 
-    fn fade(&self, since: Duration, span: f64) -> f64 {
-        (-secs(self.now.saturating_sub(since)) / span).exp()
-    }
-
     /// Own arrivals a second, in slots.
     fn lambda(&self) -> f64 {
         let lived = secs(self.now - self.start) + 0.5;
@@ -449,12 +418,7 @@
 
     /// Speed of one core, pooled by kind; a worker's own counts when it is clearly apart.
     fn speed(&self, i: usize) -> f64 {
-        let w = &self.workers[i];
-        let clear = w.completions >= OWN_SPEED_AFTER
-            && w.apart.abs() * w.completions.min(OWN_SPEED_SPAN).sqrt() > 2.0 * LOG_SPREAD;
-        // Guards against shunning a worker that was slow for a while: unused, it becomes like its kind.
-        let own = if clear { w.apart * self.fade(w.used, FORGET_SPAN) } else { 0.0 };
-        (self.kinds[w.site.kind].speed + own).exp()
+        (self.kinds[self.workers[i].site.kind].speed + self.workers[i].own_speed(self.now)).exp()
     }
 
     /// Slots of a worker: the most seen at once on its kind; before that its size, which may count speed too.
@@ -463,11 +427,8 @@
         if seen >= weight.floor() || self.sheet.moving_weights && seen > 0.0 { seen } else { weight }.max(1.0)
     }
 
-    /// Share of its capacity that a worker surely has by now: it climbs evenly from the cold share.
     fn warmth(&self, i: usize) -> f64 {
-        let Some(booted) = self.workers[i].booted else { return 1.0 };
-        let age = secs(self.now.saturating_sub(booted)) / secs(self.sheet.warm_within).max(1e-3);
-        (self.sheet.cold_share + (1.0 - self.sheet.cold_share) * age).min(1.0)
+        self.workers[i].warmth(self.now, self.sheet.cold_share, self.sheet.warm_within)
     }
 
     /// Slots that others have on a worker: as last seen, fading into their share of its like.
@@ -476,7 +437,7 @@
         if self.untold <= 0.0 {
             return w.told.sum;
         }
-        let fade = self.fade(w.seen, HIDDEN_SPAN);
+        let fade = (-secs(self.now.saturating_sub(w.seen)) / HIDDEN_SPAN).exp();
         let others = self.others[w.site.zone][w.site.kind].min(most);
         let inferred = w.hidden * fade + others * self.slots(i) * (1.0 - fade);
         w.told.sum + self.untold * inferred
@@ -488,7 +449,6 @@
         (w.hidden, w.seen) = (old + weight * (hidden - old), self.now);
         let others = &mut self.others[w.site.zone][w.site.kind];
         *others += OTHERS_STEP * ((w.hidden / slots).min(1.0) - *others);
-        self.lately.push_front(i);
     }
 
     /// Slots in use or waited for on a worker, others' included.
@@ -497,7 +457,7 @@
         let late = |&(t, k): &(usize, usize)| secs(self.now - self.tasks[t].assignments[k].sent) > AT_ONCE;
         // Served in order: while an own task waits, all slots are taken.
         let least = if w.waiting.front().is_some_and(late) { self.slots(i) + w.n - w.running } else { 0.0 };
-        let room = if self.tells_all() { 0.0 } else { self.room(i) };
+        let room = if self.talk == Talk::ToAll { 0.0 } else { self.room(i) };
         let hidden = if room > 0.0 { (self.slots(i) - w.n - room).max(0.0) } else { self.hidden(i, most) };
         least.max(w.n + hidden)
     }
@@ -566,14 +526,12 @@
     fn draw(&mut self, task: usize, among: Among) {
         if let Among::Homes(group) = among {
             self.drawn.clear();
-            let (from, to) = self.settle_homes(self.tasks[task].set, group);
-            let homes = self.sets.get(&self.tasks[task].set).map_or(&[][..], |h| &h.workers[from..to]);
-            self.drawn.extend(homes.iter().filter(|&&i| i < self.workers.len()));
+            self.draw_homes(self.tasks[task].set, group);
             return;
         }
         let all = among == Among::All;
         let (reach, listed) = (1 + self.lambda() as usize, self.roster.listed);
-        self.lately.truncate(reach);
+
         self.drawn.clear();
         self.sparse = 2 * reach < listed;
         if all || !self.sparse {
@@ -583,8 +541,8 @@
         // What may have run is bound to its zone, if to any.
         let earlier = self.tasks[task].maybe_ran().next();
         let home = earlier.map_or(self.sheet.zone, |a| self.workers[a.worker].site.zone);
-        self.drawn.extend(&self.lately);
-        self.drawn.extend(&self.rooms);
+
+        self.drawn.extend(&self.rooms.at);
         for k in 0..2 * reach {
             self.drawn.extend(self.roster.pick(home, k < reach, self.chance.0.rand_u64()));
         }
@@ -597,7 +555,7 @@
     fn lowest(&mut self, task: usize, among: Among) -> Option<(usize, u8)> {
         self.draw(task, among);
         let (lambda, t) = (self.lambda(), &self.tasks[task]);
-        let (sparing, tells_all) = (self.sparing(), self.tells_all());
+        let (sparing, tells_all) = (self.talk == Talk::ToOne, self.talk == Talk::ToAll);
         let (mut sum, mut count, mut best_tier) = (0.0, 0.0, 0);
         let price = CROSSING * self.sheet.price_crossing;
         let mut scores = std::mem::take(&mut self.scores);
@@ -615,10 +573,11 @@
             let queue = if over > 0.0 { over * self.hold / (slots * speed) } else { 0.0 };
             let in_time = queue < self.spare(task, speed);
             // Where schedulers talk, others go for the last slots too: only what was left to this one is sure.
-            let care = self.workers[i].mark % self.sheet.schedulers as u64 == self.sheet.position as u64;
+            let care = self.workers[i].mark.checked_rem(self.sheet.talkers as u64)
+                == Some(self.sheet.position as u64);
             let plenty = tells_all && beyond <= -CLAIMED;
             let left = plenty || tells_all && care || self.room(i) >= t.size.min(slots);
-            let sure = sure && beyond <= 0.0 && (!self.sheet.may_tell || left);
+            let sure = sure && beyond <= 0.0 && (self.talk == Talk::Silent || left);
             let room = u8::from(over <= 0.0) + u8::from(sure) + u8::from(sure && plenty);
             let tier = u8::from(in_time) * (1 + room);
             best_tier = best_tier.max(tier);
@@ -700,11 +659,10 @@
         Some(Decision::Wake { after: self.due - self.now })
     }
 
-    /// Stops waiting for whatever is still out of a task, or only for what has not started.
-    fn call_off(&mut self, task: usize, all: bool) {
-        let out = self.tasks[task].assignments.iter_mut().enumerate();
-        let may = self.sheet.may_cancel;
-        for (assignment, a) in out.filter(|(_, a)| may && a.live() && (all || a.started.is_none())) {
+    /// Stops waiting for whatever is still out of a task.
+    fn call_off(&mut self, task: usize) {
+        let (may, out) = (self.sheet.may_cancel, self.tasks[task].assignments.iter_mut().enumerate());
+        for (assignment, a) in out.filter(|(_, a)| may && a.live()) {
             a.called_off = true;
             self.say.push_back(Decision::CallOff { task, assignment });
         }
@@ -726,7 +684,7 @@
             _ => t.maybe_ran().next().is_none(),
         };
         t.stage = Stage::Over;
-        self.call_off(task, true);
+        self.call_off(task);
         self.forget(task);
         if !harmless {
             return Decision::BreakOff { task };
@@ -738,13 +696,14 @@
     /// After an ending that was not the end: a further assignment, or the final answer at once.
     fn settle(&mut self, task: usize) -> Option<Decision> {
         if self.tasks[task].stage == Stage::Over {
-            self.call_off(task, true);
+            self.call_off(task);
             self.forget(task);
         }
         if self.tasks[task].stage != Stage::Out || self.tasks[task].out() > 0 {
             return None;
         }
-        let more = self.tasks[task].assignments.len() < self.sheet.most_assignments && self.spare(task, self.fastest) > 0.0;
+        let more = self.tasks[task].assignments.len() < self.sheet.most_assignments
+            && self.spare(task, self.fastest) > 0.0;
         if !more || !(0..self.workers.len()).any(|i| self.allowed(task, i)) {
             return Some(self.give_up(task));
         }
@@ -759,7 +718,7 @@
         // Queues at workers serve in order: only the highest utility per work may queue, the rest waits here.
         // Guards against scoring the whole list again for all that waits while there is no room.
         let full = self.full.is_some_and(|(at, misses)| at == self.now && misses >= MISSES);
-        if full && self.sheet.may_tell && self.tasks[task].assignments.is_empty() {
+        if full && self.talk != Talk::Silent && self.tasks[task].assignments.is_empty() {
             return late.then(|| self.give_up(task));
         }
         let mut home = None;
@@ -775,9 +734,14 @@
         let many = self.lines[0].len() > 1 + self.workers.len() / 4;
         match lowest {
             Some((_, ..=3)) if homesick => None,
-            Some((_, 2)) if self.tells_all() || self.sparing() && self.spare_time(task, PATIENCE) => late.then(|| self.give_up(task)),
+            Some((_, 2))
+                if self.talk == Talk::ToAll
+                    || self.talk == Talk::ToOne && self.spare_time(task, PATIENCE) =>
+            {
+                late.then(|| self.give_up(task))
+            }
             Some((i, 2..)) => Some(self.assign(task, i)),
-            Some((i, 1)) if !self.sheet.may_tell && self.may_queue(task) => Some(self.assign(task, i)),
+            Some((i, 1)) if self.talk == Talk::Silent && self.may_queue(task) => Some(self.assign(task, i)),
             Some((_, 0)) if many => Some(self.give_up(task)),
             _ => late.then(|| self.give_up(task)),
         }
@@ -789,52 +753,37 @@
         waited < part * (waited + self.spare(task, self.fastest))
     }
 
-    /// The workers where a data set is at home: the same ones at every scheduler without a word said, by highest
-    /// random weight, the larger and faster ones more often. Guards against each set being fetched everywhere.
-    /// Gives the part of them that makes a group: as many as the set's share of all arrivals needs.
-    fn settle_homes(&mut self, set: u64, group: usize) -> (usize, usize) {
-        let listed = self.roster.listed as f64;
-        let Some(mut home) = self.sets.remove(&set) else { return (0, 0) };
-        if home.lists != self.lists {
-            (home.lists, home.workers) = (self.lists, [usize::MAX; HOMES]);
-            let mut best = [(f64::INFINITY, usize::MAX); HOMES];
-            for i in (0..self.workers.len()).filter(|&i| self.workers[i].ready()) {
-                let w = &self.workers[i];
-                let draw = -drawn(set, w.mark).ln() / (self.slots(i) * self.kinds[w.site.kind].speed.exp());
-                let place = best.partition_point(|b| b.0 <= draw);
-                if place < HOMES {
-                    best[place..].rotate_right(1);
-                    best[place] = (draw, i);
-                }
-            }
-            home.workers = best.map(|b| b.1);
+    /// Draws a group of the workers where a data set is at home: the same ones at every scheduler without a word
+    /// said, by highest random weight, the larger and faster ones more often; as many as the set's share of all
+    /// arrivals needs. Guards against each set being fetched everywhere.
+    fn draw_homes(&mut self, set: u64, group: usize) {
+        let mut sets = std::mem::take(&mut self.sets);
+        let ready = (0..self.workers.len()).filter(|&i| self.workers[i].ready());
+        let able = |i: usize| self.slots(i) * self.kinds[self.workers[i].site.kind].speed.exp();
+        if let Some(home) = sets.home(set, || ready.map(|i| (i, self.workers[i].mark, able(i)))) {
+            let share = home.asked.a_second(self.now, RATE_SPAN) / self.lambda();
+            let many = (share * self.roster.listed as f64).ceil().max(1.0) as usize;
+            self.drawn.extend(home.workers.iter().skip(group * many).take(many).filter(|&&i| i < usize::MAX));
         }
-        let share = home.asked.a_second(self.now, RATE_SPAN) / self.lambda();
-        let many = (share * listed).ceil().clamp(1.0, HOMES as f64) as usize;
-        self.sets.insert(set, home);
-        ((group * many).min(HOMES), ((group + 1) * many).min(HOMES))
+        self.sets = sets;
     }
 
     /// Tells the others what is out, so that their n counts it: what changed, and one worker more in turn.
     fn tell(&mut self) {
         let listed = self.workers.len();
-        if !self.tells_all() || self.sheet.schedulers < 2 || listed == 0 {
+        if self.talk != Talk::ToAll || listed == 0 {
             return self.changed.clear();
         }
         if self.now < self.peers.told + TELL_EVERY || self.changed.is_empty() {
             return;
         }
-        self.peers.told = self.now;
-        self.peers.turn = (self.peers.turn + 1) % listed;
-        self.changed.push_back(self.peers.turn);
-        self.changed.make_contiguous().sort_unstable();
-        let mut last = usize::MAX;
-        while let Some(worker) = self.changed.pop_front() {
-            if worker != last {
-                self.say.push_back(Decision::Tell { worker, slots: self.workers[worker].n });
-            }
-            last = worker;
-        }
+        let turn = self.peers.next_turn(self.now, listed);
+        self.changed.push(turn);
+        self.changed.sort_unstable();
+        self.changed.dedup();
+        let workers = &self.workers;
+        self.say
+            .extend(self.changed.drain(..).map(|worker| Decision::Tell { worker, slots: workers[worker].n }));
     }
 
     /// Utility per work of a task, by what its workload usually takes.
@@ -861,7 +810,7 @@
         (w.n, w.used, w.rest) = (w.n + t.size, now, now + pause);
         w.room = (w.room - t.size).max(0.0);
         self.out += t.size;
-        self.changed.push_back(i);
+        self.changed.push(i);
         w.waiting.push_back((task, number));
         t.stage = Stage::Out;
         self.due = self.due.min(now + Duration::from_secs_f64(AT_ONCE));
@@ -883,7 +832,6 @@
         for task in 0..self.tasks.len() {
             for k in 0..self.tasks[task].assignments.len() {
                 self.look_for_silence(self.tasks[task].assignments[k]);
-                self.overrun(task, k);
             }
             let t = &self.tasks[task];
             if t.stage != Stage::Out {
@@ -896,30 +844,20 @@
                 |a: &Assignment| a.ending.is_none() && (self.overdue(a) || self.workers[a.worker].silent);
             let silent = repeatable && t.assignments.iter().any(silent);
             let stuck = self.stuck(task);
-            let several =
-                stuck && t.size > 1.0 && self.sheet.second_copies && t.out() < COPIES && !self.sparing();
-            let grace = if self.sparing() { self.runs[t.workload].log.exp() } else { 0.0 };
+            let grace = if self.talk == Talk::ToOne { self.runs[t.workload].log.exp() } else { 0.0 };
             let hope = if runs { limit } else { self.spare(task, self.fastest) + grace };
             let mut next = limit.min(hope);
             if next <= 0.0 {
                 let answer = self.give_up(task);
                 self.say.push_back(answer);
             } else if silent || stuck && (0..self.workers.len()).any(|i| self.has_room(task, i)) {
-                self.call_off(task, true);
-            } else if runs {
-                self.call_off(task, false); // of several copies one has started
-            } else if several && self.may_queue(task) {
-                // Guards against waiting for several slots at one worker: it waits at a few, for the first.
-                if let Some((i, _)) = self.lowest(task, Among::Drawn) {
-                    let copy = self.assign(task, i);
-                    self.say.push_back(copy);
-                }
+                self.call_off(task);
             }
             next = if runs || !repeatable { next } else { next.min(secs(SWEEP)) };
             self.due = self.due.min(now + Duration::from_secs_f64(next.max(0.0)).max(SWEEP));
         }
         self.bar();
-        
+
         self.tell();
         self.seek();
         if !self.changed.is_empty() {
@@ -932,7 +870,7 @@
         let t = &self.tasks[task];
         let waits = |a: &Assignment| a.ending.is_none() && a.started.is_none();
         // Where all is told, room was there: a task that waits met others on the way, or its worker stands still.
-        let long = if self.tells_all() { self.hold } else { AT_ONCE };
+        let long = if self.talk == Talk::ToAll { self.hold } else { AT_ONCE };
         self.sheet.tells_start
             && t.assignments.last().is_some_and(|a| waits(a) && secs(self.now - a.sent) >= long)
             && t.assignments.len() < self.sheet.most_assignments
@@ -940,7 +878,7 @@
     }
 
     fn has_room(&self, task: usize, i: usize) -> bool {
-        let sure = !self.sparing() || self.room(i) >= self.tasks[task].size;
+        let sure = self.talk != Talk::ToOne || self.room(i) >= self.tasks[task].size;
         sure && self.eligible(task, i)
             && self.occupied(i, MAY_BE) + self.tasks[task].size <= self.slots(i) + 0.1
     }
@@ -948,30 +886,22 @@
     /// Adds up the list, rarely: the ready workers, the own part of all traffic, the mean speed (kept at 1).
     fn tally(&mut self) {
         self.tallied = Some(self.now);
-        let (mut sum, mut fleet, mut own, mut others) = (0.0, 0.0, 0.0, 0.0);
-        self.ready = 0;
+        let mut sums = Sums::default();
         for i in (0..self.workers.len()).filter(|&i| self.workers[i].on_list) {
             let (w, slots) = (&self.workers[i], self.slots(i));
-            (own, fleet) = (own + w.n, fleet + slots);
-            sum += self.kinds[w.site.kind].speed * slots;
-            others += self.others[w.site.zone][w.site.kind] * slots;
-            self.ready += usize::from(w.ready());
-            let kind = &mut self.kinds[w.site.kind];
-            (kind.out, kind.listed) = (kind.out + w.n + w.told.sum, kind.listed + 1.0);
+            let others = self.others[w.site.zone][w.site.kind];
+            sums.add(w, &mut self.kinds[w.site.kind], slots, others);
         }
         // Guards against a kind that is never used since few of its slots were seen: it has as many as all use.
-        for kind in &mut self.kinds {
-            kind.slots = kind.slots.max((kind.out / f64::max(kind.listed, 1.0)).round());
-            (kind.out, kind.listed) = (0.0, 0.0);
-        }
-        level(&mut self.kinds, &mut self.runs, &mut self.hold, sum / f64::max(fleet, 1.0));
+        self.kinds.iter_mut().for_each(Kind::close);
+        level(&mut self.kinds, &mut self.runs, &mut self.hold, sums.speed / f64::max(sums.fleet, 1.0));
         self.fastest = self.kinds.iter().map(|k| k.speed.exp()).fold(0.0, f64::max);
-        self.fair = fleet / self.sheet.schedulers as f64;
+        (self.ready, self.fair) = (sums.ready, sums.fleet / self.sheet.schedulers as f64);
         for peer in self.peers.lost(self.now) {
             self.workers.iter_mut().for_each(|w| w.told.silence(peer));
         }
         self.untold = 1.0 - self.peers.talking() as f64 / (self.sheet.schedulers.max(2) - 1) as f64;
-        self.mine += MINE_STEP * (own / (own + others).max(1.0) - self.mine);
+        self.mine += MINE_STEP * (sums.own / (sums.own + sums.others).max(1.0) - self.mine);
     }
 
     /// The notes on an assignment are overdue: it alone stands still, unless its worker tells nothing else either.
@@ -996,19 +926,6 @@
         }
     }
 
-    /// Guards against sending on to a worker that has slowed down or stands still before any task there has ended:
-    /// one that runs for surprisingly long already tells so, once.
-    fn overrun(&mut self, task: usize, number: usize) {
-        let (t, a) = (&self.tasks[task], self.tasks[task].assignments[number]);
-        let Some(at) = a.started.filter(|_| a.live() && !a.overran) else { return };
-        let (w, r) = (&self.workers[a.worker], &self.runs[t.workload]);
-        let apart = r.log - self.kinds[w.site.kind].speed - secs(self.now - at).max(1e-3).ln();
-        if apart < w.apart.min(0.0) - SURPRISE * r.spread {
-            self.workers[a.worker].adapt(apart, r.spread);
-            self.tasks[task].assignments[number].overran = true;
-        }
-    }
-
     /// Its errors are judged at the next sweep, which is due now.
     fn suspect(&mut self, i: usize) {
         self.due = self.now;
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -64,10 +64,9 @@
 pub struct DutySheet {
     pub workloads: Vec<Workload>,
     pub schedulers: usize,
-    /// Which of them this one is, counted from 0.
+    /// How many of them tell one another of workers, this one included, and which of those it is, from 0.
+    pub talkers: usize,
     pub position: usize,
-    /// Schedulers may send one another words about workers.
-    pub may_tell: bool,
     pub zone: usize,
     pub news: News,
     /// Share of the utility that a task beyond its customer's share still has.
@@ -75,9 +74,7 @@
     /// Tasks a second within each customer's share, over all schedulers.
     pub quotas: Vec<f64>,
     pub may_cancel: bool,
-    /// Two assignments of one task may be out together.
-    pub second_copies: bool,
-    
+
     /// Longest come-back time that clients heed; none where they are not told.
     pub come_back: Option<Duration>,
     pub most_assignments: usize,
@@ -94,7 +91,7 @@
     pub warm_within: Duration,
     /// Points lost, as a share of all utility, if every task crosses zones once.
     pub price_crossing: f64,
-    
+
     /// The same for one full message to another scheduler a task.
     pub price_word: f64,
 }
@@ -151,42 +148,22 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
     /// Send the task to the worker; its assignments are numbered from 0 in this order.
-    Assign {
-        task: usize,
-        worker: usize,
-    },
+    Assign { task: usize, worker: usize },
     /// Final answer: turned away; trying again is harmless.
-    Shed {
-        task: usize,
-        come_back: Option<Duration>,
-    },
+    Shed { task: usize, come_back: Option<Duration> },
     /// Final answer: given up, nothing promised about its effect.
-    BreakOff {
-        task: usize,
-    },
+    BreakOff { task: usize },
     /// Stop waiting for one assignment.
-    CallOff {
-        task: usize,
-        assignment: usize,
-    },
-    
+    CallOff { task: usize, assignment: usize },
+
     /// Word to another scheduler: this many slots of the worker are free and left to it.
-    Leave {
-        to: usize,
-        worker: usize,
-        room: f64,
-    },
+    Leave { to: usize, worker: usize, room: f64 },
     /// Word to another scheduler: tasks wait here, any room to leave?
     Seek { to: usize },
     /// Word to all other schedulers: this many slots are out at the worker.
-    Tell {
-        worker: usize,
-        slots: f64,
-    },
+    Tell { worker: usize, slots: f64 },
     /// Ring the bell after this span.
-    Wake {
-        after: Duration,
-    },
+    Wake { after: Duration },
     /// A short line for the log.
     Log(String),
 }
