The module cut down: records in the books, one rule for barred workers

The step had drawn tasks with a data set to the emptiest workers, whose homes are elsewhere; found by taking it out.

--- a/src/books.rs
+++ b/src/books.rs
@@ -61,6 +61,33 @@
         self.apart += (apart - self.apart) * (1.0 / self.completions).max(1.0 / OWN_SPEED_SPAN);
     }
 
+    /// Takes down a line of the list; whether its condition changed, and whether it started anew.
+    pub fn list(&mut self, site: Site, weight: f64, is: Condition, booted: Option<Duration>) -> (bool, bool) {
+        let (changed, restarted) = (self.condition != Some(is), self.booted != booted);
+        let returns = changed && self.condition.is_some() && is == Condition::Ready;
+        let starts = booted.is_some() && (restarted || self.condition.is_none());
+        if restarted || returns {
+            (self.fresh, self.errors, self.barred, self.hidden) = (true, 0.0, None, 0.0);
+        }
+        (self.site, self.weight, self.condition, self.booted) = (site, weight, Some(is), booted);
+        self.on_list = is != Condition::Gone;
+        (changed, starts)
+    }
+
+    /// An assignment there has started.
+    pub fn begins(&mut self, ticket: (usize, usize), size: f64, now: Duration) {
+        self.running += size;
+        self.revive(now);
+        self.waiting.retain(|x| *x != ticket);
+    }
+
+    /// An assignment there is over.
+    pub fn lets_go(&mut self, ticket: (usize, usize), size: f64, started: bool, now: Duration) {
+        (self.n, self.used) = ((self.n - size).max(0.0), now);
+        self.waiting.retain(|x| *x != ticket);
+        self.running -= if started { size.min(self.running) } else { 0.0 };
+    }
+
     /// Slots left free to this scheduler by an own task or by another scheduler, for this long.
     pub fn room_left(&self, now: Duration, span: Duration) -> f64 {
         if now <= self.left + span {
@@ -326,6 +353,12 @@
         (self.count, self.at) = (self.left(now, span) + count, now);
     }
 
+    /// The same, where nothing came before the start.
+    pub fn since(&self, start: Duration, now: Duration, span: f64) -> f64 {
+        let lived = (now - start).as_secs_f64() + 0.5;
+        self.a_second(now, span) / (1.0 - (-lived / span).exp())
+    }
+
     pub fn a_second(&self, now: Duration, span: f64) -> f64 {
         self.left(now, span) / span
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,7 +1,7 @@
 //! All decisions of tindock.
 //!
 //! The host calls `clock` with the time, then the inputs (`listed`, `arrived`, `started`, `progressed`,
-//! `ended`, `left`, `probed`, `bell`), which only update what is known, and then pulls `decide` until it
+//! `ended`, `left`, `reported`, `told`, `bell`), which only update what is known, and then pulls `decide` until it
 //! gives `None`. The words of this interface are in `terms.rs`; the reasons are in `docs/design.md`.
 
 use crate::books::*;
@@ -20,7 +20,6 @@
 const MEMORY_MARGIN: Duration = Duration::from_millis(50); // a repeat's way to a group that forgets soon
 const NOTE_GRACE: f64 = 0.7; // a progress note this late is no common pause
 const ERRORS_BAR: f64 = 0.45; // smoothed share of errors that bars a worker: two on end reach it
-const DOUBT: f64 = 0.5; // smoothed share of errors up to which a barred worker is better than none
 const ERROR_STEP: f64 = 0.3; // weight of one ending in that share: quick, since errors return at once
 const BARRED_SHARE: f64 = 0.34; // at most this share of the ready workers is set aside at a time
 const HIDDEN_SPAN: f64 = 2.0; // what others have on a worker is forgotten over this: about a task or two
@@ -28,12 +27,11 @@
 const OTHERS_FIRST: f64 = 0.2; // before any sighting: most workers have room
 const MAY_BE: f64 = 0.5; // where nothing was seen lately there may be room, or nothing would be seen again
 const MINE_STEP: f64 = 0.3; // weight of one tally in the own part of all traffic: what is out swings
-const TALLY: f64 = 3.0; // the whole list is added up this often: it changes in seconds
-const LONG_LIST: usize = 4096; // from here on adding up takes a millisecond: then only every TALLY
+const TALLY: f64 = 1.0; // the list is added up this often: it changes in seconds, and a long one takes a millisecond
 const CROSSING: f64 = 40.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
 const SHARE_SPAN: f64 = 2.0; // a customer may save up its share for this long: arrivals come in clumps
-const ROOM_SPAN: Duration = Duration::from_secs(3); // room left to this scheduler counts this long: a few tasks' time
+const ROOM_SPAN: Duration = Duration::from_secs(3); // room left to this scheduler counts so long: a few tasks
 const TELL_ALL: f64 = 0.006; // what telling all may cost a task, as a share of the whole utility
 const WORD: f64 = 3.0 / 256.0; // a worker and its slots among a message's bytes, told twice for each task
 const TELL_EVERY: Duration = Duration::from_millis(20); // as long as a message travels, about
@@ -43,7 +41,7 @@
 const SEEK_EVERY: Duration = Duration::from_millis(60); // an answer has come by then, if any
 const ASKERS: usize = 64; // more who ask at a time than could be answered
 const REPORT_STEP: f64 = 0.3; // weight of a report in what is hidden: half a second old at the least
-const REPORTED: f64 = 0.5; // part of the free slots in an answer's report that still are free: it is a task old
+const REPORTED: f64 = 0.5; // part of the free slots in a report that still are free: it is a task old
 const KEPT: f64 = 2.0; // workers with room that are kept for the next arrivals
 const MISSES: usize = 4; // tasks that find no room before the others of that moment are not tried
 const CLAIMED: f64 = 2.0; // free slots of a worker that others may take at the same moment
@@ -128,8 +126,8 @@
 
 impl Rules {
     pub fn new(sheet: DutySheet, seed: u64, now: Duration) -> Self {
-        // The promised time says best how long a task runs, at first. Guards against shedding all of a workload whose
-        // promised time hardly grows with the run, before any has run: then it must leave room for more than the run.
+        // The promised time says best how long a task runs, at first. Guards against shedding all of a workload
+        // whose promised time hardly grows with the run, before any has run.
         let guess = |w: &Workload| (secs(w.promised) * ((1.0 + w.stretch) / 2.0).min(1.0)).max(0.01);
         let first = |w: &Workload| Runs { log: guess(w).ln(), mean: guess(w), spread: LOG_SPREAD, seen: 0.0 };
         let runs: Vec<Runs> = sheet.workloads.iter().map(first).collect();
@@ -155,11 +153,8 @@
 
     pub fn list_begins(&mut self, whole: bool) {
         self.due = self.now;
-        // Guards against tasks that wait while a long list, which changes by little, is added up again and again.
-        if whole || self.roster.listed < LONG_LIST && !self.sheet.moving_weights {
-            self.tallied = None;
-        }
         if whole {
+            self.tallied = None;
             self.workers.iter_mut().for_each(|w| w.on_list = false);
             self.roster.clear();
         }
@@ -174,19 +169,11 @@
             self.kinds.resize(site.kind + 1, Kind::default());
         }
         grow(&mut self.others, site, OTHERS_FIRST);
-        let w = &mut self.workers[i];
-        let returns = w.condition.is_some_and(|c| c != Condition::Ready) && is == Condition::Ready;
-        let starts = booted.is_some() && (w.booted != booted || w.condition.is_none());
-        if w.condition != Some(is) {
-            self.sets.lists += 1;
-        }
-        if w.booted != booted || returns {
-            (w.fresh, w.errors, w.barred, w.hidden) = (true, 0.0, None, 0.0);
-        }
-        self.roster.strike(i, w.site.zone);
-        (w.site, w.weight, w.condition, w.booted) = (site, weight, Some(is), booted);
-        w.on_list = is != Condition::Gone;
-        if w.on_list {
+        let before = self.workers[i].site.zone;
+        let (changed, starts) = self.workers[i].list(site, weight, is, booted);
+        self.sets.lists += usize::from(changed);
+        self.roster.strike(i, before);
+        if is != Condition::Gone {
             self.roster.enter(i, site.zone);
         }
         if starts && self.warmth(i) < 1.0 {
@@ -213,7 +200,7 @@
     }
 
     pub fn arrived(&mut self, workload: usize, size: f64, left: Duration, customer: usize) -> usize {
-        // Whole slots: what rounding left of fractions passed for a task for ever, and their sum for more slots.
+        // Whole slots: what rounding left of fractions passed for a task for ever.
         let size = size.floor().max(1.0);
         self.arrivals.add(size, self.now, RATE_SPAN);
         // Guards against one customer's rush: beyond the own part of its share a task has less utility.
@@ -242,9 +229,7 @@
         self.setup += if a.cold { 0.1 * (wait - self.setup) } else { 0.0 };
         self.due = if self.tasks[task].out() > 1 { now } else { self.due };
         let w = &mut self.workers[i];
-        w.running += size;
-        w.revive(now);
-        w.waiting.retain(|x| *x != (task, number));
+        w.begins((task, number), size, now);
         self.kinds[w.site.kind].slots = self.kinds[w.site.kind].slots.max(w.running);
         // The wait tells what others had there: all that had to leave before, or some part of the free slots.
         let sample = if wait > AT_ONCE {
@@ -269,12 +254,9 @@
         t.assignments[number].ending = Some(ending);
         t.stage = if over { Stage::Over } else { t.stage };
         let w = &mut self.workers[i];
-        (w.n, w.used) = ((w.n - size).max(0.0), now);
+        w.lets_go((task, number), size, a.started.is_some(), now);
         self.out -= size;
         self.changed.push(i);
-        w.waiting.retain(|x| *x != (task, number));
-
-        w.running -= if a.started.is_some() { size.min(w.running) } else { 0.0 };
         match ending {
             Ending::Finished => {
                 w.revive(now);
@@ -315,7 +297,7 @@
         let kind = &mut self.kinds[self.workers[i].site.kind];
         kind.slots = kind.slots.max(free.round());
         let (slots, sparing) = (self.slots(i), self.talk == Talk::ToOne);
-        // Guards against a standstill: room that nobody knows of is found again by the answers of what still runs.
+        // Guards against a standstill: room that nobody knows of is found again by answers of what still runs.
         if let Some((_, room)) = self.rooms.freed.iter_mut().find(|f| f.0 == i).filter(|_| sparing) {
             *room += ((free - *room) * REPORTED).floor().max(0.0);
         }
@@ -370,8 +352,8 @@
         self.lines.iter().any(|line| !line.is_empty())
     }
 
-    /// Own tasks made room: it is kept for the next arrivals, else left to another scheduler by chance. What was
-    /// kept goes to those who ask for it, unless tasks wait here.
+    /// Own tasks made room: it is kept for the next arrivals, else left to another scheduler by chance. What
+    /// was kept goes to those who ask for it, unless tasks wait here.
     fn leave(&mut self) -> Option<Decision> {
         if self.rooms.freed.is_empty() && self.rooms.askers.is_empty() {
             return None;
@@ -411,9 +393,7 @@
 
     /// Own arrivals a second, in slots.
     fn lambda(&self) -> f64 {
-        let lived = secs(self.now - self.start) + 0.5;
-        let rate = self.arrivals.a_second(self.now, RATE_SPAN);
-        (rate / (1.0 - (-lived / RATE_SPAN).exp())).max(RATE_FLOOR)
+        self.arrivals.since(self.start, self.now, RATE_SPAN).max(RATE_FLOOR)
     }
 
     /// Speed of one core, pooled by kind; a worker's own counts when it is clearly apart.
@@ -462,8 +442,8 @@
         least.max(w.n + hidden)
     }
 
-    /// Time that may still pass before a task starts at that speed and is in time, be it short or long: its
-    /// promised time grows with its own run, so a short one is bound by its wait, a long one by a slow worker.
+    /// Time that may still pass before a task starts at that speed and is in time, be it short or long: the
+    /// promised time grows with the run, so a short one is bound by its wait, a long one by a slow worker.
     fn spare(&self, task: usize, speed: f64) -> f64 {
         let (t, now) = (&self.tasks[task], secs(self.now));
         let (row, r) = (&self.sheet.workloads[t.workload], &self.runs[t.workload]);
@@ -503,15 +483,12 @@
 
     fn eligible(&self, task: usize, i: usize) -> bool {
         let (t, w) = (&self.tasks[task], &self.workers[i]);
-        let idempotent = |row: &Workload| row.effect == Effect::Idempotent;
-        let harmless = idempotent(&self.sheet.workloads[t.workload]);
-        // A worker back from being barred proves itself on tasks that may run again, if any may.
-        let risky =
-            !harmless && w.spells > 0 && w.errors > 0.2 && self.sheet.workloads.iter().any(idempotent);
-        let out = self.doubtful(i) && !(harmless && t.assignments.len() < 2 && w.errors < DOUBT);
+        let row = &self.sheet.workloads[t.workload];
+        let harmless = row.effect == Effect::Idempotent && t.assignments.len() < 2;
+        let out = self.doubtful(i) && !harmless;
         let rests = w.rest > self.now && self.warmth(i) < 1.0 || w.left_out > self.now;
         let tried = t.assignments.iter().any(|a| a.worker == i);
-        w.ready() && !w.silent && !rests && !risky && !out && !tried && self.allowed(task, i)
+        w.ready() && !w.silent && !rests && !out && !tried && self.allowed(task, i)
     }
 
     /// Barred, or just back and with a task in it: only where no other has room, for tasks that lose little there.
@@ -520,9 +497,9 @@
         w.barred.is_some_and(|until| until > self.now) || w.spells > 0 && w.errors > 0.2 && w.n > 0.0
     }
 
-    /// The workers that a task is scored on. Guards against schedulers that have seen almost none of a large
-    /// list, which would all crowd the same few best: it scores as many as it sends in a second, drawn by
-    /// chance in its zone and elsewhere, and those seen last; a list hardly longer is scored whole.
+    /// The workers that a task is scored on. Guards against schedulers that have seen almost none of a large list
+    /// and would all crowd the same few best: each scores those with room left to it and as many as it sends in
+    /// a second, drawn by chance in its zone and elsewhere; a list hardly longer is scored whole.
     fn draw(&mut self, task: usize, among: Among) {
         if let Among::Homes(group) = among {
             self.drawn.clear();
@@ -551,7 +528,7 @@
     }
 
     /// The worker of the lowest index among those open to the task, ties by chance; and whether there is room
-    /// for it (3), may be in a crowded zone (2), or it would wait but be in time (1), or be late (0).
+    /// for it (3), may be room (2), or it would wait but be in time (1), or be late (0).
     fn lowest(&mut self, task: usize, among: Among) -> Option<(usize, u8)> {
         self.draw(task, among);
         let (lambda, t) = (self.lambda(), &self.tasks[task]);
@@ -575,15 +552,13 @@
             // Where schedulers talk, others go for the last slots too: only what was left to this one is sure.
             let care = self.workers[i].mark.checked_rem(self.sheet.talkers as u64)
                 == Some(self.sheet.position as u64);
-            let plenty = tells_all && beyond <= -CLAIMED;
-            let left = plenty || tells_all && care || self.room(i) >= t.size.min(slots);
+            let left = tells_all && (care || beyond <= -CLAIMED) || self.room(i) >= t.size.min(slots);
             let sure = sure && beyond <= 0.0 && (self.talk == Talk::Silent || left);
-            let room = u8::from(over <= 0.0) + u8::from(sure) + u8::from(sure && plenty);
-            let tier = u8::from(in_time) * (1 + room);
+            let tier = u8::from(in_time) * (1 + u8::from(over <= 0.0) + u8::from(sure));
             best_tier = best_tier.max(tier);
             scores.push((i, tier, occupied, slots * speed));
         }
-        if !matches!(among, Among::Homes(_)) && best_tier < 4 {
+        if !matches!(among, Among::Homes(_)) && best_tier < 3 {
             let misses = self.full.filter(|f| f.0 == self.now).map_or(0, |f| f.1);
             self.full = Some((self.now, misses + 1));
         }
@@ -715,34 +690,26 @@
     /// A waiting task: to the lowest index; given up as soon as it cannot be in time.
     fn place(&mut self, task: usize) -> Option<Decision> {
         let late = self.spare(task, self.fastest) <= 0.0;
-        // Queues at workers serve in order: only the highest utility per work may queue, the rest waits here.
         // Guards against scoring the whole list again for all that waits while there is no room.
         let full = self.full.is_some_and(|(at, misses)| at == self.now && misses >= MISSES);
         if full && self.talk != Talk::Silent && self.tasks[task].assignments.is_empty() {
             return late.then(|| self.give_up(task));
         }
-        let mut home = None;
-        for group in 0..if self.tasks[task].set == 0 { 0 } else { 2 } {
-            home = home.or_else(|| self.lowest(task, Among::Homes(group)).filter(|h| h.1 > 2));
+        let (mut lowest, keyed) = (None, self.tasks[task].set != 0);
+        for group in (0..2).filter(|_| keyed) {
+            lowest = lowest.or_else(|| self.lowest(task, Among::Homes(group)).filter(|l| l.1 > 2));
         }
-        let homesick = home.is_none() && self.tasks[task].set != 0 && self.spare_time(task, HOMESICK);
-        if homesick && self.spare_time(task, PATIENCE) {
+        if lowest.is_none() && keyed && self.spare_time(task, HOMESICK) {
             return None;
         }
-        let lowest = home.or_else(|| self.lowest(task, Among::Drawn));
+        let lowest = lowest.or_else(|| self.lowest(task, Among::Drawn));
         let lowest = lowest.or_else(|| self.lowest(task, Among::All));
-        let many = self.lines[0].len() > 1 + self.workers.len() / 4;
+        // What may be room is taken where nobody talks, or, where each word goes to one, after some patience.
+        let guess = self.talk == Talk::ToOne && !self.spare_time(task, PATIENCE);
         match lowest {
-            Some((_, ..=3)) if homesick => None,
-            Some((_, 2))
-                if self.talk == Talk::ToAll
-                    || self.talk == Talk::ToOne && self.spare_time(task, PATIENCE) =>
-            {
-                late.then(|| self.give_up(task))
-            }
-            Some((i, 2..)) => Some(self.assign(task, i)),
+            Some((i, 3)) => Some(self.assign(task, i)),
+            Some((i, 2)) if guess || self.talk == Talk::Silent => Some(self.assign(task, i)),
             Some((i, 1)) if self.talk == Talk::Silent && self.may_queue(task) => Some(self.assign(task, i)),
-            Some((_, 0)) if many => Some(self.give_up(task)),
             _ => late.then(|| self.give_up(task)),
         }
     }
@@ -950,7 +917,7 @@
                 barred += 1;
                 w.spells = (w.spells + 1).min(4);
                 let pause = Duration::from_secs_f64(0.75 * f64::from(1 << w.spells));
-                (w.barred, w.errors) = (Some(now + pause), if w.silent { DOUBT } else { 0.35 });
+                (w.barred, w.errors) = (Some(now + pause), 0.35);
                 w.silent = false;
                 let line = format!("worker {i} barred for {:.1} s: share of errors {errors:.2}", secs(pause));
                 self.say.push_back(Decision::Log(line));
