--- a/crates/berth/tests/installation.rs
+++ b/crates/berth/tests/installation.rs
@@ -116,6 +116,33 @@
             "[log]\nlevel = \"loud\"\n[workers]",
             "f:15:9: level: \"loud\"; one of error, warning, info, debug",
         ),
+        ("[workers]", "[workers]\nweights = \"size\"", "f:15:11: weights: \"size\"; one of sizes, moving"),
+        ("[workers]", "[workers]\nprobes = true", "f:15:1: unknown key \"probes\""),
+        (
+            "[workers]",
+            "[peers]\nall = [\"127.0.0.1:7001\"]\n[workers]",
+            "f:14:2: peers.all without peers.listen",
+        ),
+        (
+            "[workers]",
+            "[peers]\nlisten = \"127.0.0.1:7001\"\nall = [\"127.0.0.1:7002\"]\n[workers]",
+            "f:14:2: peers.all does not name 127.0.0.1:7001",
+        ),
+        (
+            "[workers]",
+            "[peers]\nlisten = \"127.0.0.1:1\"\nall = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\n[workers]",
+            "f:14:2: peers.all names 2 schedulers; 1 at the most",
+        ),
+        (
+            "[workers]",
+            "[peers]\nlisten = \"127.0.0.1:1\"\nall = [\"127.0.0.1:1\", \"one:2\"]\n[workers]",
+            "f:16:23: \"one:2\"; address:port was expected",
+        ),
+        (
+            "[workers]",
+            "[peers]\nlisten = \"127.0.0.1:1\"\nall = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\n[workers]",
+            "f:16:23: \"127.0.0.1:1\" again",
+        ),
     ];
     for (from, to, expected) in changes {
         let text = GOOD.replacen(from, to, 1);
@@ -139,6 +166,21 @@
     assert_eq!(told, ["--set:1:1: unknown key \"limits.socket\"; limits.sockets was meant?"]);
 }
 
+/// The new settings are off by default, and say what the sheet needs where they are set.
+#[test]
+fn schedulers_that_talk_know_their_place() {
+    let (berth, _) = read(GOOD, &Layers::default()).expect("a configuration");
+    assert_eq!((berth.sheet.talkers, berth.sheet.moving_weights, berth.others), (0, false, None));
+    let peers = "[peers]\nlisten = \"10.0.0.2:1\"\nall = [\"10.0.0.1:1\", \"10.0.0.2:1\"]\n\
+                 [workers]\nschedulers = 3\nweights = \"moving\"\nreports = [\"backlog\", \"free-slots\"]";
+    let (berth, _) =
+        read(&GOOD.replacen("[workers]", peers, 1), &Layers::default()).expect("a configuration");
+    let sheet = &berth.sheet;
+    assert_eq!((sheet.talkers, sheet.position, sheet.schedulers, sheet.price_word), (2, 1, 3, 0.01));
+    assert_eq!((sheet.moving_weights, sheet.report_free, sheet.report_waiting), (true, Some(1), Some(0)));
+    assert_eq!(berth.others.expect("others").all.len(), 2);
+}
+
 /// The example that newcomers start from.
 #[test]
 fn the_example_is_a_configuration() {
--- a/crates/scheduler/tests/changeover.rs
+++ b/crates/scheduler/tests/changeover.rs
@@ -334,7 +334,8 @@
     let hands = clients("old", old.address, &stop, &answers);
     std::thread::sleep(Duration::from_millis(2000));
     stop.store(true, Ordering::SeqCst);
-    hands.into_iter().for_each(|hand| drop(hand.join().expect("a client")));
+    let sent: usize = hands.into_iter().map(|hand| hand.join().expect("a client")).sum();
+    assert!(sent > 0);
     floods.join().expect("a flood");
     let mut answers = answers.lock().expect("counts").clone();
     answers.insert(("new", "HTTP/1.1 200 OK".into()), *finished.lock().expect("a count"));
