No homes before there is a list; unknown words for weights and reporting are errors

Seen by reading the change again: a set's row began as if its homes were drawn from the list before the first one, at worker 0; a task that named a data set before any list made the module panic (test a_data_set_before_any_list_waits: index out of bounds without the change). At fault: books::Home. Ruled out: the same for rooms (bounded by told). Changed: a row knows no list at first; the settings turn down an unknown word for weights or for how workers report.

--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -77,6 +77,11 @@
     if rows == 0 {
         return Err("settings: no workloads".into());
     }
+    if let Some(other) = optional_word(info, "/reporting/source") {
+        if !["piggyback", "pull", "silent"].contains(&other) {
+            return Err(format!("settings: unknown reporting {other:?}"));
+        }
+    }
     let reports: Vec<&str> = list(info, "/reporting/names").iter().filter_map(Value::as_str).collect();
     let position = |name: &str| reports.iter().position(|r| *r == name);
     let free = optional_word(info, "/domain/report_x0") == Some("free slots");
--- /dev/null
+++ b/crates/sheet/tests/settings.rs
@@ -0,0 +1,41 @@
+//! The settings of a deployment: what of the new shape reaches the duty sheet, and one clear error for an unknown word.
+
+use serde_json::{json, Value};
+use tindock_sheet::read;
+
+fn settings(change: impl Fn(&mut Value)) -> Value {
+    let mut settings = json!({
+        "instances": 3, "zone": 0, "position": 2, "discovery": "automatic", "weights": "live",
+        "caps": {"most_assignments": 3, "peers": true},
+        "rules": {"overload_factor": 3.0, "cold_share": 0.2, "warm_within_s": 8.0},
+        "penalties": {"peer": 0.01},
+        "reporting": {"source": "piggyback", "names": ["backlog", "x0"]},
+        "domain": {"report_x0": "free slots", "tells_start": true},
+        "workloads": [{"effect": "fragile", "promised_time_s": 1, "hard_limit_s": 5, "utility": 1}]
+    });
+    change(&mut settings);
+    settings
+}
+
+#[test]
+fn the_new_shape_reaches_the_sheet() {
+    let sheet = read(&settings(|_| ())).expect("settings");
+    assert_eq!((sheet.talkers, sheet.position, sheet.price_word), (3, 2, 0.01));
+    assert_eq!((sheet.moving_weights, sheet.report_free, sheet.report_waiting), (true, Some(1), Some(0)));
+    let sheet = read(&settings(|s| {
+        s["caps"]["peers"] = json!(false);
+        s["weights"] = json!("rough");
+        s["reporting"] = json!({"source": "silent", "names": []});
+    }))
+    .expect("settings");
+    assert_eq!((sheet.talkers, sheet.moving_weights, sheet.report_free), (0, false, None));
+}
+
+#[test]
+fn an_unknown_word_is_one_clear_error() {
+    let wrong = |key: &str, value: Value| read(&settings(|s| s[key] = value.clone())).expect_err("an error");
+    assert_eq!(wrong("weights", json!("heavy")), "settings: unknown weights \"heavy\"");
+    let reporting = json!({"source": "post", "names": []});
+    assert_eq!(wrong("reporting", reporting), "settings: unknown reporting \"post\"");
+    assert_eq!(wrong("position", json!("first")), "settings: no number at /position");
+}
--- a/src/books.rs
+++ b/src/books.rs
@@ -514,7 +514,8 @@
 #[derive(Default)]
 pub struct Home {
     pub workers: [usize; HOMES],
-    lists: usize,
+    /// None before the first: guards against homes at workers that no list has named yet.
+    lists: Option<usize>,
     pub asked: Rate,
 }
 
@@ -539,7 +540,7 @@
         W: Iterator<Item = (usize, u64, f64)>,
     {
         let home = self.homes.get_mut(&set)?;
-        if home.lists != self.lists {
+        if home.lists != Some(self.lists) {
             let mut best = [(f64::INFINITY, usize::MAX); HOMES];
             for (worker, mark, able) in workers() {
                 let draw = -drawn(set, mark).ln() / able;
@@ -549,7 +550,7 @@
                     best[place] = (draw, worker);
                 }
             }
-            (home.lists, home.workers) = (self.lists, best.map(|b| b.1));
+            (home.lists, home.workers) = (Some(self.lists), best.map(|b| b.1));
         }
         Some(home)
     }
--- a/tests/words.rs
+++ b/tests/words.rs
@@ -158,3 +158,17 @@
     };
     assert_eq!(play(true), play(false));
 }
+
+/// Guards against a panic where a task that names a data set comes before any list.
+#[test]
+fn a_data_set_before_any_list_waits() {
+    let mut sheet = duty(&[Effect::Idempotent]);
+    (sheet.talkers, sheet.price_word) = (2, 0.01);
+    let mut rules = tindock::rules::Rules::new(sheet, 7, ms(1000));
+    rules.clock(ms(1000));
+    let task = rules.arrived(0, 1.0, ms(8000), 0);
+    rules.needs(task, 5);
+    while let Some(decision) = rules.decide() {
+        assert!(matches!(decision, tindock::terms::Decision::Wake { .. }), "{decision:?}");
+    }
+}
