One piece for what both hosts tell, for the tests' stand-ins, and for a task's runs

Seen on reading the change again: both hosts numbered and collected words and looked up names by loops of their own; the changeover test wrote again how a stand-in serves connections and how a started process is waited for; place worked out a task's spare time three times and lowest two exponentials for each worker. Changed: tindock-words has Telling and Names::told; peers/mod.rs has serve_each and Scheduler::over, used by the older tests too; ends() gives a task's short and long run once, spare() is asked by speed.

--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -382,10 +382,8 @@
 
     pub fn held(&self, from: usize, number: u16, words: &[[u8; 3]]) {
         self.feed(|state| {
-            for &[a, b, slots] in words {
-                if let Some(worker) = state.names_told.by_short([a, b]) {
-                    state.rules.holds(worker, from, number, f64::from(slots));
-                }
+            for (worker, slots) in state.names_told.told(words) {
+                state.rules.holds(worker, from, number, slots);
             }
         });
     }
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -31,8 +31,7 @@
 /// Collects what the module says at one time: what is out goes into common messages.
 #[derive(Default)]
 pub struct Telling {
-    number: u16,
-    held: Vec<(u16, f64)>,
+    held: words::Telling,
     messages: Vec<Message>,
 }
 
@@ -44,18 +43,14 @@
                 self.messages.extend(message);
             }
             Decision::Seek { to } => self.messages.push((Some(to), words::seek().to_vec())),
-            Decision::Tell { worker, slots } => {
-                self.held.extend(names.short(worker).map(|short| (short, slots)));
-            }
+            Decision::Tell { worker, slots } => self.held.add(names.short(worker), slots),
             _ => {}
         }
     }
 
     /// The messages of this time.
     pub fn messages(&mut self) -> impl Iterator<Item = Message> + '_ {
-        self.number = self.number.wrapping_add(u16::from(!self.held.is_empty()));
-        self.messages.extend(words::held(self.number, &self.held).map(|message| (None, message)));
-        self.held.clear();
+        self.messages.extend(self.held.messages().into_iter().map(|message| (None, message)));
         self.messages.drain(..)
     }
 }
--- a/crates/scheduler/tests/changeover.rs
+++ b/crates/scheduler/tests/changeover.rs
@@ -40,12 +40,7 @@
         let (came, line, running) = (Mutex::default(), Mutex::default(), Mutex::new(0));
         let worker = Arc::new(Worker { name: name.into(), address, came, line, running });
         let serves = worker.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let serves = serves.clone();
-                std::thread::spawn(move || serves.serve(stream));
-            }
-        });
+        serve_each(listener, move |stream| serves.clone().serve(stream));
         worker
     }
 
@@ -111,12 +106,7 @@
         let (listener, address) = listener();
         let agent = Arc::new(Agent { address, lists: Mutex::new((1, entries)) });
         let serves = agent.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let serves = serves.clone();
-                std::thread::spawn(move || serves.serve(stream));
-            }
-        });
+        serve_each(listener, move |stream| serves.serve(stream));
         agent
     }
 
@@ -146,13 +136,7 @@
 }
 
 fn begins(mut command: Command) -> Scheduler {
-    let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("a scheduler");
-    let log = BufReader::new(child.stdout.take().expect("its log"));
-    let mut scheduler = Scheduler { child, address: ([0, 0, 0, 0], 0).into(), log };
-    let line = scheduler.line("listens on ");
-    let address = line.split("listens on ").nth(1).expect("an address");
-    scheduler.address = address.trim().parse().expect("an address");
-    scheduler
+    Scheduler::over(command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("a scheduler"))
 }
 
 fn old_shape(number: usize, agent: SocketAddr) -> Scheduler {
@@ -306,14 +290,10 @@
     let (news, to) = listener();
     let (stop, answers) = (Arc::new(AtomicBool::new(false)), Arc::default());
     // It keeps sixty tasks in line at the worker, without a look at its slots or at others.
-    std::thread::spawn(move || {
-        for stream in news.incoming().flatten() {
-            std::thread::spawn(move || {
-                let mut peer = Peer(BufReader::new(stream));
-                while peer.try_read().is_some() {
-                    peer.answer("");
-                }
-            });
+    serve_each(news, |stream| {
+        let mut peer = Peer(BufReader::new(stream));
+        while peer.try_read().is_some() {
+            peer.answer("");
         }
     });
     let (greedy, ends, finished) = (worker.clone(), stop.clone(), Arc::new(Mutex::new(0)));
--- a/crates/scheduler/tests/installations.rs
+++ b/crates/scheduler/tests/installations.rs
@@ -65,12 +65,7 @@
         let (came, ill) = (Mutex::default(), AtomicBool::new(false));
         let worker = Arc::new(Worker { name: name.into(), address, came, ill });
         let serves = worker.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let serves = serves.clone();
-                std::thread::spawn(move || serves.serve(stream));
-            }
-        });
+        serve_each(listener, move |stream| serves.serve(stream));
         worker
     }
 
@@ -128,12 +123,7 @@
     fs::write(folder.join("tindock.toml"), CONFIGURATION).expect("a configuration");
     let mut command = Command::new(env!("CARGO_BIN_EXE_tindock"));
     command.args(["run", "tindock.toml"]).current_dir(folder).stdout(Stdio::piped()).stderr(Stdio::piped());
-    let mut child = command.spawn().expect("a scheduler");
-    let log = BufReader::new(child.stdout.take().expect("its log"));
-    let mut scheduler = Scheduler { child, address: ([0, 0, 0, 0], 0).into(), log };
-    let line = scheduler.line("listens on ");
-    scheduler.address =
-        line.split("listens on ").nth(1).expect("an address").trim().parse().expect("an address");
+    let mut scheduler = Scheduler::over(command.spawn().expect("a scheduler"));
     scheduler.line("in force");
     scheduler
 }
--- a/crates/scheduler/tests/peers/mod.rs
+++ b/crates/scheduler/tests/peers/mod.rs
@@ -154,7 +154,11 @@
 
     /// Told of this many sockets, and held to this many descriptors.
     pub fn limited(name: &str, agent: SocketAddr, entries: &[String], told: usize, held: usize) -> Self {
-        let mut child = spawn(name, &config(agent, entries, told), held);
+        Self::over(spawn(name, &config(agent, entries, told), held))
+    }
+
+    /// A process that has just been started, as soon as it listens.
+    pub fn over(mut child: Child) -> Self {
         let log = BufReader::new(child.stdout.take().expect("its log"));
         let address = ([0, 0, 0, 0], 0).into();
         let mut scheduler = Scheduler { child, address, log };
@@ -209,6 +213,16 @@
     }
 }
 
+/// Serves each connection on a thread of its own.
+pub fn serve_each(listener: TcpListener, serve: impl Fn(TcpStream) + Clone + Send + 'static) {
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+}
+
 pub fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
     let address = listener.local_addr().expect("its address");
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -10,7 +10,7 @@
 use tindock::rules::Rules;
 use tindock::terms::{Condition, Decision, Ending, News, Site};
 use tindock_roster::asking::{Asking, Service, Step};
-use tindock_words::{self as words, Names, Word};
+use tindock_words::{self as words, Names, Telling, Word};
 
 const BATCH_HEADER: usize = 20;
 const EVENT: usize = 56;
@@ -35,8 +35,7 @@
     addresses: Vec<[u8; 6]>,
     /// The workers' names in messages between schedulers, and what is to be told.
     names: Names,
-    telling: Vec<(u16, f64)>,
-    told: u16,
+    telling: Telling,
     /// Messages of others that could not be read.
     rubbish: u64,
 }
@@ -201,10 +200,8 @@
                 }
             }
             Some(Word::Held(number, words)) => {
-                for &[a, b, slots] in words {
-                    if let Some(worker) = self.names.by_short([a, b]) {
-                        self.rules.holds(worker, from, number, f64::from(slots));
-                    }
+                for (worker, slots) in self.names.told(words) {
+                    self.rules.holds(worker, from, number, slots);
                 }
             }
             None => self.rubbish += 1,
@@ -255,7 +252,7 @@
                 }
                 Decision::Seek { to } => reply.tell(to as u32, &words::seek()),
                 Decision::Tell { worker, slots } => {
-                    self.telling.extend(self.names.short(worker).map(|short| (short, slots)));
+                    self.telling.add(self.names.short(worker), slots);
                 }
                 Decision::Wake { after } => {
                     reply.record(1090).f64(after.as_secs_f64()).u64(0);
@@ -263,11 +260,9 @@
                 Decision::Log(line) => reply.text(1020, &line),
             }
         }
-        self.told = self.told.wrapping_add(u16::from(!self.telling.is_empty()));
-        for message in words::held(self.told, &self.telling) {
+        for message in self.telling.messages() {
             reply.tell(u32::MAX, &message);
         }
-        self.telling.clear();
     }
 }
 
@@ -330,8 +325,7 @@
                 workers: HashMap::new(),
                 addresses: Vec::new(),
                 names: Names::default(),
-                telling: Vec::new(),
-                told: 0,
+                telling: Telling::default(),
                 rubbish: 0,
             };
             hosted.insert(number, instance);
--- a/crates/words/src/lib.rs
+++ b/crates/words/src/lib.rs
@@ -5,6 +5,28 @@
 
 pub use names::Names;
 
+/// Collects what is told of workers at one time into common messages.
+#[derive(Default)]
+pub struct Telling {
+    number: u16,
+    held: Vec<(u16, f64)>,
+}
+
+impl Telling {
+    /// A worker that has no short name is not told of.
+    pub fn add(&mut self, short: Option<u16>, slots: f64) {
+        self.held.extend(short.map(|short| (short, slots)));
+    }
+
+    /// The messages of this time, under a number of their own.
+    pub fn messages(&mut self) -> Vec<Vec<u8>> {
+        self.number = self.number.wrapping_add(u16::from(!self.held.is_empty()));
+        let messages = held(self.number, &self.held).collect();
+        self.held.clear();
+        messages
+    }
+}
+
 /// A worker's address and port, first byte first.
 pub type Address = [u8; 6];
 
@@ -31,7 +53,7 @@
 }
 
 /// Messages of what is out at workers, by their short names, under a number that tells which is the newer one.
-pub fn held(number: u16, out: &[(u16, f64)]) -> impl Iterator<Item = Vec<u8>> + '_ {
+fn held(number: u16, out: &[(u16, f64)]) -> impl Iterator<Item = Vec<u8>> + '_ {
     out.chunks(MOST).map(move |chunk| {
         let [low, high] = number.to_le_bytes();
         let words = chunk.iter().flat_map(|&(short, slots)| {
--- a/crates/words/src/names.rs
+++ b/crates/words/src/names.rs
@@ -67,9 +67,14 @@
         self.by_address.get(&address).copied()
     }
 
-    pub fn by_short(&self, short: [u8; 2]) -> Option<usize> {
+    fn by_short(&self, short: [u8; 2]) -> Option<usize> {
         self.by_short.get(&u16::from_le_bytes(short)).copied().flatten()
     }
+
+    /// The workers that another scheduler tells of, and its slots out there.
+    pub fn told<'a>(&'a self, words: &'a [[u8; 3]]) -> impl Iterator<Item = (usize, f64)> + 'a {
+        words.iter().filter_map(|&[a, b, slots]| Some((self.by_short([a, b])?, f64::from(slots))))
+    }
 }
 
 #[cfg(test)]
--- a/src/books.rs
+++ b/src/books.rs
@@ -586,3 +586,9 @@
 pub fn secs(d: Duration) -> f64 {
     d.as_secs_f64()
 }
+
+/// Time that may still pass before a start at that speed is in time for each run and the time left for it.
+pub fn spare(ends: [(f64, f64); 2], speed: f64) -> f64 {
+    let [short, long] = ends.map(|(left, run)| left - run / speed);
+    short.min(long)
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -412,17 +412,21 @@
         least.max(w.n + hidden)
     }
 
-    /// Time that may still pass before a task starts at that speed and is in time, be it short or long: the
-    /// promised time grows with the run, so a short one is bound by its wait, a long one by a slow worker.
-    fn spare(&self, task: usize, speed: f64) -> f64 {
+    /// A task's short and its long run, and the time left for each: the promised time grows with the run, so
+    /// a short one is bound by its wait, a long one by a slow worker.
+    fn ends(&self, task: usize) -> [(f64, f64); 2] {
         let (t, now) = (&self.tasks[task], secs(self.now));
         let (row, r) = (&self.sheet.workloads[t.workload], &self.runs[t.workload]);
-        let left = |run: f64| {
-            let promised = secs(t.born + row.promised) + row.stretch * run;
-            promised.min(secs(t.limit) - LAST_CALL) - now - run / speed
-        };
         let spread = if r.seen > 0.0 { r.spread } else { 0.0 }; // guards against a guess that sheds all
-        left((r.log - spread).exp()).min(left((r.log + spread).exp()))
+        [r.log - spread, r.log + spread].map(|log| {
+            let promised = secs(t.born + row.promised) + row.stretch * log.exp();
+            (promised.min(secs(t.limit) - LAST_CALL) - now, log.exp())
+        })
+    }
+
+    /// Time that may still pass before a task starts on the fastest kind and is in time.
+    fn spare(&self, task: usize) -> f64 {
+        spare(self.ends(task), self.fastest)
     }
 
     /// Guards against pushing over a cold worker: the own share of its budget needs this long for a work.
@@ -493,7 +497,7 @@
     /// for it (3), may be room (2), or it would wait but be in time (1), or be late (0).
     fn lowest(&mut self, task: usize, among: Among) -> Option<(usize, u8)> {
         self.draw(task, among);
-        let (lambda, t) = (self.lambda(), &self.tasks[task]);
+        let (lambda, ends, t) = (self.lambda(), self.ends(task), &self.tasks[task]);
         let (sparing, tells_all) = (self.talk == Talk::ToOne, self.talk == Talk::ToAll);
         let (mut sum, mut count, mut best_tier) = (0.0, 0.0, 0);
         let price = CROSSING * self.sheet.price_crossing;
@@ -509,7 +513,7 @@
             let over = needs + if guess { self.occupied(i, MAY_BE) } else { occupied };
             let beyond = occupied + needs;
             let queue = if over > 0.0 { over * self.hold / (slots * speed) } else { 0.0 };
-            let in_time = queue < self.spare(task, speed);
+            let in_time = queue < spare(ends, speed);
             // Where schedulers talk others go for the last slots too: only what is left to this one is sure.
             let care = self.workers[i].mark.checked_rem(self.sheet.talkers as u64)
                 == Some(self.sheet.position as u64);
@@ -635,8 +639,7 @@
         if self.tasks[task].stage != Stage::Out || self.tasks[task].out() > 0 {
             return None;
         }
-        let more = self.tasks[task].assignments.len() < self.sheet.most_assignments
-            && self.spare(task, self.fastest) > 0.0;
+        let more = self.tasks[task].assignments.len() < self.sheet.most_assignments && self.spare(task) > 0.0;
         if !more || !(0..self.workers.len()).any(|i| self.allowed(task, i)) {
             return Some(self.give_up(task));
         }
@@ -647,7 +650,9 @@
 
     /// A waiting task: to the lowest index; given up as soon as it cannot be in time.
     fn place(&mut self, task: usize) -> Option<Decision> {
-        let late = self.spare(task, self.fastest) <= 0.0;
+        let (spare, waited) = (self.spare(task), secs(self.now - self.tasks[task].born));
+        let late = spare <= 0.0;
+        let patient = |part: f64| waited < part * (waited + spare);
         // Guards against scoring the whole list again for all that waits while there is no room.
         let full = self.full.is_some_and(|(at, misses)| at == self.now && misses >= MISSES);
         if full && self.talk != Talk::Silent && self.tasks[task].assignments.is_empty() {
@@ -657,7 +662,7 @@
         for group in (0..2).filter(|_| keyed) {
             lowest = lowest.or_else(|| self.lowest(task, Among::Homes(group)).filter(|l| l.1 > 2));
         }
-        if lowest.is_none() && keyed && self.spare_time(task, HOMESICK) {
+        if lowest.is_none() && keyed && patient(HOMESICK) {
             return None;
         }
         let lowest = lowest.or_else(|| self.lowest(task, Among::Drawn));
@@ -665,7 +670,7 @@
         // Guards against giving way for ever to schedulers that tell nothing and queue at workers. Where all
         // talk none queues there, and what may be room is taken after some patience if a word goes to one.
         let alone = self.talk == Talk::Silent || self.sheet.talkers < self.sheet.schedulers;
-        let guess = alone || self.talk == Talk::ToOne && !self.spare_time(task, PATIENCE);
+        let guess = alone || self.talk == Talk::ToOne && !patient(PATIENCE);
         match lowest {
             Some((i, tier)) if tier == 3 || tier == 2 && guess => Some(self.assign(task, i)),
             Some((i, 1)) if alone && self.may_queue(task) => Some(self.assign(task, i)),
@@ -673,12 +678,6 @@
         }
     }
 
-    /// There is still time to wait here for room that is sure.
-    fn spare_time(&self, task: usize, part: f64) -> bool {
-        let waited = secs(self.now - self.tasks[task].born);
-        waited < part * (waited + self.spare(task, self.fastest))
-    }
-
     /// Draws a group of the workers where a data set is at home: the same at every scheduler, without
     /// a word, by highest random weight, the larger and faster ones more often; as many as the set's share of
     /// arrivals needs. Guards against each set being fetched everywhere.
@@ -772,7 +771,7 @@
                 sure && self.eligible(task, i) && self.occupied(i, MAY_BE) + t.size <= self.slots(i) + 0.1
             };
             let grace = if self.talk == Talk::ToOne { self.runs[t.workload].log.exp() } else { 0.0 };
-            let hope = if runs { limit } else { self.spare(task, self.fastest) + grace };
+            let hope = if runs { limit } else { self.spare(task) + grace };
             let mut next = limit.min(hope);
             if next <= 0.0 {
                 let answer = self.give_up(task);
