--- a/crates/berth/src/berth.rs
+++ b/crates/berth/src/berth.rs
@@ -32,6 +32,10 @@
     pub inventory: Option<Stock>,
     /// The schedulers that tell one another of workers, where they do.
     pub others: Option<Others>,
+    /// Where operators call, if anywhere.
+    pub management: Option<SocketAddr>,
+    /// A folder that this process shares with the one that takes over from it.
+    pub runtime: Option<PathBuf>,
     pub seed: u64,
     pub sheet: DutySheet,
     pub words: Words,
--- a/crates/berth/src/installation.rs
+++ b/crates/berth/src/installation.rs
@@ -124,6 +124,11 @@
         );
     }
 
+    let mut s = r.section(top, "management");
+    let management = r.optional(&mut s, "listen", address);
+    let runtime = r.optional(&mut s, "runtime", text).map(|path| folder.join(path));
+    r.close(&s);
+
     let mut log = r.section(top, "log");
     let json = r.value(&mut log, "format", one_of(&[("text", false), ("json", true)]), "text");
     let levels = [
@@ -141,6 +146,8 @@
         discovery,
         inventory,
         others,
+        management,
+        runtime,
         seed,
         sheet,
         words,
--- a/crates/berth/src/lib.rs
+++ b/crates/berth/src/lib.rs
@@ -26,7 +26,8 @@
         let read = installation::read(&name, folder, &text, layers);
         return read.map_err(|problems| problems.iter().map(Problem::to_string).collect());
     }
-    let read = platform::read(&text).map_err(|why| vec![format!("{name}: {why}")]);
+    let read = platform::read(&text, &platform::Process::from_variables())
+        .map_err(|why| vec![format!("{name}: {why}")]);
     read.map(|berth| (berth, Vec::new()))
 }
 
--- a/crates/berth/src/platform.rs
+++ b/crates/berth/src/platform.rs
@@ -6,12 +6,14 @@
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 #[derive(Deserialize)]
 struct Doc {
     name: String,
     listen: String,
     discovery: String,
+    mgmt: Option<String>,
     seed: String,
     limits: Option<LimitsDoc>,
     known: Option<ListingDoc>,
@@ -37,8 +39,23 @@
     rows.iter().map(word).collect()
 }
 
+/// What the platform tells one process alone: the file may be shared by two, the old one and the one that takes over.
+#[derive(Default)]
+pub struct Process {
+    /// The operators' address, before the file's.
+    pub management: Option<String>,
+    pub runtime: Option<PathBuf>,
+}
+
+impl Process {
+    pub fn from_variables() -> Self {
+        let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty());
+        Process { management: std::env::var("GW_MGMT").ok(), runtime: folder.map(PathBuf::from) }
+    }
+}
+
 /// Reads the file's text.
-pub fn read(text: &str) -> Result<Berth, String> {
+pub fn read(text: &str, process: &Process) -> Result<Berth, String> {
     let doc: Doc = serde_json::from_str(text).map_err(|e| e.to_string())?;
     let mut sheet = tindock_sheet::read(&doc.settings)?;
     // The platform tells no addresses of other schedulers, so there is no way for words between them.
@@ -54,12 +71,15 @@
     let sockets = doc.limits.as_ref().and_then(|l| l.sockets).unwrap_or(USUAL_DESCRIPTORS);
     let memory = doc.limits.and_then(|l| l.memory_mb).unwrap_or(USUAL_MEMORY_MB);
     let rooms = Rooms::share_out(sockets, memory)?;
+    let management = process.management.as_deref().or(doc.mgmt.as_deref()).filter(|at| !at.is_empty());
     Ok(Berth {
         name: doc.name,
         listen: address(&doc.listen, "listen")?,
         discovery: Some(address(&doc.discovery, "discovery")?),
         inventory: None,
         others: None,
+        management: management.map(|at| address(at, "mgmt")).transpose()?,
+        runtime: process.runtime.clone(),
         seed: u64::from_str_radix(&doc.seed, 16).map_err(|_| format!("seed {:?} is no number", doc.seed))?,
         sheet,
         words,
--- a/crates/scheduler/src/door.rs
+++ b/crates/scheduler/src/door.rs
@@ -7,6 +7,7 @@
 use crate::heads::Ends;
 use crate::reading::{self, Bad, Message, Rooms};
 use crate::stopping::Stopping;
+use crate::telemetry::{Outcome, Telemetry};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -43,6 +44,7 @@
     next: Cell<u64>,
     gone: Notify,
     rooms: Rooms,
+    telemetry: Rc<Telemetry>,
     sums: RefCell<BTreeMap<&'static str, u64>>,
     log: Logger,
 }
@@ -68,10 +70,11 @@
         stopping: Rc<Stopping>,
         most: usize,
         rooms: Rooms,
+        telemetry: Rc<Telemetry>,
         log: Logger,
     ) -> Rc<Self> {
         let (guests, next, gone, sums) = Default::default();
-        Rc::new(Door { exchange, words, stopping, most, guests, next, gone, rooms, sums, log })
+        Rc::new(Door { exchange, words, stopping, most, guests, next, gone, rooms, telemetry, sums, log })
     }
 
     /// Accepts until the process ends.
@@ -214,6 +217,7 @@
                 answering::heard()
             }
             Ok(Message::Task(call, _room)) => {
+                let workload = call.workload;
                 let Some(hold) = self.exchange.arrived(call) else {
                     return self.turn_down(Bad(StatusCode::BAD_REQUEST, "with an id in hand already"));
                 };
@@ -221,6 +225,12 @@
                 let waiting = Waiting { exchange: &self.exchange, place: hold.place, life: hold.life };
                 let answer = hold.answer.await.unwrap_or(Answer::BrokenOff);
                 drop(waiting);
+                let outcome = match answer {
+                    Answer::Finished(_) => Outcome::Finished,
+                    Answer::Shed { .. } => Outcome::Shed,
+                    Answer::BrokenOff | Answer::TurnedDown(_) => Outcome::BrokenOff,
+                };
+                self.telemetry.ended(&self.words.workloads[workload], outcome);
                 answering::answer(answer)
             }
             Err(bad) => self.turn_down(bad),
--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -6,6 +6,7 @@
 use crate::loads;
 use crate::news::{News, State as Said};
 use crate::peers::{self, Message, Telling};
+use crate::telemetry::Moment;
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use slog::{info, Logger};
@@ -103,6 +104,7 @@
 struct Listed {
     address: SocketAddr,
     condition: Condition,
+    banned: bool,
 }
 
 struct State {
@@ -113,6 +115,8 @@
     lives: u64,
     workers: Vec<Listed>,
     names: HashMap<Rc<str>, usize>,
+    /// Taken out by hand, also those that are not listed yet.
+    bans: BTreeSet<String>,
     reports: Vec<String>,
     /// The workers' names in words between schedulers, and the words themselves.
     names_told: Names,
@@ -151,6 +155,7 @@
             lives: 0,
             workers: Vec::new(),
             names: HashMap::new(),
+            bans: BTreeSet::new(),
             reports: Vec::new(),
             names_told: Names::default(),
             telling: Telling::default(),
@@ -352,7 +357,8 @@
         state.is_out(ticket) && {
             let hand = &state.hands[ticket.place];
             let worker = hand.outs[ticket.number].worker;
-            let ready = state.workers[worker].condition == Condition::Ready;
+            let listed = &state.workers[worker];
+            let ready = listed.condition == Condition::Ready && !listed.banned;
             hand.answer.is_some() && ready && !state.vouching.leaves_out((self.now)(), worker)
         }
     }
@@ -446,6 +452,38 @@
         !self.state.borrow().workers.is_empty()
     }
 
+    // ---- operators ----
+
+    /// Takes a worker out by hand, or puts it back; whether that changes anything, none if it was never listed.
+    pub fn ban(&self, name: &str, banned: bool) -> Option<bool> {
+        let worker = *self.state.borrow().names.get(name)?;
+        Some(self.feed(|state| {
+            let changed = if banned { state.bans.insert(name.into()) } else { state.bans.remove(name) };
+            if changed {
+                state.workers[worker].banned = banned;
+                state.rules.banned(worker, banned);
+            }
+            changed
+        }))
+    }
+
+    pub fn bans(&self) -> BTreeSet<String> {
+        self.state.borrow().bans.clone()
+    }
+
+    /// Who was out by hand before the start, whether listed yet or not.
+    pub fn banned_before(&self, names: BTreeSet<String>) {
+        self.state.borrow_mut().bans = names;
+    }
+
+    pub fn moment(&self) -> Moment {
+        self.feed(|state| Moment {
+            in_hand: state.hands.iter().filter(|hand| hand.answer.is_some()).count(),
+            listed: state.workers.iter().filter(|w| w.condition != Condition::Gone).count(),
+            avoided: state.rules.avoided(),
+        })
+    }
+
     // ---- time ----
 
     fn next(&self) -> Option<Duration> {
@@ -536,9 +574,9 @@
         let fresh = self.workers.len();
         let at = self.names.get(entry.name.as_str()).copied().unwrap_or(fresh);
         if at == fresh {
-            let name: Rc<str> = entry.name.into();
-            self.names.insert(name, fresh);
-            self.workers.push(Listed { address: entry.address, condition: entry.condition });
+            self.names.insert(entry.name.as_str().into(), fresh);
+            let banned = self.bans.contains(&*entry.name);
+            self.workers.push(Listed { address: entry.address, condition: entry.condition, banned });
         }
         let listed = &mut self.workers[at];
         if at < fresh && listed.address != entry.address {
@@ -549,6 +587,7 @@
         if at == fresh {
             let mark = self.names_told.enter(peers::address(entry.address));
             self.rules.marked(at, mark);
+            self.rules.banned(at, self.workers[at].banned);
         }
     }
 }
--- a/crates/scheduler/src/gauge.rs
+++ b/crates/scheduler/src/gauge.rs
@@ -3,7 +3,7 @@
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io::Error;
 use std::pin::Pin;
@@ -28,11 +28,18 @@
     body: Cell<usize>,
     /// The last byte waits for as long as this is set.
     holds: Cell<bool>,
+    /// Counts messages that are whole, where this one is to be counted.
+    counts: RefCell<Option<Rc<Cell<u64>>>>,
 }
 
 impl Default for Gauge {
     fn default() -> Self {
-        Gauge { count: Cell::new(Count::Nothing), body: Cell::new(0), holds: Cell::new(false) }
+        Gauge {
+            count: Cell::new(Count::Nothing),
+            body: Cell::new(0),
+            holds: Cell::new(false),
+            counts: RefCell::default(),
+        }
     }
 }
 
@@ -42,6 +49,12 @@
         self.count.set(Count::Nothing);
         self.body.set(body);
         self.holds.set(true);
+        self.counts.take();
+    }
+
+    /// The message that has begun is counted there once it is whole.
+    pub fn count_in(&self, counter: &Rc<Cell<u64>>) {
+        self.counts.replace(Some(counter.clone()));
     }
 
     pub fn untouched(&self) -> bool {
@@ -64,6 +77,9 @@
 
     pub fn written(&self, bytes: &[u8]) {
         self.count.set(self.after(bytes));
+        if self.whole() {
+            self.counts.take().iter().for_each(|counter| counter.set(counter.get() + 1));
+        }
     }
 
     fn after(&self, bytes: &[u8]) -> Count {
--- a/crates/scheduler/src/reloading.rs
+++ b/crates/scheduler/src/reloading.rs
@@ -2,9 +2,11 @@
 //! has changed in it counts from the next start on.
 
 use crate::berth::{self, Layers};
+use crate::telemetry::Telemetry;
 use slog::{info, warn, Logger};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::rc::Rc;
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
@@ -12,6 +14,7 @@
     pub path: PathBuf,
     pub layers: Layers,
     pub discovery: watch::Sender<SocketAddr>,
+    pub telemetry: Rc<Telemetry>,
     pub log: Logger,
 }
 
@@ -20,7 +23,9 @@
     pub async fn keep(self, mut told: Signal) {
         while told.recv().await.is_some() {
             // It is small and on the own machine: read at once, in the midst of all else.
-            match berth::from_file(&self.path, &self.layers) {
+            let read = berth::from_file(&self.path, &self.layers);
+            self.telemetry.reloaded(read.is_ok());
+            match read {
                 Ok(berth) => {
                     let moved = self.discovery.send_if_modified(|at| {
                         let new = berth.discovery.unwrap_or(*at);
--- a/crates/scheduler/src/sending.rs
+++ b/crates/scheduler/src/sending.rs
@@ -9,7 +9,7 @@
 use hyper::header::{HeaderValue, HOST};
 use hyper::{Method, Request, Response, StatusCode};
 use slog::{debug, info, Logger};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,7 +29,8 @@
 pub struct Sending {
     exchange: Rc<Exchange>,
     pool: Rc<Pool>,
-
+    /// Counts assignments that were written whole.
+    whole: Rc<Cell<u64>>,
     /// Assignments whose 202 has not come.
     under_way: RefCell<HashMap<Ticket, AbortHandle>>,
     log: Logger,
@@ -64,8 +65,8 @@
 }
 
 impl Sending {
-    pub fn new(exchange: Rc<Exchange>, pool: Rc<Pool>, log: Logger) -> Rc<Self> {
-        Rc::new(Sending { exchange, pool, under_way: RefCell::default(), log })
+    pub fn new(exchange: Rc<Exchange>, pool: Rc<Pool>, whole: Rc<Cell<u64>>, log: Logger) -> Rc<Self> {
+        Rc::new(Sending { exchange, pool, whole, under_way: RefCell::default(), log })
     }
 
     pub async fn carry_out(self: Rc<Self>, mut orders: mpsc::UnboundedReceiver<Order>) {
@@ -131,6 +132,7 @@
             head(&mut message, address, &call.id);
             message.headers_mut().insert(EXPIRES, HeaderValue::from(left));
             line.gauge.begin(call.body.len());
+            line.gauge.count_in(&self.whole);
             let unanswered = Unanswered { pool: &self.pool, worker, since: Instant::now() };
             match line.sender.try_send_request(message).await {
                 Ok(answer) => {
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -1,10 +1,12 @@
 //! Puts the parts together and runs them on one thread until the scheduler was told to stop.
 
+use crate::bans::Bans;
 use crate::berth::{Berth, Layers};
 use crate::clock::Clock;
 use crate::discovery::Discovery;
 use crate::door::Door;
 use crate::exchange::Exchange;
+use crate::management::Management;
 use crate::muster::Muster;
 use crate::peers::{self, Peers};
 use crate::pool::Pool;
@@ -14,14 +16,17 @@
 use crate::sending::Sending;
 use crate::stocking::Stocking;
 use crate::stopping::Stopping;
+use crate::telemetry::Telemetry;
 use crate::wire::Tcp;
 use slog::{info, o, Logger};
+use std::cell::Cell;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use tindock::rules::Rules;
 use tindock_roster::asking::{Asking, Service, LONG_WATCH};
 use tindock_roster::health::{Health, Terms};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
@@ -29,6 +34,18 @@
 /// Readings of the inventory that may wait to be taken in.
 const READINGS: usize = 4;
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// A listener; a shared address is open to the process that takes over, too.
+fn listen(at: SocketAddr, shared: bool) -> std::io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(shared)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
 /// Serves until told to stop and all is answered; an error only where it could not start.
 pub fn run(berth: Berth, path: PathBuf, layers: Layers, log: &Logger) -> Result<(), String> {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
@@ -40,7 +57,15 @@
     // Guards against an end by a signal that comes early: both are caught before anybody can take us for ready.
     let caught = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
     let (hang_up, terminate) = (caught(SignalKind::hangup())?, caught(SignalKind::terminate())?);
-    let listener = TcpListener::bind(berth.listen).await.map_err(|e| format!("{}: {e}", berth.listen))?;
+    let shared = berth.runtime.is_some();
+    let listener = listen(berth.listen, shared).map_err(|e| format!("{}: {e}", berth.listen))?;
+    let manages = match berth.management {
+        None => None,
+        Some(at) => Some(listen(at, false).map_err(|e| format!("management, {at}: {e}"))?),
+    };
+    let telemetry = Rc::new(Telemetry::default());
+    berth.words.workloads.iter().for_each(|name| telemetry.open(name));
+    let open = Rc::new(Cell::new(false));
     let part = |name: &'static str| log.new(o!("part" => name));
     let clock = Clock::start();
     let hard_limits: Vec<_> = berth.sheet.workloads.iter().map(|row| row.hard_limit).collect();
@@ -50,6 +75,8 @@
     let now = Box::new(move || clock.now());
     let (exchange, orders) = Exchange::new(rules, hard_limits, clock, now, part("rules"));
     let index = berth.known.as_ref().map(|known| known.index);
+    let bans = Bans::new(berth.runtime.as_deref(), &berth.name, part("management"));
+    exchange.banned_before(bans.read());
     exchange.begin(began, berth.known);
     let muster = match &berth.inventory {
         None => Muster::of_discovery(exchange.clone(), berth.words.clone(), part("inventory")),
@@ -78,7 +105,13 @@
     match berth.discovery {
         Some(at) => {
             let (discovery, address) = watch::channel(at);
-            let reloading = Reloading { path, layers, discovery, log: part("configuration") };
+            let reloading = Reloading {
+                path,
+                layers,
+                discovery,
+                telemetry: telemetry.clone(),
+                log: part("configuration"),
+            };
             // It is an agent on the own machine, whatever the settings say of the service behind it.
             let asking = Asking::new(Service::Agent { watch: LONG_WATCH }, index, berth.seed);
             let log = part("discovery");
@@ -90,7 +123,8 @@
         None => exchange.without_discovery(),
     }
     let pool = Rc::new(Pool::new(berth.rooms.for_workers, berth.dial, berth.keep));
-    let sending = Sending::new(exchange.clone(), pool.clone(), part("workers"));
+    let sending =
+        Sending::new(exchange.clone(), pool.clone(), telemetry.assignments.clone(), part("workers"));
     let mut told = None;
     if let Some(others) = berth.others {
         let at = others.all[others.position];
@@ -109,6 +143,7 @@
         stopping.clone(),
         berth.rooms.for_clients,
         Rooms::new(berth.rooms.for_bodies),
+        telemetry.clone(),
         part("clients"),
     );
     spawn_local(sending.carry_out(orders));
@@ -120,7 +155,14 @@
     let sums = door.clone();
     spawn_local(async move { sums.tell_sums().await });
     spawn_local(door.clone().accept(listener));
-    stopping.over(terminate, &door, &exchange).await;
+    open.set(true);
+    if let Some(listener) = manages {
+        info!(log, "operators' address is {}", listener.local_addr().map_err(|e| e.to_string())?);
+        let (exchange, open) = (exchange.clone(), open.clone());
+        let management = Management { exchange, telemetry, bans, open, log: part("management") };
+        spawn_local(Rc::new(management).accept(listener));
+    }
+    stopping.over(terminate, &door, &exchange, &open).await;
     info!(log, "{} ends", berth.name);
     Ok(())
 }
--- a/crates/scheduler/src/stopping.rs
+++ b/crates/scheduler/src/stopping.rs
@@ -46,8 +46,9 @@
     }
 
     /// Ends once the process may end: told to, all answered, and nobody comes any more.
-    pub async fn over(&self, mut told: Signal, door: &Door, exchange: &Exchange) {
+    pub async fn over(&self, mut told: Signal, door: &Door, exchange: &Exchange, open: &Cell<bool>) {
         told.recv().await;
+        open.set(false);
         let told = Instant::now();
         info!(self.log, "told to stop: what is in hand has {:.1} s", self.longest.as_secs_f64());
         self.closing.set(true);
--- /dev/null
+++ b/crates/scheduler/src/telemetry.rs
@@ -0,0 +1,83 @@
+//! The figures that operators read. Each is counted at the one place where it happens, and starts at 0 with the process.
+
+use serde::Serialize;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// How a task ended, as its client was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Finished,
+    Shed,
+    BrokenOff,
+}
+
+#[derive(Default)]
+pub struct Telemetry {
+    /// By the workload's name: one that is dropped keeps its counts, one that comes back goes on with them.
+    ends: RefCell<BTreeMap<String, [u64; 3]>>,
+    /// Assignments whose last byte was handed to the kernel.
+    pub assignments: Rc<Cell<u64>>,
+    reloads: Cell<(u64, u64)>,
+}
+
+/// What the exchange knows of the moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Moment {
+    pub in_hand: usize,
+    pub listed: usize,
+    pub avoided: usize,
+}
+
+/// The words of the operators' page.
+#[derive(Serialize)]
+struct Figures<'a> {
+    served: BTreeMap<&'a str, u64>,
+    refused: BTreeMap<&'a str, u64>,
+    failed: BTreeMap<&'a str, u64>,
+    attempts: u64,
+    in_flight: usize,
+    workers_known: usize,
+    workers_excluded: usize,
+    reloads_ok: u64,
+    reloads_failed: u64,
+}
+
+impl Telemetry {
+    /// A workload that can be handed in from now on.
+    pub fn open(&self, workload: &str) {
+        self.ends.borrow_mut().entry(workload.into()).or_default();
+    }
+
+    pub fn ended(&self, workload: &str, outcome: Outcome) {
+        if let Some(counts) = self.ends.borrow_mut().get_mut(workload) {
+            counts[outcome as usize] += 1;
+        }
+    }
+
+    pub fn reloaded(&self, taken: bool) {
+        let (ok, turned_down) = self.reloads.get();
+        self.reloads.set((ok + u64::from(taken), turned_down + u64::from(!taken)));
+    }
+
+    /// All of it as one line of JSON.
+    pub fn figures(&self, moment: Moment) -> String {
+        let ends = self.ends.borrow();
+        let by =
+            |outcome: Outcome| ends.iter().map(|(name, n)| (name.as_str(), n[outcome as usize])).collect();
+        let (reloads_ok, reloads_failed) = self.reloads.get();
+        let figures = Figures {
+            served: by(Outcome::Finished),
+            refused: by(Outcome::Shed),
+            failed: by(Outcome::BrokenOff),
+            attempts: self.assignments.get(),
+            in_flight: moment.in_hand,
+            workers_known: moment.listed,
+            workers_excluded: moment.avoided,
+            reloads_ok,
+            reloads_failed,
+        };
+        serde_json::to_string(&figures).unwrap_or_default()
+    }
+}
--- a/crates/scheduler/tests/peers/mod.rs
+++ b/crates/scheduler/tests/peers/mod.rs
@@ -124,12 +124,25 @@
     path
 }
 
-/// Starts it with this many descriptors at the most.
+/// The folder that a scheduler and the one that takes over from it have in common.
+pub fn runtime(name: &str) -> PathBuf {
+    std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.run"))
+}
+
+/// Starts it with this many descriptors at the most, and an empty runtime folder.
 pub fn spawn(name: &str, config: &str, descriptors: usize) -> Child {
+    let _ = std::fs::remove_dir_all(runtime(name));
+    std::fs::create_dir_all(runtime(name)).expect("a folder");
+    spawn_beside(name, config, descriptors)
+}
+
+/// The same with the runtime folder as it is.
+pub fn spawn_beside(name: &str, config: &str, descriptors: usize) -> Child {
     let path = write_config(name, config);
     let mut command = Command::new("sh");
     command.args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\""), env!("CARGO_BIN_EXE_tindock")]);
-    command.env("GW_CONFIG", path).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command.env("GW_CONFIG", path).env("TMPDIR", runtime(name)).env_remove("GW_MGMT");
+    command.stdout(Stdio::piped()).stderr(Stdio::piped());
     command.spawn().expect("a scheduler")
 }
 
@@ -213,6 +226,27 @@
     }
 }
 
+/// A configuration with an operators' address.
+pub fn operated(config: &str) -> String {
+    config.replacen(r#""seed""#, r#""mgmt":"127.0.0.1:0","seed""#, 1)
+}
+
+/// A scheduler whose operators' address answers there.
+pub fn operators(scheduler: &mut Scheduler) -> SocketAddr {
+    let line = scheduler.line("operators' address is ");
+    line.split("address is ").nth(1).expect("an address").trim().parse().expect("an address")
+}
+
+/// The whole answer to an operator's call, as it is written.
+pub fn call(at: SocketAddr, line: &[u8]) -> String {
+    let mut stream = TcpStream::connect(at).expect("a connection");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream.write_all(line).expect("room to write");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8(answer).expect("text")
+}
+
 /// Serves each connection on a thread of its own.
 pub fn serve_each(listener: TcpListener, serve: impl Fn(TcpStream) + Clone + Send + 'static) {
     std::thread::spawn(move || {
--- a/src/books.rs
+++ b/src/books.rs
@@ -1,6 +1,6 @@
 //! The records that the decisions are made from: what one scheduler knows of workers, tasks and run times.
 
-use crate::terms::{Condition, Ending, Energy, Site};
+use crate::terms::{Condition, Ending, Energy, Site, Workload};
 use oorandom::Rand64;
 use std::collections::{HashMap, VecDeque};
 use std::ops::{Deref, DerefMut};
@@ -44,11 +44,27 @@
     pub rest: Duration,
     /// Gave a sign of leaving on an old list: no own task before then.
     pub left_out: Duration,
+    /// Taken out by hand: draining for this scheduler, whatever the list says.
+    pub banned: bool,
 }
 
 impl Worker {
     pub fn ready(&self) -> bool {
-        self.on_list && self.condition == Some(Condition::Ready)
+        self.on_list && self.condition == Some(Condition::Ready) && !self.banned
+    }
+
+    /// Listed, but gets nothing now, by hand or by choice.
+    pub fn avoided(&self, now: Duration) -> bool {
+        let barred = self.barred.is_some_and(|until| until > now);
+        self.on_list && (self.banned || barred || self.silent || self.left_out > now)
+    }
+
+    /// Taken out by hand, or put back: then it is like one that returns, since it was worked on meanwhile.
+    pub fn ban(&mut self, banned: bool) {
+        if self.banned && !banned {
+            (self.fresh, self.silent, self.errors, self.barred, self.hidden) = (true, false, 0.0, None, 0.0);
+        }
+        self.banned = banned;
     }
 
     /// Takes down a logarithm of its speed against its kind's. A surprisingly long run outweighs what was: a worker
@@ -237,6 +253,77 @@
     pub seen: f64,
 }
 
+/// The others' share before any sighting: most workers have room.
+const OTHERS_FIRST: f64 = 0.2;
+
+/// What is learned of workloads, machine kinds and the other schedulers; it outlives the workloads' rows.
+#[derive(Clone, Default)]
+pub struct Learned {
+    pub runs: Vec<Runs>,
+    pub kinds: Vec<Kind>,
+    /// Share of its slots that others hold on a worker, by zone and kind.
+    pub others: Vec<Vec<f64>>,
+    /// Mean time a slot is held at speed 1.
+    pub hold: f64,
+    pub setup: f64,
+    /// The own part of all traffic.
+    pub mine: f64,
+}
+
+impl Learned {
+    /// Guesses, until answers come.
+    pub fn first(rows: &[Workload], schedulers: usize) -> Self {
+        let runs: Vec<Runs> = rows.iter().map(Runs::first).collect();
+        let hold = runs.iter().map(|r| r.mean).sum::<f64>() / runs.len() as f64;
+        let (setup, mine) = (hold / 16.0, 1.0 / schedulers as f64);
+        Learned { runs, hold, setup, mine, ..Learned::default() }
+    }
+
+    /// Makes room for another zone or kind.
+    pub fn make_room(&mut self, site: Site) {
+        self.kinds.resize(self.kinds.len().max(site.kind + 1), Kind::default());
+        self.others.resize(self.others.len().max(site.zone + 1), Vec::new());
+        let zone = &mut self.others[site.zone];
+        zone.resize(zone.len().max(site.kind + 1), OTHERS_FIRST);
+    }
+
+    /// Takes down a run: run times by workload and speeds by kind from their logarithms, so that neither the
+    /// mix of workloads nor one very long task passes as speed.
+    pub fn learn(&mut self, w: &mut Worker, workload: usize, size: f64, run: f64) {
+        let (kind, r, run) = (&mut self.kinds[w.site.kind], &mut self.runs[workload], run.max(1e-3));
+        let off = run.ln() - (r.log - kind.speed);
+        r.seen += 1.0;
+        r.log += off * (1.0 / r.seen).max(0.03);
+        // The mean distance of a normal spread is 0.8 of it; a worker that has slowed down adds its own.
+        r.spread += (1.25 * (off + w.apart).abs().min(2.0) - r.spread) * 0.02;
+        if r.seen > 8.0 {
+            kind.speed -= 0.02 * off;
+            w.adapt(-off, r.spread);
+        }
+        let plain = run * kind.speed.exp();
+        r.mean += (plain - r.mean) * (1.0 / r.seen).max(0.02);
+        self.hold += 0.02 * size.min(4.0) * (plain - self.hold);
+    }
+
+    /// Moves the speed that counts as 1 by this much, in logarithms: only run / speed is seen, so it would drift.
+    pub fn level(&mut self, mean: f64) {
+        self.kinds.iter_mut().for_each(|kind| kind.speed -= mean);
+        self.hold *= (-mean).exp();
+        for r in &mut self.runs {
+            (r.log, r.mean) = (r.log - mean, r.mean * (-mean).exp());
+        }
+    }
+}
+
+impl Runs {
+    /// The promised time says best how long a task runs, at first. Guards against shedding all of a
+    /// workload whose promised time hardly grows with the run, before any has run.
+    pub fn first(row: &Workload) -> Self {
+        let guess = row.promised.as_secs_f64() * ((1.0 + row.stretch) / 2.0).min(1.0);
+        Runs { log: guess.max(0.01).ln(), mean: guess.max(0.01), spread: LOG_SPREAD, seen: 0.0 }
+    }
+}
+
 pub struct Chance(pub Rand64);
 
 impl Default for Chance {
@@ -400,40 +487,6 @@
 /// From so many spreads on a run is a surprise: one in a hundred, about.
 const SURPRISE: f64 = 2.5;
 
-/// Takes down a run: run times by workload and speeds by kind from their logarithms, so that neither the
-/// mix of workloads nor one very long task passes as speed.
-pub fn learn(w: &mut Worker, kind: &mut Kind, r: &mut Runs, hold: &mut f64, size: f64, run: f64) {
-    let run = run.max(1e-3);
-    let off = run.ln() - (r.log - kind.speed);
-    r.seen += 1.0;
-    r.log += off * (1.0 / r.seen).max(0.03);
-    // The mean distance of a normal spread is 0.8 of it; a worker that has slowed down adds its own.
-    r.spread += (1.25 * (off + w.apart).abs().min(2.0) - r.spread) * 0.02;
-    if r.seen > 8.0 {
-        kind.speed -= 0.02 * off;
-        w.adapt(-off, r.spread);
-    }
-    let plain = run * kind.speed.exp();
-    r.mean += (plain - r.mean) * (1.0 / r.seen).max(0.02);
-    *hold += 0.02 * size.min(4.0) * (plain - *hold);
-}
-
-/// Moves the speed that counts as 1 by this much, in logarithms: only run / speed is seen, so it would drift.
-pub fn level(kinds: &mut [Kind], runs: &mut [Runs], hold: &mut f64, mean: f64) {
-    kinds.iter_mut().for_each(|kind| kind.speed -= mean);
-    *hold *= (-mean).exp();
-    for r in runs {
-        (r.log, r.mean) = (r.log - mean, r.mean * (-mean).exp());
-    }
-}
-
-/// Makes room for another zone or kind in a table by both.
-pub fn grow(table: &mut Vec<Vec<f64>>, site: Site, first: f64) {
-    table.resize(table.len().max(site.zone + 1), Vec::new());
-    let zone = &mut table[site.zone];
-    zone.resize(zone.len().max(site.kind + 1), first);
-}
-
 /// Slots out at a worker by the scheduler that told of them.
 #[derive(Default)]
 pub struct Told {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,7 +23,6 @@
 const BARRED_SHARE: f64 = 0.34; // at most this share of the ready workers is set aside at a time
 const HIDDEN_SPAN: f64 = 2.0; // what others have on a worker is forgotten over this: about a task or two
 const OTHERS_STEP: f64 = 0.05; // weight of one sighting in the others' share: some twenty count
-const OTHERS_FIRST: f64 = 0.2; // before any sighting: most workers have room
 const MAY_BE: f64 = 0.5; // where nothing was seen lately there may be room, or nothing would be seen again
 const MINE_STEP: f64 = 0.3; // weight of one tally in the own part of all traffic: what is out swings
 const TALLY: f64 = 1.0; // the list is added up this often: a long one takes a millisecond
@@ -73,17 +72,13 @@
     now: Duration,
     start: Duration,
     workers: Vec<Worker>,
-    kinds: Vec<Kind>,
     tasks: Slab,
     lines: [VecDeque<usize>; 2], // first and further assignments wait apart
     passed: [usize; 2],          // looked at in this pull and left waiting
     loose: Vec<usize>,
     say: VecDeque<Decision>,
-    runs: Vec<Runs>,
-    hold: f64,      // mean time a slot is held at speed 1
+    known: Learned,
     arrivals: Rate, // of slots
-    setup: f64,
-    others: Vec<Vec<f64>>,
     scores: Vec<(usize, u8, f64, f64)>,
     full: Option<(Duration, usize)>, // how many tasks found no room, last time
     roster: Roster,
@@ -102,26 +97,19 @@
     untold: f64,         // the part of the other schedulers that tells nothing
     changed: Vec<usize>, // workers where the own part has changed since the others were told
     sets: Sets,
-    mine: f64,
     shares: Vec<Bucket>,
 }
 
 impl Rules {
     pub fn new(sheet: DutySheet, seed: u64, now: Duration) -> Self {
-        // The promised time says best how long a task runs, at first. Guards against shedding all of a
-        // workload whose promised time hardly grows with the run, before any has run.
-        let guess = |w: &Workload| (secs(w.promised) * ((1.0 + w.stretch) / 2.0).min(1.0)).max(0.01);
-        let first = |w: &Workload| Runs { log: guess(w).ln(), mean: guess(w), spread: LOG_SPREAD, seen: 0.0 };
-        let runs: Vec<Runs> = sheet.workloads.iter().map(first).collect();
-        let hold = runs.iter().map(|r| r.mean).sum::<f64>() / runs.len() as f64;
-        let (setup, mine) = (hold / 16.0, 1.0 / sheet.schedulers as f64); // guesses, until answers come
+        let known = Learned::first(&sheet.workloads, sheet.schedulers);
         let times = Rules { fastest: 1.0, now, start: now, due: now, untold: 1.0, ..Rules::default() };
         let chance = Chance(Rand64::new(u128::from(seed)));
         let price = 2.0 * WORD * sheet.price_word * sheet.talkers as f64;
         let talk = if price <= TELL_ALL { Talk::ToAll } else { Talk::ToOne };
         let talk = if sheet.talkers > 1 { talk } else { Talk::Silent };
         let span = if talk == Talk::ToAll { TELL_EVERY } else { ROOM_SPAN };
-        Rules { talk, span, chance, runs, hold, setup, mine, sheet, ..times }
+        Rules { talk, span, chance, known, sheet, ..times }
     }
 
     // Inputs: they only update what is known.
@@ -148,8 +136,7 @@
             let fresh = self.now > self.start;
             self.workers.push(Worker { site, booted, seen: self.now, fresh, ..Worker::default() });
         }
-        self.kinds.resize(self.kinds.len().max(site.kind + 1), Kind::default());
-        grow(&mut self.others, site, OTHERS_FIRST);
+        self.known.make_room(site);
         let before = self.workers[i].site.zone;
         let (changed, starts) = self.workers[i].list(site, weight, is, booted);
         self.sets.lists += usize::from(changed);
@@ -159,7 +146,7 @@
         }
         if starts && self.warmth(i) < 1.0 {
             // Guards against schedulers that learn of a start together sending together.
-            let work = self.hold * self.chance.0.rand_float();
+            let work = self.known.hold * self.chance.0.rand_float();
             self.workers[i].rest = self.now + self.pause(i, work);
         }
     }
@@ -169,6 +156,17 @@
         self.workers[i].left_out = until;
     }
 
+    /// Taken out by hand, or put back.
+    pub fn banned(&mut self, i: usize, banned: bool) {
+        self.workers[i].ban(banned);
+        self.due = self.now;
+    }
+
+    /// How many listed workers get nothing now, by hand or by choice.
+    pub fn avoided(&self) -> usize {
+        self.workers.iter().filter(|w| w.avoided(self.now)).count()
+    }
+
     pub fn marked(&mut self, i: usize, mark: u64) {
         self.workers[i].mark = mark;
     }
@@ -185,7 +183,7 @@
         self.arrivals.add(size, self.now, RATE_SPAN);
         // Guards against one customer's rush: beyond the own part of its share a task has less utility.
         let mut utility = self.sheet.workloads[workload].utility;
-        if let Some(quota) = self.sheet.quotas.get(customer).map(|q| q * self.mine) {
+        if let Some(quota) = self.sheet.quotas.get(customer).map(|q| q * self.known.mine) {
             self.shares.resize(self.sheet.quotas.len(), Bucket { at: self.now, left: 1.0 });
             let within = self.shares[customer].take(self.now, quota, 1.0 + quota * SHARE_SPAN);
             utility *= if within { 1.0 } else { self.sheet.beyond_share };
@@ -206,14 +204,14 @@
         let (i, wait, ahead, size) = (a.worker, secs(now - a.sent), a.ahead, self.tasks[task].size);
         let (speed, slots, out) = (self.speed(i), self.slots(i), &mut self.tasks[task].assignments[number]);
         (out.started, out.heard) = (Some(now), now);
-        self.setup += if a.cold { 0.1 * (wait - self.setup) } else { 0.0 };
+        self.known.setup += if a.cold { 0.1 * (wait - self.known.setup) } else { 0.0 };
         self.due = if self.tasks[task].out() > 1 { now } else { self.due };
         let w = &mut self.workers[i];
         w.begins((task, number), size, now);
-        self.kinds[w.site.kind].slots = self.kinds[w.site.kind].slots.max(w.running);
+        self.known.kinds[w.site.kind].slots = self.known.kinds[w.site.kind].slots.max(w.running);
         // The wait tells what others had there: all that had to leave before, or some part of the free slots.
         let sample = if wait > AT_ONCE {
-            (slots + wait * slots * speed / self.hold - ahead - size).max(0.0)
+            (slots + wait * slots * speed / self.known.hold - ahead - size).max(0.0)
         } else {
             self.hidden(i, 1.0).min(0.6 * (slots - ahead - size).max(0.0))
         };
@@ -246,8 +244,7 @@
                 if talks && a.started.is_some_and(|at| secs(at - a.sent) <= AT_ONCE) {
                     self.rooms.freed.push((i, size));
                 }
-                let (kind, run) = (&mut self.kinds[w.site.kind], secs(now - a.started.unwrap_or(a.sent)));
-                learn(w, kind, &mut self.runs[workload], &mut self.hold, size, run);
+                self.known.learn(w, workload, size, secs(now - a.started.unwrap_or(a.sent)));
             }
             Ending::Error | Ending::Reset | Ending::ConnectFailed => {
                 w.errors += ERROR_STEP - ERROR_STEP * w.errors;
@@ -274,7 +271,7 @@
         let value = |at: Option<usize>| at.and_then(|at| report.get(at)).copied().filter(|v| v.is_finite());
         let (free, waiting) = (value(self.sheet.report_free), value(self.sheet.report_waiting));
         let Some(free) = free else { return };
-        let kind = &mut self.kinds[self.workers[i].site.kind];
+        let kind = &mut self.known.kinds[self.workers[i].site.kind];
         kind.slots = kind.slots.max(free.round());
         let (slots, sparing) = (self.slots(i), self.talk == Talk::ToOne);
         // Guards against a standstill: room that nobody knows of is found by answers of what still runs.
@@ -368,12 +365,12 @@
 
     /// Speed of one core, pooled by kind; a worker's own counts when it is clearly apart.
     fn speed(&self, i: usize) -> f64 {
-        (self.kinds[self.workers[i].site.kind].speed + self.workers[i].own_speed(self.now)).exp()
+        (self.known.kinds[self.workers[i].site.kind].speed + self.workers[i].own_speed(self.now)).exp()
     }
 
     /// Slots of a worker: the most seen at once on its kind; before that its size, which may count speed too.
     fn slots(&self, i: usize) -> f64 {
-        let (seen, weight) = (self.kinds[self.workers[i].site.kind].slots, self.workers[i].weight);
+        let (seen, weight) = (self.known.kinds[self.workers[i].site.kind].slots, self.workers[i].weight);
         if seen >= weight.floor() || self.sheet.moving_weights && seen > 0.0 { seen } else { weight }.max(1.0)
     }
 
@@ -388,7 +385,7 @@
             return w.told.sum;
         }
         let fade = (-secs(self.now.saturating_sub(w.seen)) / HIDDEN_SPAN).exp();
-        let others = self.others[w.site.zone][w.site.kind].min(most);
+        let others = self.known.others[w.site.zone][w.site.kind].min(most);
         let inferred = w.hidden * fade + others * self.slots(i) * (1.0 - fade);
         w.told.sum + self.untold * inferred
     }
@@ -397,7 +394,7 @@
         let (old, slots) = (self.hidden(i, 1.0), self.slots(i));
         let w = &mut self.workers[i];
         (w.hidden, w.seen) = (old + weight * (hidden - old), self.now);
-        let others = &mut self.others[w.site.zone][w.site.kind];
+        let others = &mut self.known.others[w.site.zone][w.site.kind];
         *others += OTHERS_STEP * ((w.hidden / slots).min(1.0) - *others);
     }
 
@@ -416,7 +413,7 @@
     /// a short one is bound by its wait, a long one by a slow worker.
     fn ends(&self, task: usize) -> [(f64, f64); 2] {
         let (t, now) = (&self.tasks[task], secs(self.now));
-        let (row, r) = (&self.sheet.workloads[t.workload], &self.runs[t.workload]);
+        let (row, r) = (&self.sheet.workloads[t.workload], &self.known.runs[t.workload]);
         let spread = if r.seen > 0.0 { r.spread } else { 0.0 }; // guards against a guess that sheds all
         [r.log - spread, r.log + spread].map(|log| {
             let promised = secs(t.born + row.promised) + row.stretch * log.exp();
@@ -433,7 +430,7 @@
     fn pause(&self, i: usize, work: f64) -> Duration {
         let (s, full) = (&self.sheet, self.slots(i) * self.speed(i));
         // Half of it is split equally, so that who sends little may send at all, half by the own traffic.
-        let part = 0.5 / s.schedulers as f64 + 0.5 * self.mine;
+        let part = 0.5 / s.schedulers as f64 + 0.5 * self.known.mine;
         let budget = COLD_ROOM * s.overload_factor * self.warmth(i) * full * part;
         Duration::from_secs_f64((work / budget).min(secs(s.warm_within)))
     }
@@ -512,7 +509,7 @@
             let guess = !sparing && self.untold > 0.0;
             let over = needs + if guess { self.occupied(i, MAY_BE) } else { occupied };
             let beyond = occupied + needs;
-            let queue = if over > 0.0 { over * self.hold / (slots * speed) } else { 0.0 };
+            let queue = if over > 0.0 { over * self.known.hold / (slots * speed) } else { 0.0 };
             let in_time = queue < spare(ends, speed);
             // Where schedulers talk others go for the last slots too: only what is left to this one is sure.
             let care = self.workers[i].mark.checked_rem(self.sheet.talkers as u64)
@@ -531,8 +528,8 @@
         scores.retain(|s| s.1 == best_tier);
         for score in &mut scores {
             let (i, occupied, able) = (score.0, score.2, score.3);
-            let (w, mu) = (&self.workers[i], able * self.warmth(i) / self.hold);
-            let delta = (1.0 / self.setup.max(1e-3)).max(1.05 * mu);
+            let (w, mu) = (&self.workers[i], able * self.warmth(i) / self.known.hold);
+            let delta = (1.0 / self.known.setup.max(1e-3)).max(1.05 * mu);
             let idle = w.n == 0.0 && secs(self.now.saturating_sub(w.used)) > IDLE_WINDOW;
             let energy = if idle { Energy::Off } else { w.energy };
             let crossing = if w.site.zone == self.sheet.zone { 0.0 } else { price };
@@ -684,7 +681,7 @@
     fn draw_homes(&mut self, set: u64, group: usize) {
         let mut sets = std::mem::take(&mut self.sets);
         let ready = (0..self.workers.len()).filter(|&i| self.workers[i].ready());
-        let able = |i: usize| self.slots(i) * self.kinds[self.workers[i].site.kind].speed.exp();
+        let able = |i: usize| self.slots(i) * self.known.kinds[self.workers[i].site.kind].speed.exp();
         if let Some(home) = sets.home(set, || ready.map(|i| (i, self.workers[i].mark, able(i)))) {
             let share = home.asked.a_second(self.now, RATE_SPAN) / self.lambda();
             let many = (share * self.roster.listed as f64).ceil().max(1.0) as usize;
@@ -710,17 +707,17 @@
 
     /// Utility per work of a task, by what its workload usually takes.
     fn density(&self, task: usize) -> f64 {
-        self.tasks[task].utility / self.runs[self.tasks[task].workload].mean
+        self.tasks[task].utility / self.known.runs[self.tasks[task].workload].mean
     }
 
     fn may_queue(&self, task: usize) -> bool {
-        let rows = self.sheet.workloads.iter().zip(&self.runs);
+        let rows = self.sheet.workloads.iter().zip(&self.known.runs);
         self.density(task) >= QUEUE_SHARE * rows.map(|(row, r)| row.utility / r.mean).fold(0.0, f64::max)
     }
 
     fn assign(&mut self, task: usize, i: usize) -> Decision {
         let now = self.now;
-        let work = self.runs[self.tasks[task].workload].mean * self.tasks[task].size;
+        let work = self.known.runs[self.tasks[task].workload].mean * self.tasks[task].size;
         let pause = self.pause(i, work);
         let (t, w) = (&mut self.tasks[task], &mut self.workers[i]);
         let off = w.n == 0.0 && secs(now.saturating_sub(w.used)) > IDLE_WINDOW;
@@ -770,7 +767,7 @@
                 let sure = self.talk != Talk::ToOne || self.room(i) >= t.size;
                 sure && self.eligible(task, i) && self.occupied(i, MAY_BE) + t.size <= self.slots(i) + 0.1
             };
-            let grace = if self.talk == Talk::ToOne { self.runs[t.workload].log.exp() } else { 0.0 };
+            let grace = if self.talk == Talk::ToOne { self.known.runs[t.workload].log.exp() } else { 0.0 };
             let hope = if runs { limit } else { self.spare(task) + grace };
             let mut next = limit.min(hope);
             if next <= 0.0 {
@@ -795,7 +792,7 @@
         let t = &self.tasks[task];
         let waits = |a: &Assignment| a.ending.is_none() && a.started.is_none();
         // Where all is told room was there: what waits met others on the way, or its worker stands still.
-        let long = if self.talk == Talk::ToAll { self.hold } else { AT_ONCE };
+        let long = if self.talk == Talk::ToAll { self.known.hold } else { AT_ONCE };
         self.sheet.tells_start
             && t.assignments.last().is_some_and(|a| waits(a) && secs(self.now - a.sent) >= long)
             && t.assignments.len() < self.sheet.most_assignments
@@ -808,19 +805,19 @@
         let mut sums = Sums::default();
         for i in (0..self.workers.len()).filter(|&i| self.workers[i].on_list) {
             let (w, slots) = (&self.workers[i], self.slots(i));
-            let others = self.others[w.site.zone][w.site.kind];
-            sums.add(w, &mut self.kinds[w.site.kind], slots, others);
+            let others = self.known.others[w.site.zone][w.site.kind];
+            sums.add(w, &mut self.known.kinds[w.site.kind], slots, others);
         }
         // Guards against a kind never used since few of its slots were seen: it has as many as all use.
-        self.kinds.iter_mut().for_each(Kind::close);
-        level(&mut self.kinds, &mut self.runs, &mut self.hold, sums.speed / f64::max(sums.fleet, 1.0));
-        self.fastest = self.kinds.iter().map(|k| k.speed.exp()).fold(1.0, f64::max);
+        self.known.kinds.iter_mut().for_each(Kind::close);
+        self.known.level(sums.speed / f64::max(sums.fleet, 1.0));
+        self.fastest = self.known.kinds.iter().map(|k| k.speed.exp()).fold(1.0, f64::max);
         (self.ready, self.fair) = (sums.ready, sums.fleet / self.sheet.schedulers as f64);
         for peer in self.peers.lost(self.now) {
             self.workers.iter_mut().for_each(|w| w.told.silence(peer));
         }
         self.untold = 1.0 - self.peers.talking() as f64 / (self.sheet.schedulers.max(2) - 1) as f64;
-        self.mine += MINE_STEP * (sums.own / (sums.own + sums.others).max(1.0) - self.mine);
+        self.known.mine += MINE_STEP * (sums.own / (sums.own + sums.others).max(1.0) - self.known.mine);
     }
 
     /// The notes on an assignment are overdue: it stands still, and its worker too if that tells no more.
