SIGHUP takes in new settings as a whole; tasks in hand keep their rows

Cause: reloading.rs took the discovery address alone, so a new workload was turned down as unknown (40 to 100% broken off from the first SIGHUP on). Ruled out: the file's reading (its problems were told already), the door's speed. Change: rows.rs, Exchange::retune, Rules::retune; the number of assignments belongs to a row; a zero or negative limit and a key that the file before had are errors. Tests: rows.rs, operators.rs (fails without: the new workload gets 404).

--- a/crates/berth/src/berth.rs
+++ b/crates/berth/src/berth.rs
@@ -2,6 +2,7 @@
 
 use crate::listing::Listing;
 use crate::words::Words;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -45,6 +46,8 @@
     /// How long a connection may stand idle before the worker may close it.
     pub keep: Duration,
     pub log: LogForm,
+    /// What the platform's file says at all, for the comparison with the next one.
+    pub keys: BTreeSet<String>,
 }
 
 /// Schedulers that tell one another of workers by datagrams: where each hears, and which of them this one is.
--- a/crates/berth/src/installation.rs
+++ b/crates/berth/src/installation.rs
@@ -5,7 +5,7 @@
 use crate::layers::{Layers, Reader, Section, Shown, Written};
 use crate::units;
 use crate::words::Words;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -114,7 +114,8 @@
     let workloads = workloads(r, top, &mut words);
     let (quotas, beyond_share) = customers(r, top, &mut words);
     let mut sheet = DutySheet { workloads, quotas, beyond_share, news: News::Pushed, ..DutySheet::default() };
-    let (dial, keep) = workers(r, top, &mut sheet, &mut words);
+    let (dial, keep, most) = workers(r, top, &mut sheet, &mut words);
+    sheet.workloads.iter_mut().for_each(|row| row.most_assignments = most);
     let others = others(r, top, &mut sheet);
     let inventory = inventory(r, top, folder);
     if inventory.is_none() && discovery.is_none() {
@@ -156,6 +157,7 @@
         dial,
         keep,
         log: LogForm { json, level },
+        keys: BTreeSet::new(),
     })
 }
 
@@ -228,7 +230,16 @@
         });
         words.workloads.push(title);
         let memory = memory.unwrap_or_default();
-        rows.push(Workload { effect, memory, promised, stretch, hard_limit, utility, kind });
+        rows.push(Workload {
+            effect,
+            memory,
+            promised,
+            stretch,
+            hard_limit,
+            utility,
+            kind,
+            most_assignments: 1,
+        });
     }
     rows
 }
@@ -257,12 +268,12 @@
     top: &mut Section<'t>,
     sheet: &mut DutySheet,
     words: &mut Words,
-) -> (Duration, Duration) {
+) -> (Duration, Duration, usize) {
     let mut s = r.section(top, "workers");
     sheet.schedulers = r.value(&mut s, "schedulers", whole(1, 100_000), "1") as usize;
     sheet.may_cancel = r.value(&mut s, "call-off", flag, "true");
 
-    sheet.most_assignments = r.value(&mut s, "most-assignments", whole(1, 100), "5") as usize;
+    let most = r.value(&mut s, "most-assignments", whole(1, 100), "5") as usize;
     sheet.tells_start = r.value(&mut s, "tell-start", flag, "false");
     sheet.progress_every = r.optional(&mut s, "progress-every", span(10 * MS));
     sheet.overload_factor = r.value(&mut s, "overload-factor", number(0.1, 1000.0), "3");
@@ -278,7 +289,7 @@
     let dial = r.value(&mut s, "connect-within", span(MS), "250ms");
     let keep = r.value(&mut s, "keep-idle", span(100 * MS), "30s");
     r.close(&s);
-    (dial, keep)
+    (dial, keep, most)
 }
 
 /// The most schedulers that tell one another of workers.
--- a/crates/berth/src/platform.rs
+++ b/crates/berth/src/platform.rs
@@ -5,6 +5,7 @@
 use crate::words::Words;
 use serde::Deserialize;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -54,6 +55,18 @@
     }
 }
 
+/// Keys that come and go: what is known at a start, and what the process is told beside the file.
+const PASSING: [&str; 2] = ["known", "mgmt"];
+
+/// The keys of the file and of its settings.
+fn keys(text: &str) -> Result<BTreeSet<String>, String> {
+    let whole: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let of = |value: &Value| value.as_object().map_or(Vec::new(), |o| o.keys().cloned().collect());
+    let inner = whole.get("settings").map_or(Vec::new(), of);
+    let inner = inner.iter().map(|key| format!("settings.{key}"));
+    Ok(of(&whole).into_iter().filter(|key| !PASSING.contains(&key.as_str())).chain(inner).collect())
+}
+
 /// Reads the file's text.
 pub fn read(text: &str, process: &Process) -> Result<Berth, String> {
     let doc: Doc = serde_json::from_str(text).map_err(|e| e.to_string())?;
@@ -67,6 +80,10 @@
         kinds: words(&doc.settings, "skus", None)?,
         reports: words(doc.settings.get("reporting").unwrap_or(&Value::Null), "names", None)?,
     };
+    if let Some(again) = words.workloads.iter().enumerate().find(|(at, w)| words.workloads[..*at].contains(w))
+    {
+        return Err(format!("settings: workload {:?} again", again.1));
+    }
     let known = doc.known.map(|known| known.decode(&mut words)).transpose()?;
     let sockets = doc.limits.as_ref().and_then(|l| l.sockets).unwrap_or(USUAL_DESCRIPTORS);
     let memory = doc.limits.and_then(|l| l.memory_mb).unwrap_or(USUAL_MEMORY_MB);
@@ -88,5 +105,6 @@
         dial: tindock_sheet::span(&doc.settings, "/caps/dial_timeout_s")?,
         keep: tindock_sheet::span(&doc.settings, "/caps/keepalive_s")?,
         log: LogForm::default(),
+        keys: keys(text)?,
     })
 }
--- a/crates/berth/src/words.rs
+++ b/crates/berth/src/words.rs
@@ -25,6 +25,11 @@
 }
 
 impl Words {
+    /// The index of a machine kind, added if it is new.
+    pub fn kind(&mut self, kind: String) -> Result<usize, String> {
+        index(&mut self.kinds, kind)
+    }
+
     /// The indices of a zone and a kind, added if they are new.
     pub fn site(&mut self, zone: String, kind: String, cell: usize) -> Result<tindock::terms::Site, String> {
         let (zone, kind) = (index(&mut self.zones, zone)?, index(&mut self.kinds, kind)?);
--- a/crates/scheduler/benches/applying.rs
+++ b/crates/scheduler/benches/applying.rs
@@ -12,6 +12,7 @@
 use tindock_scheduler::clock::Clock;
 use tindock_scheduler::exchange::Exchange;
 use tindock_scheduler::muster::Muster;
+use tindock_scheduler::rows::Rows;
 use tindock_scheduler::stocking::{Filed, Told};
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, LocalSet};
@@ -66,17 +67,13 @@
                 hard_limit: Duration::from_secs(10),
                 utility: 1.0,
                 kind: None,
-            };
-            let sheet = DutySheet {
-                workloads: vec![row],
-                schedulers: 1,
                 most_assignments: 3,
-                ..DutySheet::default()
             };
+            let sheet = DutySheet { workloads: vec![row], schedulers: 1, ..DutySheet::default() };
+            let rows = Rows::new(&sheet, &Words::default());
             let rules = Rules::new(sheet, 7, clock.now());
             let now = Box::new(move || clock.now());
-            let (exchange, _orders) =
-                Exchange::new(rules, vec![Duration::from_secs(10)], clock, now, log.clone());
+            let (exchange, _orders) = Exchange::new(rules, rows, clock, now, log.clone());
             let muster = Muster::with_files(exchange, Words::default(), None, log);
             let (tell, told) = mpsc::channel(4);
             let keeps = muster.clone();
--- a/crates/scheduler/src/door.rs
+++ b/crates/scheduler/src/door.rs
@@ -1,11 +1,11 @@
 //! The server side: accepts connections of clients and workers, and answers what they ask.
 
 use crate::answering::{self, Reply};
-use crate::berth::Words;
 use crate::exchange::{Answer, Exchange};
 use crate::guest::{Guest, Standing, Watched};
 use crate::heads::Ends;
 use crate::reading::{self, Bad, Message, Rooms};
+use crate::rows::Titles;
 use crate::stopping::Stopping;
 use crate::telemetry::{Outcome, Telemetry};
 use hyper::body::Incoming;
@@ -37,7 +37,7 @@
 
 pub struct Door {
     exchange: Rc<Exchange>,
-    words: Rc<Words>,
+    names: RefCell<Titles>,
     stopping: Rc<Stopping>,
     most: usize,
     guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
@@ -66,7 +66,6 @@
 impl Door {
     pub fn new(
         exchange: Rc<Exchange>,
-        words: Rc<Words>,
         stopping: Rc<Stopping>,
         most: usize,
         rooms: Rooms,
@@ -74,7 +73,8 @@
         log: Logger,
     ) -> Rc<Self> {
         let (guests, next, gone, sums) = Default::default();
-        Rc::new(Door { exchange, words, stopping, most, guests, next, gone, rooms, telemetry, sums, log })
+        let names = RefCell::new(exchange.names());
+        Rc::new(Door { exchange, names, stopping, most, guests, next, gone, rooms, telemetry, sums, log })
     }
 
     /// Accepts until the process ends.
@@ -138,6 +138,13 @@
         }
     }
 
+    /// Takes tasks by what is in force now.
+    pub fn rename(&self) {
+        let names = self.exchange.names();
+        names.workloads.iter().flatten().for_each(|name| self.telemetry.open(name));
+        self.names.replace(names);
+    }
+
     /// Every connection ends after the message in hand, idle ones now.
     pub fn dismiss_all(&self) {
         self.guests.borrow().values().for_each(|guest| guest.ask_to_leave());
@@ -207,7 +214,7 @@
         if ends == Ends::Unclear {
             return self.turn_down(Bad(StatusCode::BAD_REQUEST, "with unclear lengths"));
         }
-        let read = reading::read(call, &self.words, &self.rooms).await;
+        let read = reading::read(call, &self.names, &self.rooms).await;
         guest.read();
         match read {
             Ok(Message::Health) => answering::health(self.exchange.can_decide()),
@@ -217,7 +224,7 @@
                 answering::heard()
             }
             Ok(Message::Task(call, _room)) => {
-                let workload = call.workload;
+                let workload = self.names.borrow().workloads[call.workload].clone();
                 let Some(hold) = self.exchange.arrived(call) else {
                     return self.turn_down(Bad(StatusCode::BAD_REQUEST, "with an id in hand already"));
                 };
@@ -230,7 +237,7 @@
                     Answer::Shed { .. } => Outcome::Shed,
                     Answer::BrokenOff | Answer::TurnedDown(_) => Outcome::BrokenOff,
                 };
-                self.telemetry.ended(&self.words.workloads[workload], outcome);
+                self.telemetry.ended(workload.as_deref().unwrap_or_default(), outcome);
                 answering::answer(answer)
             }
             Err(bad) => self.turn_down(bad),
--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -6,6 +6,7 @@
 use crate::loads;
 use crate::news::{News, State as Said};
 use crate::peers::{self, Message, Telling};
+use crate::rows::{Rows, Titles};
 use crate::telemetry::Moment;
 use bytes::Bytes;
 use hyper::header::HeaderMap;
@@ -16,8 +17,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tindock::rules::Rules;
-use tindock::terms::{Condition, Decision};
+use tindock::terms::{Condition, Decision, DutySheet};
 use tindock_berth::listing::{Entry, Listing};
+use tindock_berth::Words;
 use tindock_roster::vouching::Vouching;
 use tindock_words::{Address, Names};
 use tokio::sync::{mpsc, oneshot, Notify};
@@ -92,6 +94,7 @@
 
 struct Hand {
     id: Rc<str>,
+    workload: usize,
     /// Until the final answer: its body takes memory.
     call: Option<Rc<Call>>,
     life: u64,
@@ -109,6 +112,7 @@
 
 struct State {
     rules: Rules,
+    rows: Rows,
     vouching: Vouching,
     hands: Vec<Hand>,
     places: HashMap<Rc<str>, usize>,
@@ -131,7 +135,6 @@
     state: RefCell<State>,
     now: Box<dyn Fn() -> Duration>,
     clock: Clock,
-    hard_limits: Vec<Duration>,
     /// Not bounded by itself: it is emptied at once, and tasks in hand are bounded by the door.
     orders: mpsc::UnboundedSender<Order>,
     bell_moved: Notify,
@@ -141,7 +144,7 @@
 impl Exchange {
     pub fn new(
         rules: Rules,
-        hard_limits: Vec<Duration>,
+        rows: Rows,
         clock: Clock,
         now: Box<dyn Fn() -> Duration>,
         log: Logger,
@@ -149,6 +152,7 @@
         let (orders, taken) = mpsc::unbounded_channel();
         let state = State {
             rules,
+            rows,
             vouching: Vouching::new(now()),
             hands: Vec::new(),
             places: HashMap::new(),
@@ -164,7 +168,7 @@
             bell: None,
         };
         let (state, bell_moved) = (RefCell::new(state), Notify::new());
-        (Rc::new(Exchange { state, now, clock, hard_limits, orders, bell_moved, log }), taken)
+        (Rc::new(Exchange { state, now, clock, orders, bell_moved, log }), taken)
     }
 
     /// The start: the list as it was last had, at the very time that the module was made. Guards against
@@ -243,7 +247,7 @@
         if self.state.borrow().in_hand(&call.id) {
             return None;
         }
-        let hard = self.hard_limits[call.workload];
+        let hard = self.state.borrow().rows.table[call.workload].hard_limit;
         let left = call.left.map_or(hard, |left| left.min(hard));
         let now = (self.now)();
         let held = self.feed(|state| {
@@ -252,8 +256,9 @@
             state.lives += 1;
             let (life, limit) = (state.lives, now + left);
             state.places.insert(call.id.clone(), place);
-            let (id, answer) = (call.id.clone(), Some(answer));
-            let hand = Hand { id, call: Some(Rc::new(call)), life, limit, answer, outs: Vec::new() };
+            let (id, workload, answer) = (call.id.clone(), call.workload, Some(answer));
+            let hand =
+                Hand { id, workload, call: Some(Rc::new(call)), life, limit, answer, outs: Vec::new() };
             if place == state.hands.len() {
                 state.hands.push(hand);
             } else {
@@ -454,6 +459,24 @@
 
     // ---- operators ----
 
+    /// The names by which tasks are taken now.
+    pub fn names(&self) -> Titles {
+        self.state.borrow().rows.titles()
+    }
+
+    /// The sheet of a new file, whole and checked; the longest hard limit from now on.
+    pub fn retune(&self, sheet: DutySheet, words: &Words) -> Duration {
+        self.feed(|state| {
+            let hands = &state.hands;
+            let is_busy = |hand: &Hand| hand.answer.is_some() || hand.outs.iter().any(|out| !out.over);
+            let busy = |row| hands.iter().any(|hand| hand.workload == row && is_busy(hand));
+            let before = state.rows.retune(&words.workloads, &sheet.workloads, busy);
+            state.rows.customers.clone_from(&words.customers);
+            state.rules.retune(state.rows.sheet(sheet), &before);
+            state.rows.table.iter().map(|row| row.hard_limit).max().unwrap_or_default()
+        })
+    }
+
     /// Takes a worker out by hand, or puts it back; whether that changes anything, none if it was never listed.
     pub fn ban(&self, name: &str, banned: bool) -> Option<bool> {
         let worker = *self.state.borrow().names.get(name)?;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod probing;
 pub mod reading;
 pub mod reloading;
+pub mod rows;
 pub mod sending;
 pub mod shelves;
 pub mod start;
--- a/crates/scheduler/src/muster.rs
+++ b/crates/scheduler/src/muster.rs
@@ -48,6 +48,11 @@
         Rc::new(Muster { exchange, words: RefCell::new(words), files, handed_on: Cell::new(0), log })
     }
 
+    /// The index of a machine kind at all who know it by name.
+    pub fn kind(&self, kind: String) -> Result<usize, String> {
+        self.words.borrow_mut().kind(kind)
+    }
+
     /// Decodes an answer of discovery, which may bring words that are new to all.
     pub fn decode(&self, body: &[u8]) -> Result<Listing, String> {
         listing::decode(body, &mut self.words.borrow_mut())
--- a/crates/scheduler/src/reading.rs
+++ b/crates/scheduler/src/reading.rs
@@ -1,13 +1,14 @@
 //! A message from outside, decoded once into what it asks for, or the status that turns it down.
 
-use crate::berth::Words;
 use crate::exchange::Call;
 use crate::news::{self, News};
+use crate::rows::Titles;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode};
+use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -88,7 +89,7 @@
     }
 }
 
-pub async fn read(call: Request<Incoming>, words: &Words, rooms: &Rooms) -> Result<Message, Bad> {
+pub async fn read(call: Request<Incoming>, names: &RefCell<Titles>, rooms: &Rooms) -> Result<Message, Bad> {
     let (head, rest) = call.into_parts();
     let path = head.uri.path();
     match path {
@@ -104,9 +105,9 @@
         _ => {}
     }
     let first = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-    let Some(workload) = words.workloads.iter().position(|name| name == first) else {
-        return bad(StatusCode::NOT_FOUND, "for no workload");
-    };
+    // By the time that it is whole its workload may have changed: what is in force then binds.
+    let row = || names.borrow().row(first).map_or_else(|| bad(StatusCode::NOT_FOUND, "for no workload"), Ok);
+    row()?;
     if head.method != Method::POST {
         return bad(StatusCode::METHOD_NOT_ALLOWED, METHOD);
     }
@@ -123,12 +124,13 @@
     let size = size(text(&head.headers, "x-props")?.unwrap_or_default())?;
     // A customer that is not listed has no share to keep to.
     let customer = text(&head.headers, "x-customer")?;
-    let customer = words.customers.iter().position(|name| Some(name.as_str()) == customer);
+    let customer = names.borrow().customers.iter().position(|name| Some(name.as_str()) == customer);
     let target = head.uri.path_and_query().map_or(path, |whole| whole.as_str()).to_owned();
     let (id, customer) = (id.into(), customer.unwrap_or(usize::MAX));
     let headers = passed_on(head.headers);
     let room = room(&rest, &rooms.tasks).await?;
     let body = body(rest).await?;
+    let workload = row()?;
     Ok(Message::Task(Call { id, workload, customer, size, left, target, headers, body }, room))
 }
 
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -13,6 +13,7 @@
 use crate::probing;
 use crate::reading::Rooms;
 use crate::reloading::Reloading;
+use crate::rows::Rows;
 use crate::sending::Sending;
 use crate::stocking::Stocking;
 use crate::stopping::Stopping;
@@ -64,16 +65,16 @@
         Some(at) => Some(listen(at, false).map_err(|e| format!("management, {at}: {e}"))?),
     };
     let telemetry = Rc::new(Telemetry::default());
-    berth.words.workloads.iter().for_each(|name| telemetry.open(name));
     let open = Rc::new(Cell::new(false));
     let part = |name: &'static str| log.new(o!("part" => name));
     let clock = Clock::start();
-    let hard_limits: Vec<_> = berth.sheet.workloads.iter().map(|row| row.hard_limit).collect();
-    let stopping = Rc::new(Stopping::new(&hard_limits, part("stopping")));
+    let stopping = Rc::new(Stopping::new(part("stopping")));
+    stopping.reaches(berth.sheet.workloads.iter().map(|row| row.hard_limit).max().unwrap_or_default());
+    let rows = Rows::new(&berth.sheet, &berth.words);
     let began = clock.now();
     let rules = Rules::new(berth.sheet, berth.seed, began);
     let now = Box::new(move || clock.now());
-    let (exchange, orders) = Exchange::new(rules, hard_limits, clock, now, part("rules"));
+    let (exchange, orders) = Exchange::new(rules, rows, clock, now, part("rules"));
     let index = berth.known.as_ref().map(|known| known.index);
     let bans = Bans::new(berth.runtime.as_deref(), &berth.name, part("management"));
     exchange.banned_before(bans.read());
@@ -102,23 +103,23 @@
             muster
         }
     };
+    let mut moved = None;
     match berth.discovery {
         Some(at) => {
-            let (discovery, address) = watch::channel(at);
-            let reloading = Reloading {
-                path,
-                layers,
-                discovery,
-                telemetry: telemetry.clone(),
-                log: part("configuration"),
-            };
+            let (tell, address) = watch::channel(at);
+            moved = Some(tell);
             // It is an agent on the own machine, whatever the settings say of the service behind it.
             let asking = Asking::new(Service::Agent { watch: LONG_WATCH }, index, berth.seed);
             let log = part("discovery");
-            let discovery =
-                Discovery { exchange: exchange.clone(), wire: Rc::new(Tcp), muster, address, asking, log };
+            let discovery = Discovery {
+                exchange: exchange.clone(),
+                wire: Rc::new(Tcp),
+                muster: muster.clone(),
+                address,
+                asking,
+                log,
+            };
             spawn_local(discovery.keep());
-            spawn_local(reloading.keep(hang_up));
         }
         None => exchange.without_discovery(),
     }
@@ -136,16 +137,28 @@
         spawn_local(peers.hear());
     }
     exchange.equip(berth.words.reports.clone(), told);
-    let words = Rc::new(berth.words);
     let door = Door::new(
         exchange.clone(),
-        words,
         stopping.clone(),
         berth.rooms.for_clients,
         Rooms::new(berth.rooms.for_bodies),
         telemetry.clone(),
         part("clients"),
     );
+    door.rename();
+    let reloading = Reloading {
+        path,
+        layers,
+        keys: berth.keys,
+        discovery: moved,
+        exchange: exchange.clone(),
+        muster,
+        door: door.clone(),
+        stopping: stopping.clone(),
+        telemetry: telemetry.clone(),
+        log: part("configuration"),
+    };
+    spawn_local(reloading.keep(hang_up));
     spawn_local(sending.carry_out(orders));
     spawn_local(async move { pool.tend().await });
     let timer = exchange.clone();
--- a/crates/scheduler/src/stopping.rs
+++ b/crates/scheduler/src/stopping.rs
@@ -23,19 +23,23 @@
 
 pub struct Stopping {
     /// When what is unanswered is broken off, from when it was told to stop.
-    longest: Duration,
+    longest: Cell<Duration>,
     closing: Cell<bool>,
     last: Cell<Option<Instant>>,
     log: Logger,
 }
 
 impl Stopping {
-    pub fn new(hard_limits: &[Duration], log: Logger) -> Self {
-        let wait = hard_limits.iter().max().copied().unwrap_or_default().min(LONGEST_WAIT);
-        let longest = wait + KILL_AFTER - LAST_ANSWERS;
+    pub fn new(log: Logger) -> Self {
+        let longest = Cell::new(LONGEST_WAIT);
         Stopping { longest, closing: Cell::new(false), last: Cell::new(None), log }
     }
 
+    /// The longest hard limit of all that may be in hand.
+    pub fn reaches(&self, hard_limit: Duration) {
+        self.longest.set(hard_limit.min(LONGEST_WAIT) + KILL_AFTER - LAST_ANSWERS);
+    }
+
     /// Whether connections end after the message in hand.
     pub fn is_closing(&self) -> bool {
         self.closing.get()
@@ -50,12 +54,12 @@
         told.recv().await;
         open.set(false);
         let told = Instant::now();
-        info!(self.log, "told to stop: what is in hand has {:.1} s", self.longest.as_secs_f64());
+        info!(self.log, "told to stop: what is in hand has {:.1} s", self.longest.get().as_secs_f64());
         self.closing.set(true);
         door.dismiss_all();
         loop {
             tokio::time::sleep(LOOK).await;
-            if told.elapsed() >= self.longest {
+            if told.elapsed() >= self.longest.get() {
                 exchange.close();
             }
             let quiet = self.last.get().is_none_or(|last| last.elapsed() >= QUIET);
--- a/crates/scheduler/tests/discovery.rs
+++ b/crates/scheduler/tests/discovery.rs
@@ -20,6 +20,7 @@
 use tindock_scheduler::discovery::Discovery;
 use tindock_scheduler::exchange::Exchange;
 use tindock_scheduler::muster::Muster;
+use tindock_scheduler::rows::Rows;
 use tindock_scheduler::wire::{Dialled, Stream, Wire};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::sync::watch;
@@ -146,7 +147,7 @@
         let clock = Clock::start();
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let sheet = duty(&[Effect::Idempotent]);
-        let hard = sheet.workloads.iter().map(|row| row.hard_limit).collect();
+        let hard = Rows::new(&sheet, &Words::default());
         let rules = Rules::new(sheet, 7, clock.now());
         let now = Box::new(move || clock.now());
         let (exchange, _orders) = Exchange::new(rules, hard, clock, now, log.clone());
--- a/crates/scheduler/tests/exchange.rs
+++ b/crates/scheduler/tests/exchange.rs
@@ -11,11 +11,13 @@
 use std::time::Duration;
 use tindock::rules::Rules;
 use tindock::terms::{Condition, DutySheet, Effect, Site};
+use tindock_scheduler::berth::Words;
 use tindock_scheduler::clock::Clock;
 use tindock_scheduler::endings::Close;
 use tindock_scheduler::exchange::{Call, Exchange, Hold, Order, Ticket};
 use tindock_scheduler::listing::{Entry, Listing};
 use tindock_scheduler::news;
+use tindock_scheduler::rows::Rows;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 struct Floor {
@@ -42,7 +44,7 @@
 impl Floor {
     fn new(sheet: DutySheet, workers: usize) -> Self {
         let now = Rc::new(Cell::new(ms(1_000_000)));
-        let (reads, hard) = (now.clone(), sheet.workloads.iter().map(|row| row.hard_limit).collect());
+        let (reads, hard) = (now.clone(), Rows::new(&sheet, &Words::default()));
         let rules = Rules::new(sheet, 7, now.get());
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let (exchange, orders) =
--- a/crates/scheduler/tests/operators.rs
+++ b/crates/scheduler/tests/operators.rs
@@ -122,3 +122,54 @@
     let at = operators(&mut next);
     assert!(call(at, b"telemetry\n").contains(r#""workers_known":1,"workers_excluded":1"#));
 }
+
+/// Guards against a new file that is taken in by halves: tasks in hand keep their rules, others come and go at once,
+/// and from a broken file nothing is taken.
+#[test]
+fn a_new_file_changes_the_workloads_and_a_broken_one_nothing() {
+    let (mut scheduler, at, workers, discovery) = start("retuned", 1);
+    let entries = [entry("w0", workers[0].local_addr().expect("its address"), "active")];
+    let first = operated(&config(discovery.local_addr().expect("its address"), &entries, 128));
+    let mut waiting = Peer::connect(scheduler.address);
+    waiting.post("/release", "r1", "x");
+    let mut line = Peer::accept(&workers[0]);
+    line.read();
+    line.taken();
+    // "release" may be repeated from now on, "plan" is dropped, "count" is new.
+    let second = first.replace(r#""fragile""#, r#""retryable""#).replace(r#""plan""#, r#""count""#);
+    scheduler.reload("retuned", &second);
+    scheduler.line("workloads count, release");
+    let mut client = Peer::connect(scheduler.address);
+    client.post("/plan", "r2", "x");
+    assert_eq!(client.read().first, "HTTP/1.1 404 Not Found");
+    let mut client = Peer::connect(scheduler.address);
+    client.post("/count", "r3", "x");
+    line.read();
+    line.taken();
+    scheduler.done("r3", "w0", "counted");
+    assert_eq!(client.read().body, "counted");
+    // It came when it was not to be repeated.
+    scheduler.news(r#"{"id":"r1","from":"w0","state":"lost"}"#);
+    assert_eq!(waiting.read().first, "HTTP/1.1 500 Internal Server Error");
+    let broken = [
+        String::new(),
+        second[..second.len() / 2].into(),
+        second.replace(r#""hard_limit_s": 15"#, r#""hard_limit_s": 0"#),
+        second.replace(r#""hard_limit_s": 15"#, r#""hard_limit_s": "soon""#),
+        second.replace(r#""most_assignments": 3"#, r#""most_assignments": -1"#),
+        second.replace(r#""most_assignments": 3,"#, ""),
+        second.replace(r#""domain": {"class_stretch": [2.0, 2.0]},"#, ""),
+        second.replace(r#""limits":{"sockets":128},"#, ""),
+    ];
+    let said = |line: String| line.split(".json: ").nth(1).or(line.split("kept: ").nth(1)).map(String::from);
+    let why: String = broken
+        .iter()
+        .flat_map(|text| {
+            // Neither the other address nor the other workload is taken from it.
+            scheduler
+                .reload("retuned", &text.replace(r#""count""#, r#""sum""#).replace("127.0.0.1", "127.0.0.9"));
+            said(scheduler.line("turned down, the old one is kept"))
+        })
+        .collect();
+    insta::assert_snapshot!(why + &call(at, b"telemetry\n"));
+}
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -23,6 +23,19 @@
     span_of(seconds).ok_or_else(|| format!("settings: {seconds} at {path} is no time"))
 }
 
+/// Guards against a file that is broken by a zero: everything would be shed, or nothing tried.
+fn positive(of: &Value, path: &str) -> Read<f64> {
+    let found = number(of, path)?;
+    if found <= 0.0 {
+        return Err(format!("settings: {found} at {path} is no positive number"));
+    }
+    Ok(found)
+}
+
+fn positive_span(of: &Value, path: &str) -> Read<Duration> {
+    positive(of, path).and_then(|_| span(of, path))
+}
+
 fn word<'a>(of: &'a Value, path: &str) -> Read<&'a str> {
     of.pointer(path).and_then(Value::as_str).ok_or_else(|| format!("settings: no text at {path}"))
 }
@@ -59,11 +72,12 @@
         effect,
         memory: optional(info, &at("window_s"))?
             .map_or(Ok(Duration::ZERO), |_| span(info, &at("window_s")))?,
-        promised: span(info, &at("promised_time_s"))?,
+        promised: positive_span(info, &at("promised_time_s"))?,
         stretch: stretch.unwrap_or(0.0),
-        hard_limit: span(info, &at("hard_limit_s"))?,
+        hard_limit: positive_span(info, &at("hard_limit_s"))?,
         utility: number(info, &at("utility"))?,
         kind: kind.filter(|k| *k >= 0.0).map(|k| k as usize),
+        most_assignments: positive(info, "/caps/most_assignments")?.max(1.0) as usize,
     })
 }
 
@@ -106,7 +120,6 @@
         may_cancel: flag(info, "/caps/cancel"),
 
         come_back: come_back.transpose()?,
-        most_assignments: number(info, "/caps/most_assignments")?.max(1.0) as usize,
         progress_every: span_of(progress).filter(|gap| !gap.is_zero()),
         tells_start: flag(info, "/domain/tells_start"),
         moving_weights: match optional_word(info, "/weights") {
--- a/src/books.rs
+++ b/src/books.rs
@@ -211,6 +211,11 @@
         self.assignments.iter().filter(|a| !a.ending.is_some_and(Ending::proves_never_ran))
     }
 
+    /// Whether one more assignment is allowed.
+    pub fn may_go_on(&self, rows: &[Workload]) -> bool {
+        self.assignments.len() < rows[self.workload].most_assignments
+    }
+
     pub fn out(&self) -> usize {
         self.assignments.iter().filter(|a| a.ending.is_none()).count()
     }
@@ -279,6 +284,14 @@
         Learned { runs, hold, setup, mine, ..Learned::default() }
     }
 
+    /// Other rows, each with the one before that it goes on from.
+    pub fn retune(&mut self, rows: &[Workload], before: &[Option<usize>]) {
+        let runs = |(row, from): (&Workload, &Option<usize>)| {
+            from.map_or_else(|| Runs::first(row), |at| self.runs[at])
+        };
+        self.runs = rows.iter().zip(before).map(runs).collect();
+    }
+
     /// Makes room for another zone or kind.
     pub fn make_room(&mut self, site: Site) {
         self.kinds.resize(self.kinds.len().max(site.kind + 1), Kind::default());
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -114,6 +114,12 @@
 
     // Inputs: they only update what is known.
 
+    /// Another sheet, each row with the one before whose figures it goes on with. Tasks in hand keep their row.
+    pub fn retune(&mut self, sheet: DutySheet, before: &[Option<usize>]) {
+        self.known.retune(&sheet.workloads, before);
+        (self.sheet, self.due) = (sheet, self.now);
+    }
+
     pub fn clock(&mut self, now: Duration) {
         self.now = now;
     }
@@ -190,7 +196,7 @@
         }
         // A client's repeat counts from its first try, which the time left tells.
         let born = self.now.saturating_sub(self.sheet.workloads[workload].hard_limit.saturating_sub(left));
-        let place = self.tasks.open(self.sheet.most_assignments);
+        let place = self.tasks.open(self.sheet.workloads[workload].most_assignments);
         let t = &mut self.tasks[place];
         (t.stage, t.workload, t.size, t.utility) = (Stage::First, workload, size, utility);
         (t.born, t.limit) = (born, self.now + left);
@@ -636,7 +642,7 @@
         if self.tasks[task].stage != Stage::Out || self.tasks[task].out() > 0 {
             return None;
         }
-        let more = self.tasks[task].assignments.len() < self.sheet.most_assignments && self.spare(task) > 0.0;
+        let more = self.tasks[task].may_go_on(&self.sheet.workloads) && self.spare(task) > 0.0;
         if !more || !(0..self.workers.len()).any(|i| self.allowed(task, i)) {
             return Some(self.give_up(task));
         }
@@ -795,7 +801,7 @@
         let long = if self.talk == Talk::ToAll { self.known.hold } else { AT_ONCE };
         self.sheet.tells_start
             && t.assignments.last().is_some_and(|a| waits(a) && secs(self.now - a.sent) >= long)
-            && t.assignments.len() < self.sheet.most_assignments
+            && t.may_go_on(&self.sheet.workloads)
             && self.sheet.workloads[t.workload].effect != Effect::Unrepeatable
     }
 
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -36,7 +36,7 @@
 }
 
 /// One row of the workload table: only what the decisions read.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Workload {
     pub effect: Effect,
     /// How long deduplicating workers remember, from the first assignment that might have run.
@@ -48,6 +48,7 @@
     pub utility: f64,
     /// The one machine kind that runs it, if only one does.
     pub kind: Option<usize>,
+    pub most_assignments: usize,
 }
 
 /// How news of the workers reaches this scheduler.
@@ -77,7 +78,6 @@
 
     /// Longest come-back time that clients heed; none where they are not told.
     pub come_back: Option<Duration>,
-    pub most_assignments: usize,
     /// Gap between progress notes, none where workers send none.
     pub progress_every: Option<Duration>,
     pub tells_start: bool,
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -17,6 +17,7 @@
         hard_limit: ms(8000),
         utility: 1.0,
         kind: None,
+        most_assignments: 5,
     }
 }
 
@@ -27,7 +28,6 @@
         news: News::Pushed,
         may_cancel: true,
         come_back: Some(ms(2000)),
-        most_assignments: 5,
         progress_every: Some(ms(1000)),
         tells_start: true,
         overload_factor: 3.0,
