Upgrades hand over the listening socket, news, bans and what is known

Cause: with SO_REUSEPORT alone arrivals and workers' news were split between both processes; workers whose news went astray counted as silent and were barred. Ruled out: slow starts (ready after 0.0 s), refused connections (0 at the door), the kill.

--- a/crates/berth/src/listing.rs
+++ b/crates/berth/src/listing.rs
@@ -1,7 +1,7 @@
 //! A discovery answer, decoded once: the whole list of workers or what changed in it.
 
 use crate::words::Words;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use tindock::terms::{Condition, Site};
 
@@ -23,14 +23,14 @@
     pub booted_ms: Option<u64>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 pub struct ListingDoc {
     index: u64,
     snapshot: bool,
     endpoints: Vec<EntryDoc>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 struct EntryDoc {
     name: String,
     address: String,
@@ -51,6 +51,11 @@
 }
 
 impl ListingDoc {
+    /// A whole list of these, in the words that they were read by.
+    pub fn of<'a>(entries: impl Iterator<Item = &'a Entry>, words: &Words) -> Self {
+        ListingDoc { index: 0, snapshot: true, endpoints: entries.map(|e| EntryDoc::of(e, words)).collect() }
+    }
+
     /// A list that is wrong anywhere is wrong as a whole, and leaves no words behind.
     pub fn decode(self, words: &mut Words) -> Result<Listing, String> {
         let mut now = words.clone();
@@ -61,6 +66,25 @@
 }
 
 impl EntryDoc {
+    fn of(entry: &Entry, words: &Words) -> Self {
+        let word = |words: &[String], at: usize| words.get(at).cloned().unwrap_or_default();
+        let status = match entry.condition {
+            Condition::Ready => "active",
+            Condition::Draining => "leaving",
+            Condition::Gone => "left",
+        };
+        EntryDoc {
+            name: entry.name.clone(),
+            address: entry.address.to_string(),
+            zone: word(&words.zones, entry.site.zone),
+            kind: word(&words.kinds, entry.site.kind),
+            group: entry.site.cell as u32,
+            status: status.into(),
+            weight: entry.weight,
+            since_ms: entry.booted_ms.map_or(0, |ms| ms as i64),
+        }
+    }
+
     fn decode(self, words: &mut Words) -> Result<Entry, String> {
         let name = self.name;
         let condition = match self.status.as_str() {
--- a/crates/scheduler/src/clock.rs
+++ b/crates/scheduler/src/clock.rs
@@ -26,6 +26,11 @@
         self.origin + at.saturating_sub(AT_START)
     }
 
+    /// A moment of this clock in Unix time.
+    pub fn to_unix_ms(&self, at: Duration) -> u64 {
+        (self.unix + at).saturating_sub(AT_START).as_millis() as u64
+    }
+
     /// A moment of Unix time on this clock; none if it lies before the clock's beginning.
     pub fn from_unix_ms(&self, ms: u64) -> Option<Duration> {
         (AT_START + Duration::from_millis(ms)).checked_sub(self.unix).filter(|at| !at.is_zero())
--- a/crates/scheduler/src/door.rs
+++ b/crates/scheduler/src/door.rs
@@ -3,6 +3,7 @@
 use crate::answering::{self, Reply};
 use crate::exchange::{Answer, Exchange};
 use crate::guest::{Guest, Standing, Watched};
+use crate::handover::Line;
 use crate::heads::Ends;
 use crate::reading::{self, Bad, Message, Rooms};
 use crate::rows::Titles;
@@ -21,7 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::time::Instant;
 
 /// A peer that sends nothing for this long loses its connection: it would hold a descriptor for ever.
@@ -39,7 +40,9 @@
     exchange: Rc<Exchange>,
     names: RefCell<Titles>,
     stopping: Rc<Stopping>,
-    most: usize,
+    most: Cell<usize>,
+    paused: watch::Sender<bool>,
+    line: Rc<Line>,
     guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
     next: Cell<u64>,
     gone: Notify,
@@ -68,21 +71,43 @@
         exchange: Rc<Exchange>,
         stopping: Rc<Stopping>,
         most: usize,
+        line: Rc<Line>,
         rooms: Rooms,
         telemetry: Rc<Telemetry>,
         log: Logger,
     ) -> Rc<Self> {
         let (guests, next, gone, sums) = Default::default();
         let names = RefCell::new(exchange.names());
-        Rc::new(Door { exchange, names, stopping, most, guests, next, gone, rooms, telemetry, sums, log })
+        Rc::new(Door {
+            exchange,
+            names,
+            stopping,
+            most: Cell::new(most),
+            paused: watch::Sender::new(false),
+            line,
+            guests,
+            next,
+            gone,
+            rooms,
+            telemetry,
+            sums,
+            log,
+        })
     }
 
     /// Accepts until the process ends.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let mut short = false;
+    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
+        let (mut short, mut paused) = (false, self.paused.subscribe());
         loop {
+            // It lives for as long as the door.
+            let _ = paused.wait_for(|paused| !paused).await;
             self.make_room().await;
-            match listener.accept().await {
+            let came = tokio::select! {
+                biased;
+                _ = paused.wait_for(|paused| *paused) => continue,
+                came = listener.accept() => came,
+            };
+            match came {
                 Ok((stream, _)) => {
                     short = false;
                     self.stopping.newcomer();
@@ -105,7 +130,7 @@
 
     /// At the most guests, the one that stood idle for longest leaves before another is let in.
     async fn make_room(&self) {
-        while self.guests.borrow().len() >= self.most {
+        while self.guests.borrow().len() >= self.most.get() {
             self.dismiss_idle();
             let gone = tokio::time::timeout(SHORT_OF_DESCRIPTORS, self.gone.notified());
             let _ = gone.await;
@@ -138,6 +163,22 @@
         }
     }
 
+    /// Lets nobody in any more, or again.
+    pub fn pause(&self, paused: bool) {
+        self.paused.send_replace(paused);
+    }
+
+    /// Keeps to half of the connections while another process lives beside this one; how many it leaves.
+    pub fn half(&self) -> usize {
+        let left = self.most.get() / 2;
+        self.most.set(self.most.get() - left);
+        left
+    }
+
+    pub fn widen(&self, by: usize) {
+        self.most.set(self.most.get() + by);
+    }
+
     /// Takes tasks by what is in force now.
     pub fn rename(&self) {
         let names = self.exchange.names();
@@ -150,9 +191,9 @@
         self.guests.borrow().values().for_each(|guest| guest.ask_to_leave());
     }
 
-    /// Nobody is here but some that have not said anything.
+    /// Nobody is here but some that have not said anything. Guards against a message that is under way, and lost with us.
     pub fn is_quiet(&self) -> bool {
-        self.guests.borrow().values().all(|guest| guest.mute.get())
+        self.guests.borrow().values().all(|guest| guest.mute.get() && !guest.heads.borrow().begun())
     }
 
     fn enter(&self) -> u64 {
@@ -218,8 +259,12 @@
         guest.read();
         match read {
             Ok(Message::Health) => answering::health(self.exchange.can_decide()),
-            Ok(Message::News(news)) => {
+            Ok(Message::News(news, words)) => {
                 guest.standing.set(Standing::Worker);
+                // Guards against news lost between two processes at one address.
+                if self.exchange.is_strange(&news.id) {
+                    self.line.hand_on(&words).await;
+                }
                 self.exchange.news(news);
                 answering::heard()
             }
--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Clock;
 use crate::endings::Close;
+use crate::heritage::{self, Heritage};
 use crate::loads;
 use crate::news::{News, State as Said};
 use crate::peers::{self, Message, Telling};
@@ -105,8 +106,7 @@
 }
 
 struct Listed {
-    address: SocketAddr,
-    condition: Condition,
+    entry: Entry,
     banned: bool,
 }
 
@@ -363,7 +363,7 @@
             let hand = &state.hands[ticket.place];
             let worker = hand.outs[ticket.number].worker;
             let listed = &state.workers[worker];
-            let ready = listed.condition == Condition::Ready && !listed.banned;
+            let ready = listed.entry.condition == Condition::Ready && !listed.banned;
             hand.answer.is_some() && ready && !state.vouching.leaves_out((self.now)(), worker)
         }
     }
@@ -374,7 +374,7 @@
     }
 
     pub fn address(&self, worker: usize) -> SocketAddr {
-        self.state.borrow().workers[worker].address
+        self.state.borrow().workers[worker].entry.address
     }
 
     // ---- other schedulers ----
@@ -431,7 +431,7 @@
 
     pub fn address_of(&self, name: &str) -> Option<SocketAddr> {
         let state = self.state.borrow();
-        state.names.get(name).map(|&worker| state.workers[worker].address)
+        state.names.get(name).map(|&worker| state.workers[worker].entry.address)
     }
 
     /// Whether a worker has tasks of ours that are not over.
@@ -444,7 +444,7 @@
     fn take_list(&self, state: &mut State, listing: Listing) {
         state.rules.list_begins(listing.whole);
         if listing.whole {
-            state.workers.iter_mut().for_each(|w| w.condition = Condition::Gone);
+            state.workers.iter_mut().for_each(|w| w.entry.condition = Condition::Gone);
         }
         for entry in listing.entries {
             let booted = entry.booted_ms.and_then(|ms| self.clock.from_unix_ms(ms));
@@ -457,6 +457,41 @@
         !self.state.borrow().workers.is_empty()
     }
 
+    // ---- the process that takes over, or that this one took over from ----
+
+    /// Whether news of that task can only be another process's.
+    pub fn is_strange(&self, id: &str) -> bool {
+        !self.state.borrow().places.contains_key(id)
+    }
+
+    /// All that this process knows of workers and workloads; from now on another one takes the tasks.
+    pub fn bequeath(&self, words: &Words) -> Heritage {
+        self.yielded(true);
+        let state = self.state.borrow();
+        let entries = || state.workers.iter().map(|listed| &listed.entry);
+        heritage::leave(&state.rules, &state.rows, entries, state.bans.clone(), words, &self.clock)
+    }
+
+    /// Whether another process takes the tasks.
+    pub fn yielded(&self, yielded: bool) {
+        self.feed(|state| state.rules.yielded(yielded));
+    }
+
+    /// What the process before this one left, once its list was taken in.
+    pub fn inherit(&self, heritage: &Heritage, words: &Words) {
+        self.feed(|state| {
+            let (names, rows, rules) = (&state.names, &state.rows, &mut state.rules);
+            heritage.take(rules, rows, |name| names.get(name).copied(), words, &self.clock);
+        });
+    }
+
+    /// A ban that an operator told the other process.
+    pub fn ban_told(&self, name: &str, banned: bool) {
+        if self.ban(name, banned).is_none() && banned {
+            self.state.borrow_mut().bans.insert(name.into());
+        }
+    }
+
     // ---- operators ----
 
     /// The names by which tasks are taken now.
@@ -502,7 +537,7 @@
     pub fn moment(&self) -> Moment {
         self.feed(|state| Moment {
             in_hand: state.hands.iter().filter(|hand| hand.answer.is_some()).count(),
-            listed: state.workers.iter().filter(|w| w.condition != Condition::Gone).count(),
+            listed: state.workers.iter().filter(|w| w.entry.condition != Condition::Gone).count(),
             avoided: state.rules.avoided(),
         })
     }
@@ -596,19 +631,19 @@
     fn listed(&mut self, entry: Entry, booted: Option<Duration>) {
         let fresh = self.workers.len();
         let at = self.names.get(entry.name.as_str()).copied().unwrap_or(fresh);
+        let address = entry.address;
         if at == fresh {
-            self.names.insert(entry.name.as_str().into(), fresh);
             let banned = self.bans.contains(&*entry.name);
-            self.workers.push(Listed { address: entry.address, condition: entry.condition, banned });
+            self.names.insert(entry.name.as_str().into(), fresh);
+            self.workers.push(Listed { entry: entry.clone(), banned });
         }
-        let listed = &mut self.workers[at];
-        if at < fresh && listed.address != entry.address {
+        if self.workers[at].entry.address != address {
             self.names_told.forget(at);
         }
-        (listed.address, listed.condition) = (entry.address, entry.condition);
         self.rules.listed(at, entry.site, entry.weight, entry.condition, booted);
+        self.workers[at].entry = entry;
         if at == fresh {
-            let mark = self.names_told.enter(peers::address(entry.address));
+            let mark = self.names_told.enter(peers::address(address));
             self.rules.marked(at, mark);
             self.rules.banned(at, self.workers[at].banned);
         }
--- /dev/null
+++ b/crates/scheduler/src/handover.rs
@@ -0,0 +1,319 @@
+//! An upgrade under load: the process that runs hands its listening socket and what it knows to the one that was started
+//! beside it, and both hand each other what reaches the wrong one, for as long as both live. The new one asks over a
+//! Unix socket in the runtime folder; frames are JSON behind their length.
+
+use crate::door::Door;
+use crate::exchange::Exchange;
+use crate::heritage::{Heritage, VERSION};
+use crate::muster::Muster;
+use crate::news;
+use crate::passing;
+use crate::pool::Pool;
+use crate::stopping::Stopping;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use slog::{info, warn, Logger};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::io::{Error, ErrorKind, Read, Result, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::net::UnixStream as Blocking;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// The other process is on the same machine; one that takes longer stands still, and the start goes on without it.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// A new process that does not serve by then will not: the platform waits for six seconds.
+const TO_SERVE: Duration = Duration::from_secs(3);
+/// A list of some ten thousand workers fits.
+const LONGEST: usize = 16 * 1024 * 1024;
+/// Words that may wait for the other process; beyond that workers are asked to tell again.
+const WAITING: usize = 1024;
+/// When no descriptor is left, some connection ends within this time.
+const SHORT_OF_DESCRIPTORS: Duration = Duration::from_millis(20);
+
+/// What one process says to the other.
+#[derive(Debug, Serialize, Deserialize)]
+enum Word {
+    Hello {
+        version: u32,
+    },
+    /// Clients are let in: the old process may go.
+    Serving,
+    /// A worker's news of a task that this one does not know.
+    News {
+        number: u64,
+        body: String,
+    },
+    Heard {
+        number: u64,
+    },
+    Ban {
+        name: String,
+        banned: bool,
+    },
+}
+
+fn too_long() -> Error {
+    Error::new(ErrorKind::InvalidData, "a frame that is too long")
+}
+
+fn frame<T: Serialize>(what: &T) -> Result<Vec<u8>> {
+    let text = serde_json::to_vec(what)?;
+    let length = u32::try_from(text.len()).ok().filter(|n| *n as usize <= LONGEST).ok_or_else(too_long)?;
+    Ok([&length.to_be_bytes(), text.as_slice()].concat())
+}
+
+async fn read_frame(from: &mut (impl AsyncRead + Unpin)) -> Result<Vec<u8>> {
+    let length = from.read_u32().await? as usize;
+    if length > LONGEST {
+        return Err(too_long());
+    }
+    let mut text = vec![0; length];
+    from.read_exact(&mut text).await?;
+    Ok(text)
+}
+
+/// What the process before this one has handed over.
+pub struct Taken {
+    pub listener: TcpListener,
+    pub heritage: Heritage,
+    /// The line to it.
+    pub stream: Blocking,
+}
+
+/// Where the process that runs can be asked.
+pub fn place(runtime: &Path, name: &str) -> PathBuf {
+    runtime.join(format!("tindock-{name}.sock"))
+}
+
+/// Asks the process that runs already; none where there is none. Waits for it: this one has nothing else to do yet.
+pub fn ask(place: &Path, at: SocketAddr) -> Result<Option<Taken>> {
+    let mut stream = match Blocking::connect(place) {
+        Ok(stream) => stream,
+        // No file, or one that a process left which is gone.
+        Err(e) if matches!(e.kind(), ErrorKind::NotFound | ErrorKind::ConnectionRefused) => return Ok(None),
+        Err(e) => return Err(e),
+    };
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.set_write_timeout(Some(PATIENCE))?;
+    stream.write_all(&frame(&Word::Hello { version: VERSION })?)?;
+    let listener = TcpListener::from(passing::receive(&stream)?);
+    let is = listener.local_addr()?;
+    if is != at && (is.ip(), 0) != (at.ip(), at.port()) {
+        return Err(Error::new(ErrorKind::AddrNotAvailable, format!("it listens on {is}, not on {at}")));
+    }
+    listener.set_nonblocking(true)?;
+    let mut length = [0; 4];
+    stream.read_exact(&mut length)?;
+    let length = u32::from_be_bytes(length) as usize;
+    if length > LONGEST {
+        return Err(too_long());
+    }
+    let mut text = vec![0; length];
+    stream.read_exact(&mut text)?;
+    let heritage = Heritage::read(&text).map_err(|why| Error::new(ErrorKind::InvalidData, why))?;
+    stream.set_nonblocking(true)?;
+    Ok(Some(Taken { listener, heritage, stream }))
+}
+
+struct Partner {
+    words: mpsc::Sender<Word>,
+    /// News handed on that the other process has not confirmed.
+    waiting: HashMap<u64, oneshot::Sender<Infallible>>,
+    next: u64,
+}
+
+/// The line to the other process, while there is one.
+#[derive(Default)]
+pub struct Line {
+    partner: RefCell<Option<Partner>>,
+}
+
+impl Line {
+    /// Hands on news that only the other process can know, and waits until it has it, or is gone. Never called for
+    /// what came by this line, so that nothing goes in circles.
+    pub async fn hand_on(&self, body: &Bytes) {
+        let heard = {
+            let mut partner = self.partner.borrow_mut();
+            let (Some(partner), Ok(body)) = (partner.as_mut(), std::str::from_utf8(body)) else { return };
+            let number = partner.next;
+            partner.next += 1;
+            if partner.words.try_send(Word::News { number, body: body.into() }).is_err() {
+                return;
+            }
+            let (tell, heard) = oneshot::channel();
+            partner.waiting.insert(number, tell);
+            heard
+        };
+        let _ = timeout(PATIENCE, heard).await;
+    }
+
+    pub fn tell_ban(&self, name: &str, banned: bool) {
+        self.say(Word::Ban { name: name.into(), banned });
+    }
+
+    fn say(&self, word: Word) {
+        if let Some(partner) = self.partner.borrow().as_ref() {
+            let _ = partner.words.try_send(word);
+        }
+    }
+
+    fn heard(&self, number: u64) {
+        if let Some(partner) = self.partner.borrow_mut().as_mut() {
+            // Dropping it tells whoever waits.
+            partner.waiting.remove(&number);
+        }
+    }
+}
+
+pub struct Handover {
+    pub place: Option<PathBuf>,
+    pub line: Rc<Line>,
+    /// The clients' listening socket.
+    pub listener: Rc<tokio::net::TcpListener>,
+    pub exchange: Rc<Exchange>,
+    pub muster: Rc<Muster>,
+    pub door: Rc<Door>,
+    pub pool: Rc<Pool>,
+    pub stopping: Rc<Stopping>,
+    /// Clients are let in here.
+    pub open: Rc<Cell<bool>>,
+    /// The file that names this process's place may be another's by now.
+    pub again: Notify,
+    pub log: Logger,
+}
+
+impl Handover {
+    /// This process took over: it tells the one before that it serves, and has all of the room once that one is gone.
+    pub async fn after(self: Rc<Self>, stream: UnixStream) {
+        let (clients, workers) = (self.door.half(), self.pool.half());
+        let said = self.clone();
+        self.talk(stream, || said.line.say(Word::Serving), |_| ()).await;
+        info!(said.log, "the process before this one has ended");
+        said.door.widen(clients);
+        said.pool.widen(workers);
+    }
+
+    /// Waits for a process that is started beside this one, for as long as this one lives.
+    pub async fn keep(self: Rc<Self>) {
+        let Some(place) = self.place.clone() else { return };
+        loop {
+            let _ = std::fs::remove_file(&place);
+            let listener = match UnixListener::bind(&place) {
+                Ok(listener) => listener,
+                Err(e) => {
+                    warn!(self.log, "nothing can be handed over, {}: {e}", place.display());
+                    return;
+                }
+            };
+            loop {
+                let stream = tokio::select! {
+                    came = listener.accept() => came,
+                    () = self.again.notified() => break,
+                };
+                match stream {
+                    Ok((stream, _)) => drop(spawn_local(self.clone().offer(stream))),
+                    Err(_) => tokio::time::sleep(SHORT_OF_DESCRIPTORS).await,
+                }
+            }
+        }
+    }
+
+    /// A process that was started beside this one asks. Until it serves, this one goes on if it ends.
+    async fn offer(self: Rc<Self>, mut stream: UnixStream) {
+        let hello = timeout(PATIENCE, read_frame(&mut stream)).await;
+        let hello = hello.ok().and_then(Result::ok).and_then(|text| serde_json::from_slice(&text).ok());
+        let knows = matches!(hello, Some(Word::Hello { version }) if version == VERSION);
+        if !knows || self.line.partner.borrow().is_some() {
+            warn!(self.log, "who asks for what is here is of another version, or a second one: not answered");
+            return;
+        }
+        // From here on it takes the new tasks: whoever connects waits in the one queue until it serves.
+        self.open.set(false);
+        self.door.pause(true);
+        let heritage = self.exchange.bequeath(&self.muster.words());
+        let sent = async {
+            stream.writable().await?;
+            passing::pass(&stream, &*self.listener)?;
+            stream.write_all(&frame(&heritage)?).await
+        };
+        let serves = Cell::new(false);
+        match timeout(PATIENCE, sent).await {
+            Ok(Ok(())) => {
+                info!(self.log, "handed over to the process started beside this one");
+                let begins = |this: &Self| {
+                    serves.set(true);
+                    this.stopping.succeeded(true);
+                    this.door.dismiss_all();
+                };
+                let in_time = async {
+                    tokio::time::sleep(TO_SERVE).await;
+                    if serves.get() {
+                        std::future::pending::<()>().await;
+                    }
+                };
+                tokio::select! {
+                    () = self.talk(stream, || (), begins) => {}
+                    () = in_time => {}
+                }
+            }
+            Ok(Err(e)) => warn!(self.log, "could not hand over: {e}"),
+            Err(_) => warn!(self.log, "could not hand over in {} s", PATIENCE.as_secs()),
+        }
+        self.line.partner.replace(None);
+        if !self.stopping.is_told() {
+            warn!(self.log, "the process started beside this one is gone: this one goes on");
+            self.stopping.succeeded(false);
+            self.exchange.yielded(false);
+            self.door.pause(false);
+            self.open.set(true);
+            self.again.notify_one();
+        }
+    }
+
+    /// Speaks with the other process until one of both ends.
+    async fn talk(&self, stream: UnixStream, first: impl FnOnce(), serves: impl Fn(&Self)) {
+        let (mut read, mut write) = stream.into_split();
+        let (words, mut told) = mpsc::channel(WAITING);
+        self.line.partner.replace(Some(Partner { words, waiting: HashMap::new(), next: 0 }));
+        first();
+        let writes = async {
+            while let Some(word) = told.recv().await {
+                write.write_all(&frame(&word)?).await?;
+            }
+            Ok::<(), Error>(())
+        };
+        let reads = async {
+            loop {
+                match serde_json::from_slice(&read_frame(&mut read).await?)? {
+                    Word::Hello { .. } => {}
+                    Word::Serving => serves(self),
+                    Word::News { number, body } => {
+                        if let Ok(news) = news::decode(body.as_bytes()) {
+                            self.exchange.news(news);
+                        }
+                        self.line.say(Word::Heard { number });
+                    }
+                    Word::Heard { number } => self.line.heard(number),
+                    Word::Ban { name, banned } => self.exchange.ban_told(&name, banned),
+                }
+            }
+        };
+        let ended: Result<()> = tokio::select! {
+            ended = writes => ended,
+            ended = reads => ended,
+        };
+        if let Some(e) = ended.err().filter(|e| e.kind() == ErrorKind::InvalidData) {
+            warn!(self.log, "the other process said what cannot be read: {e}");
+        }
+        self.line.partner.replace(None);
+    }
+}
--- a/crates/scheduler/src/management.rs
+++ b/crates/scheduler/src/management.rs
@@ -3,6 +3,7 @@
 
 use crate::bans::Bans;
 use crate::exchange::Exchange;
+use crate::handover::Line;
 use crate::telemetry::Telemetry;
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
@@ -29,6 +30,8 @@
     pub exchange: Rc<Exchange>,
     pub telemetry: Rc<Telemetry>,
     pub bans: Bans,
+    /// To the process beside this one, during an upgrade.
+    pub line: Rc<Line>,
     /// Clients are let in, and nothing that is handed over is still to come.
     pub open: Rc<Cell<bool>>,
     pub log: Logger,
@@ -110,6 +113,7 @@
             return Err(format!("worker {name:?} was never listed"));
         };
         if changed {
+            self.line.tell_ban(name, banned);
             let what = if banned { "taken out" } else { "put back" };
             info!(self.log, "worker {name} {what} by hand");
             if let Err(e) = self.bans.write(&self.exchange.bans()) {
--- a/crates/scheduler/src/muster.rs
+++ b/crates/scheduler/src/muster.rs
@@ -48,6 +48,11 @@
         Rc::new(Muster { exchange, words: RefCell::new(words), files, handed_on: Cell::new(0), log })
     }
 
+    /// The words of all that was listed.
+    pub fn words(&self) -> Words {
+        self.words.borrow().clone()
+    }
+
     /// The index of a machine kind at all who know it by name.
     pub fn kind(&self, kind: String) -> Result<usize, String> {
         self.words.borrow_mut().kind(kind)
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -60,6 +60,15 @@
         Pool { idle: RefCell::default(), permits, dial, keep: keep.mul_f64(RETIRE), wary: Cell::default() }
     }
 
+    /// Keeps to half of the connections while another process lives beside this one; how many it leaves.
+    pub fn half(&self) -> usize {
+        self.permits.forget_permits(self.permits.available_permits() / 2)
+    }
+
+    pub fn widen(&self, by: usize) {
+        self.permits.add_permits(by);
+    }
+
     /// An idle connection to the worker, the one used last, or a new one.
     pub async fn line(&self, worker: usize, address: SocketAddr) -> Result<Line, Close> {
         let mut let_go = false;
--- a/crates/scheduler/src/reading.rs
+++ b/crates/scheduler/src/reading.rs
@@ -28,7 +28,8 @@
 pub enum Message {
     /// With the room that its body takes, for as long as it is in hand.
     Task(Call, Option<OwnedSemaphorePermit>),
-    News(News),
+    /// With the words as they came.
+    News(News, Bytes),
     Health,
 }
 
@@ -96,9 +97,9 @@
         "/healthz" if head.method == Method::GET => return Ok(Message::Health),
         "/_jobs/news" if head.method == Method::POST => {
             let _room = room(&rest, &rooms.news).await?;
-            let told = news::decode(&body(rest).await?);
-            return told
-                .map(Message::News)
+            let words = body(rest).await?;
+            return news::decode(&words)
+                .map(|told| Message::News(told, words))
                 .or_else(|_| bad(StatusCode::BAD_REQUEST, "with news that will not do"));
         }
         "/healthz" | "/_jobs/news" => return bad(StatusCode::METHOD_NOT_ALLOWED, METHOD),
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -6,6 +6,7 @@
 use crate::discovery::Discovery;
 use crate::door::Door;
 use crate::exchange::Exchange;
+use crate::handover::{self, Handover, Line};
 use crate::management::Management;
 use crate::muster::Muster;
 use crate::peers::{self, Peers};
@@ -19,7 +20,7 @@
 use crate::stopping::Stopping;
 use crate::telemetry::Telemetry;
 use crate::wire::Tcp;
-use slog::{info, o, Logger};
+use slog::{info, o, warn, Logger};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -27,9 +28,9 @@
 use tindock::rules::Rules;
 use tindock_roster::asking::{Asking, Service, LONG_WATCH};
 use tindock_roster::health::{Health, Terms};
-use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket, UnixStream};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
 
 /// Readings of the inventory that may wait to be taken in.
@@ -54,17 +55,38 @@
     LocalSet::new().block_on(&runtime, serve(berth, path, layers, log))
 }
 
-async fn serve(berth: Berth, path: PathBuf, layers: Layers, log: &Logger) -> Result<(), String> {
+async fn serve(mut berth: Berth, path: PathBuf, layers: Layers, log: &Logger) -> Result<(), String> {
     // Guards against an end by a signal that comes early: both are caught before anybody can take us for ready.
     let caught = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
     let (hang_up, terminate) = (caught(SignalKind::hangup())?, caught(SignalKind::terminate())?);
-    let shared = berth.runtime.is_some();
-    let listener = listen(berth.listen, shared).map_err(|e| format!("{}: {e}", berth.listen))?;
     let manages = match berth.management {
         None => None,
         Some(at) => Some(listen(at, false).map_err(|e| format!("management, {at}: {e}"))?),
     };
     let telemetry = Rc::new(Telemetry::default());
+    let place = berth.runtime.as_deref().map(|runtime| handover::place(runtime, &berth.name));
+    let taken = place.as_deref().map_or(Ok(None), |place| handover::ask(place, berth.listen));
+    let taken = taken.unwrap_or_else(|e| {
+        warn!(log, "nothing is taken over from the process that runs: {e}");
+        None
+    });
+    let (mut before, mut heritage) = (None, None);
+    let listener = match taken {
+        None => listen(berth.listen, place.is_some()).map_err(|e| format!("{}: {e}", berth.listen))?,
+        Some(taken) => {
+            before = Some(UnixStream::from_std(taken.stream).map_err(|e| e.to_string())?);
+            heritage = Some(taken.heritage);
+            TcpListener::from_std(taken.listener).map_err(|e| e.to_string())?
+        }
+    };
+    // What the other process has is newer than what the file says.
+    let list = heritage.as_mut().and_then(|h| h.list.take()).filter(|_| berth.inventory.is_none());
+    let list = list.map(|list| list.decode(&mut berth.words)).transpose().unwrap_or_else(|why| {
+        warn!(log, "the list of the process that runs is not taken over: {why}");
+        None
+    });
+    let index = berth.known.as_ref().map(|known| known.index).filter(|_| list.is_none());
+    let known = list.or(berth.known.take());
     let open = Rc::new(Cell::new(false));
     let part = |name: &'static str| log.new(o!("part" => name));
     let clock = Clock::start();
@@ -75,10 +97,10 @@
     let rules = Rules::new(berth.sheet, berth.seed, began);
     let now = Box::new(move || clock.now());
     let (exchange, orders) = Exchange::new(rules, rows, clock, now, part("rules"));
-    let index = berth.known.as_ref().map(|known| known.index);
     let bans = Bans::new(berth.runtime.as_deref(), &berth.name, part("management"));
-    exchange.banned_before(bans.read());
-    exchange.begin(began, berth.known);
+    exchange.banned_before(heritage.as_ref().map_or_else(|| bans.read(), |h| h.banned.clone()));
+    exchange.begin(began, known);
+    heritage.iter().for_each(|heritage| exchange.inherit(heritage, &berth.words));
     let muster = match &berth.inventory {
         None => Muster::of_discovery(exchange.clone(), berth.words.clone(), part("inventory")),
         Some(stock) => {
@@ -137,10 +159,12 @@
         spawn_local(peers.hear());
     }
     exchange.equip(berth.words.reports.clone(), told);
+    let line = Rc::new(Line::default());
     let door = Door::new(
         exchange.clone(),
         stopping.clone(),
         berth.rooms.for_clients,
+        line.clone(),
         Rooms::new(berth.rooms.for_bodies),
         telemetry.clone(),
         part("clients"),
@@ -152,7 +176,7 @@
         keys: berth.keys,
         discovery: moved,
         exchange: exchange.clone(),
-        muster,
+        muster: muster.clone(),
         door: door.clone(),
         stopping: stopping.clone(),
         telemetry: telemetry.clone(),
@@ -160,19 +184,36 @@
     };
     spawn_local(reloading.keep(hang_up));
     spawn_local(sending.carry_out(orders));
-    spawn_local(async move { pool.tend().await });
+    let tends = pool.clone();
+    spawn_local(async move { tends.tend().await });
     let timer = exchange.clone();
     spawn_local(async move { timer.keep_time().await });
+    let listener = Rc::new(listener);
     let listens = listener.local_addr().map_err(|e| e.to_string())?;
     info!(log, "{} listens on {listens}", berth.name);
     let sums = door.clone();
     spawn_local(async move { sums.tell_sums().await });
-    spawn_local(door.clone().accept(listener));
+    spawn_local(door.clone().accept(listener.clone()));
     open.set(true);
+    let handover = Rc::new(Handover {
+        place,
+        line: line.clone(),
+        listener,
+        exchange: exchange.clone(),
+        muster,
+        door: door.clone(),
+        pool,
+        stopping: stopping.clone(),
+        open: open.clone(),
+        again: Notify::new(),
+        log: part("handover"),
+    });
+    before.into_iter().for_each(|stream| drop(spawn_local(handover.clone().after(stream))));
+    spawn_local(handover.keep());
     if let Some(listener) = manages {
         info!(log, "operators' address is {}", listener.local_addr().map_err(|e| e.to_string())?);
         let (exchange, open) = (exchange.clone(), open.clone());
-        let management = Management { exchange, telemetry, bans, open, log: part("management") };
+        let management = Management { exchange, telemetry, bans, line, open, log: part("management") };
         spawn_local(Rc::new(management).accept(listener));
     }
     stopping.over(terminate, &door, &exchange, &open).await;
--- a/crates/scheduler/src/stopping.rs
+++ b/crates/scheduler/src/stopping.rs
@@ -25,6 +25,9 @@
     /// When what is unanswered is broken off, from when it was told to stop.
     longest: Cell<Duration>,
     closing: Cell<bool>,
+    told: Cell<bool>,
+    /// Another process lets the newcomers in.
+    succeeded: Cell<bool>,
     last: Cell<Option<Instant>>,
     log: Logger,
 }
@@ -32,7 +35,14 @@
 impl Stopping {
     pub fn new(log: Logger) -> Self {
         let longest = Cell::new(LONGEST_WAIT);
-        Stopping { longest, closing: Cell::new(false), last: Cell::new(None), log }
+        Stopping {
+            longest,
+            closing: Cell::new(false),
+            told: Cell::new(false),
+            succeeded: Cell::new(false),
+            last: Cell::new(None),
+            log,
+        }
     }
 
     /// The longest hard limit of all that may be in hand.
@@ -45,6 +55,16 @@
         self.closing.get()
     }
 
+    pub fn is_told(&self) -> bool {
+        self.told.get()
+    }
+
+    /// Another process lets the newcomers in from now on, or does no longer.
+    pub fn succeeded(&self, succeeded: bool) {
+        self.succeeded.set(succeeded);
+        self.closing.set(succeeded);
+    }
+
     pub fn newcomer(&self) {
         self.last.set(Some(Instant::now()));
     }
@@ -56,6 +76,7 @@
         let told = Instant::now();
         info!(self.log, "told to stop: what is in hand has {:.1} s", self.longest.get().as_secs_f64());
         self.closing.set(true);
+        self.told.set(true);
         door.dismiss_all();
         loop {
             tokio::time::sleep(LOOK).await;
@@ -63,7 +84,8 @@
                 exchange.close();
             }
             let quiet = self.last.get().is_none_or(|last| last.elapsed() >= QUIET);
-            if told.elapsed() >= NEWCOMERS && quiet && door.is_quiet() {
+            let nobody_comes = self.succeeded.get() || told.elapsed() >= NEWCOMERS && quiet;
+            if nobody_comes && door.is_quiet() {
                 return;
             }
         }
--- a/src/books.rs
+++ b/src/books.rs
@@ -90,6 +90,19 @@
         (changed, starts)
     }
 
+    /// For the process that takes over: there the own slots out are another's.
+    pub fn stand(&self) -> Stand {
+        let (rest, barred, fresh) = (self.rest, self.barred, self.fresh);
+        let (apart, completions, hidden) = (self.apart, self.completions, self.n + self.hidden);
+        Stand { rest, barred, fresh, apart, completions, hidden }
+    }
+
+    pub fn take_over(&mut self, from: &Stand, now: Duration) {
+        (self.rest, self.barred, self.fresh) = (from.rest, from.barred, from.fresh);
+        (self.apart, self.completions) = (from.apart, from.completions);
+        (self.hidden, self.seen) = (from.hidden, now);
+    }
+
     /// Barred for a while, longer each time.
     pub fn set_aside(&mut self, now: Duration) -> Duration {
         self.spells = (self.spells + 1).min(4);
@@ -150,6 +163,17 @@
     }
 }
 
+/// How a worker stands, as one process leaves it to the next.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Stand {
+    pub rest: Duration,
+    pub barred: Option<Duration>,
+    pub apart: f64,
+    pub completions: f64,
+    pub fresh: bool,
+    pub hidden: f64,
+}
+
 #[derive(Clone, Copy, Default)]
 pub struct Kind {
     /// Logarithm of the speed, and the most slots seen in use or free at once.
@@ -258,6 +282,10 @@
     pub seen: f64,
 }
 
+/// Weight of one sighting in the others' share: some twenty count.
+const OTHERS_STEP: f64 = 0.05;
+/// Weight of one tally in the own part of all traffic: what is out swings.
+const MINE_STEP: f64 = 0.3;
 /// The others' share before any sighting: most workers have room.
 const OTHERS_FIRST: f64 = 0.2;
 
@@ -300,6 +328,32 @@
         zone.resize(zone.len().max(site.kind + 1), OTHERS_FIRST);
     }
 
+    /// Slots of a worker: the most seen at once on its kind; before that its size, which may count speed too.
+    pub fn slots(&self, w: &Worker, moving_weights: bool) -> f64 {
+        let (seen, weight) = (self.kinds[w.site.kind].slots, w.weight);
+        if seen >= weight.floor() || moving_weights && seen > 0.0 { seen } else { weight }.max(1.0)
+    }
+
+    /// What others hold of a worker's slots was seen.
+    pub fn sight(&mut self, at: Site, share: f64) {
+        let others = &mut self.others[at.zone][at.kind];
+        *others += OTHERS_STEP * (share - *others);
+    }
+
+    /// Adds up the list: the own part of all traffic, the mean speed (kept at 1).
+    pub fn add_up(&mut self, workers: &[Worker], moving_weights: bool) -> Sums {
+        let mut sums = Sums::default();
+        for w in workers.iter().filter(|w| w.on_list) {
+            let (slots, others) = (self.slots(w, moving_weights), self.others[w.site.zone][w.site.kind]);
+            sums.add(w, &mut self.kinds[w.site.kind], slots, others);
+        }
+        // Guards against a kind never used since few of its slots were seen: it has as many as all use.
+        self.kinds.iter_mut().for_each(Kind::close);
+        self.level(sums.speed / f64::max(sums.fleet, 1.0));
+        self.mine += MINE_STEP * (sums.own / (sums.own + sums.others).max(1.0) - self.mine);
+        sums
+    }
+
     /// Takes down a run: run times by workload and speeds by kind from their logarithms, so that neither the
     /// mix of workloads nor one very long task passes as speed.
     pub fn learn(&mut self, w: &mut Worker, workload: usize, size: f64, run: f64) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,6 @@
 //!
 //! All decisions are in [`rules`]; the words they are spoken in are in [`terms`].
 
-mod books;
+pub mod books;
 pub mod rules;
 pub mod terms;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,9 +22,7 @@
 const ERROR_STEP: f64 = 0.3; // weight of one ending in that share: quick, since errors return at once
 const BARRED_SHARE: f64 = 0.34; // at most this share of the ready workers is set aside at a time
 const HIDDEN_SPAN: f64 = 2.0; // what others have on a worker is forgotten over this: about a task or two
-const OTHERS_STEP: f64 = 0.05; // weight of one sighting in the others' share: some twenty count
 const MAY_BE: f64 = 0.5; // where nothing was seen lately there may be room, or nothing would be seen again
-const MINE_STEP: f64 = 0.3; // weight of one tally in the own part of all traffic: what is out swings
 const TALLY: f64 = 1.0; // the list is added up this often: a long one takes a millisecond
 const CROSSING: f64 = 40.0; // weight of the price of crossing zones in the index: a crossing costs a place
 const QUEUE_SHARE: f64 = 0.5; // a workload may queue at workers from this share of the best utility per work
@@ -98,6 +96,7 @@
     changed: Vec<usize>, // workers where the own part has changed since the others were told
     sets: Sets,
     shares: Vec<Bucket>,
+    yielded: bool,
 }
 
 impl Rules {
@@ -173,6 +172,22 @@
         self.workers.iter().filter(|w| w.avoided(self.now)).count()
     }
 
+    /// What was learned, and the workers' records, for the process that takes over.
+    pub fn records(&self) -> (&Learned, &[Worker]) {
+        (&self.known, &self.workers)
+    }
+
+    /// What the process before this one left.
+    pub fn inherit(&mut self, known: Learned, stands: &[(usize, Stand)]) {
+        self.known = known;
+        stands.iter().for_each(|(i, stand)| self.workers[*i].take_over(stand, self.now));
+    }
+
+    /// Another process takes the tasks from now on. Guards against a cold worker pushed over by both together.
+    pub fn yielded(&mut self, yielded: bool) {
+        self.yielded = yielded;
+    }
+
     pub fn marked(&mut self, i: usize, mark: u64) {
         self.workers[i].mark = mark;
     }
@@ -376,8 +391,7 @@
 
     /// Slots of a worker: the most seen at once on its kind; before that its size, which may count speed too.
     fn slots(&self, i: usize) -> f64 {
-        let (seen, weight) = (self.known.kinds[self.workers[i].site.kind].slots, self.workers[i].weight);
-        if seen >= weight.floor() || self.sheet.moving_weights && seen > 0.0 { seen } else { weight }.max(1.0)
+        self.known.slots(&self.workers[i], self.sheet.moving_weights)
     }
 
     fn warmth(&self, i: usize) -> f64 {
@@ -400,8 +414,7 @@
         let (old, slots) = (self.hidden(i, 1.0), self.slots(i));
         let w = &mut self.workers[i];
         (w.hidden, w.seen) = (old + weight * (hidden - old), self.now);
-        let others = &mut self.known.others[w.site.zone][w.site.kind];
-        *others += OTHERS_STEP * ((w.hidden / slots).min(1.0) - *others);
+        self.known.sight(w.site, (w.hidden / slots).min(1.0));
     }
 
     /// Slots in use or waited for on a worker, others' included.
@@ -461,7 +474,7 @@
         let row = &self.sheet.workloads[t.workload];
         let harmless = row.effect == Effect::Idempotent && t.assignments.len() < 2;
         let out = self.doubtful(i) && !harmless;
-        let rests = w.rest > self.now && self.warmth(i) < 1.0 || w.left_out > self.now;
+        let rests = (self.yielded || w.rest > self.now) && self.warmth(i) < 1.0 || w.left_out > self.now;
         let tried = t.assignments.iter().any(|a| a.worker == i);
         w.ready() && !w.silent && !rests && !out && !tried && self.allowed(task, i)
     }
@@ -808,22 +821,13 @@
     /// Adds up the list, rarely: the ready workers, the own part of all traffic, the mean speed (kept at 1).
     fn tally(&mut self) {
         self.tallied = Some(self.now);
-        let mut sums = Sums::default();
-        for i in (0..self.workers.len()).filter(|&i| self.workers[i].on_list) {
-            let (w, slots) = (&self.workers[i], self.slots(i));
-            let others = self.known.others[w.site.zone][w.site.kind];
-            sums.add(w, &mut self.known.kinds[w.site.kind], slots, others);
-        }
-        // Guards against a kind never used since few of its slots were seen: it has as many as all use.
-        self.known.kinds.iter_mut().for_each(Kind::close);
-        self.known.level(sums.speed / f64::max(sums.fleet, 1.0));
+        let sums = self.known.add_up(&self.workers, self.sheet.moving_weights);
         self.fastest = self.known.kinds.iter().map(|k| k.speed.exp()).fold(1.0, f64::max);
         (self.ready, self.fair) = (sums.ready, sums.fleet / self.sheet.schedulers as f64);
         for peer in self.peers.lost(self.now) {
             self.workers.iter_mut().for_each(|w| w.told.silence(peer));
         }
         self.untold = 1.0 - self.peers.talking() as f64 / (self.sheet.schedulers.max(2) - 1) as f64;
-        self.known.mine += MINE_STEP * (sums.own / (sums.own + sums.others).max(1.0) - self.known.mine);
     }
 
     /// The notes on an assignment are overdue: it stands still, and its worker too if that tells no more.
