--- a/crates/scheduler/src/cli.rs
+++ b/crates/scheduler/src/cli.rs
@@ -4,7 +4,10 @@
 use crate::shelves;
 use crate::stocking::accept_file;
 use clap::{Args, Parser, Subcommand, ValueEnum};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 use tindock_inventory::{diff, write, Change, Columns, Inventory, Written};
 
 /// A dispatcher beside each submitter: takes tasks from clients and pushes them to workers.
@@ -44,10 +47,59 @@
     /// Read, compare and write inventories
     #[command(subcommand)]
     Inventory(Inventories),
+    /// Ask a scheduler at its operators' address: readyz, telemetry, exclude ID, include ID
+    Manage {
+        /// The address; without it $GW_MGMT, or what the configuration says
+        #[arg(long, value_name = "ADDRESS:PORT")]
+        at: Option<SocketAddr>,
+        /// A configuration that says the address
+        #[arg(long, conflicts_with = "at")]
+        config: Option<PathBuf>,
+        /// Words, as they go out in one line
+        #[arg(required = true)]
+        call: Vec<String>,
+    },
     /// Write completions for a shell to standard output
     Completions { shell: clap_complete::Shell },
 }
 
+/// How long an answer to an operator may take; it is owed in one second.
+const ANSWER: Duration = Duration::from_secs(5);
+/// Figures of some thousand workloads fit.
+const LONGEST_ANSWER: u64 = 4 * 1024 * 1024;
+
+/// Asks a scheduler; its answer, or what it says against the call.
+pub fn manage(at: Option<SocketAddr>, config: Option<&Path>, call: &[String]) -> Result<String, Vec<String>> {
+    let told = |config: &Path| {
+        let (berth, _) = open(config, &Over::default().layers())?;
+        berth.management.ok_or_else(|| vec![format!("{}: no operators' address", config.display())])
+    };
+    let at = match (at, config, std::env::var("GW_MGMT").ok()) {
+        (Some(at), ..) => at,
+        (None, Some(config), _) => told(config)?,
+        (None, None, Some(at)) => at.parse().map_err(|_| vec![format!("GW_MGMT {at:?} is no address")])?,
+        (None, None, None) => return Err(vec!["no address: --at, --config or GW_MGMT was expected".into()]),
+    };
+    let asked = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&at, ANSWER)?;
+        stream.set_read_timeout(Some(ANSWER))?;
+        stream.write_all(format!("{}\n", call.join(" ")).as_bytes())?;
+        let mut answer = String::new();
+        stream.take(LONGEST_ANSWER).read_to_string(&mut answer)?;
+        Ok(answer)
+    };
+    let answer = asked().map_err(|e| vec![format!("{at}: {e}")])?;
+    let last = answer.lines().last().unwrap_or_default();
+    if last.starts_with("done") || last == "end" {
+        return Ok(answer);
+    }
+    Err(vec![if answer.is_empty() {
+        format!("{at}: closed without an answer")
+    } else {
+        answer.trim_end().into()
+    }])
+}
+
 /// What is said over the file and the TINDOCK_... variables.
 #[derive(Debug, Default, Args)]
 pub struct Over {
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -71,6 +71,7 @@
         }
         Some(Command::Check { file, over }) => return cli::check(&file, &over),
         Some(Command::Show { file, over }) => return cli::show(&file, &over),
+        Some(Command::Manage { at, config, call }) => return cli::manage(at, config.as_deref(), &call),
         Some(Command::Inventory(command)) => return cli::inventories(&command),
         Some(Command::Completions { shell }) => {
             let mut text = Vec::new();
--- a/crates/scheduler/tests/operators.rs
+++ b/crates/scheduler/tests/operators.rs
@@ -173,3 +173,27 @@
         .collect();
     insta::assert_snapshot!(why + &call(at, b"telemetry\n"));
 }
+
+/// Guards against a command that says yes where the scheduler said no.
+#[test]
+fn staff_ask_by_the_command_line() {
+    let (_scheduler, at, ..) = start("by-command", 1);
+    let ask = |words: &[&str], variable: &str| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_tindock"));
+        let ran = command.arg("manage").args(words).env("GW_MGMT", variable).output().expect("a command");
+        let said = [ran.stdout, ran.stderr].concat();
+        let said = String::from_utf8(said).expect("text").replace(&at.to_string(), "ADDRESS");
+        format!("{words:?}: {:?} {}", ran.status.code(), said.trim_end())
+    };
+    let (here, nobody) = (at.to_string(), "127.0.0.1:1");
+    let answers = [
+        ask(&["readyz"], &here),
+        ask(&["exclude", "w9"], &here),
+        ask(&["--at", &here, "exclude", "w0"], nobody).replace(&here, "ADDRESS"),
+        ask(&["readyz"], nobody),
+        ask(&["readyz"], "here"),
+        ask(&["--config", "no.toml", "readyz"], nobody),
+        ask(&["--at", &here], nobody).lines().next().unwrap_or_default().replace(&here, "ADDRESS"),
+    ];
+    insta::assert_snapshot!(answers.join("\n"));
+}
