--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -356,3 +356,50 @@
     desk.until(1500);
     assert_snapshot!(desk.trace);
 }
+
+/// Guards against tasks for a worker out by hand, whatever the list says of it, and against one that stays out.
+#[test]
+fn a_ban_holds_over_the_list_until_it_is_lifted() {
+    let mut desk = Desk::new(duty(&[Effect::Idempotent]), 2);
+    desk.rules.banned(0, true);
+    desk.list(0, Condition::Gone, None);
+    desk.at(2000).list(0, Condition::Ready, Some(1900));
+    (0..3).for_each(|_| drop(desk.arrive(0)));
+    assert_eq!(desk.rules.avoided(), 1);
+    desk.note("worker 0 is put back, and cold");
+    desk.at(4000).rules.banned(0, false);
+    desk.pull();
+    desk.arrive(0);
+    assert_eq!(desk.rules.avoided(), 0);
+    assert_snapshot!(desk.trace);
+}
+
+/// Guards against a cold worker pushed over by two processes of one scheduler: the one that yields sends it nothing.
+#[test]
+fn who_has_yielded_leaves_cold_workers_to_the_other() {
+    let mut desk = Desk::new(duty(&[Effect::Idempotent]), 1);
+    desk.list(0, Condition::Gone, None);
+    desk.at(2000).list(0, Condition::Ready, Some(1900));
+    // By then its rest after the start is over.
+    desk.until(4000);
+    desk.rules.yielded(true);
+    desk.arrive(0);
+    desk.until(4100);
+    desk.note("the other process is gone");
+    desk.rules.yielded(false);
+    desk.until(4200);
+    assert_snapshot!(desk.trace);
+}
+
+/// Guards against tasks in hand that are judged by a new file: the row under which they came stays theirs.
+#[test]
+fn a_task_keeps_its_row_when_its_workload_changes() {
+    let mut desk = Desk::new(duty(&[Effect::Unrepeatable]), 2);
+    let task = desk.arrive(0);
+    let before = duty(&[Effect::Unrepeatable, Effect::Idempotent]);
+    desk.rules.retune(before, &[Some(0), Some(0)]);
+    let free = desk.arrive(1);
+    desk.end(free, 0, Ending::Reset);
+    desk.end(task, 0, Ending::Reset);
+    assert_snapshot!(desk.trace);
+}
