--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -364,7 +364,9 @@
     desk.rules.banned(0, true);
     desk.list(0, Condition::Gone, None);
     desk.at(2000).list(0, Condition::Ready, Some(1900));
-    (0..3).for_each(|_| drop(desk.arrive(0)));
+    for _ in 0..3 {
+        desk.arrive(0);
+    }
     assert_eq!(desk.rules.avoided(), 1);
     desk.note("worker 0 is put back, and cold");
     desk.at(4000).rules.banned(0, false);
