One piece for what was written twice: files replaced whole, frames, short descriptors

Seen on reading the change again: bans.rs wrote beside and renamed as stocking.rs did; the bound on a frame stood twice in handover.rs; the pause without descriptors in three files; platform.rs read the whole file a second time as a tree for its keys; a new worker's entry was copied to be overwritten at once; a call's words were checked in three steps with an arm that nothing reached. Change: stocking::replace, handover's room, door's constant; keys without their values; Exchange listed by known and new; one match over a call's words; the first word to the other process is a value. Behaviour and messages as before.

--- a/crates/berth/src/platform.rs
+++ b/crates/berth/src/platform.rs
@@ -3,9 +3,10 @@
 use crate::berth::{Berth, LogForm, Rooms, USUAL_DESCRIPTORS, USUAL_MEMORY_MB};
 use crate::listing::ListingDoc;
 use crate::words::Words;
+use serde::de::IgnoredAny;
 use serde::Deserialize;
 use serde_json::Value;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -59,12 +60,11 @@
 const PASSING: [&str; 2] = ["known", "mgmt"];
 
 /// The keys of the file and of its settings.
-fn keys(text: &str) -> Result<BTreeSet<String>, String> {
-    let whole: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
-    let of = |value: &Value| value.as_object().map_or(Vec::new(), |o| o.keys().cloned().collect());
-    let inner = whole.get("settings").map_or(Vec::new(), of);
-    let inner = inner.iter().map(|key| format!("settings.{key}"));
-    Ok(of(&whole).into_iter().filter(|key| !PASSING.contains(&key.as_str())).chain(inner).collect())
+fn keys(text: &str, settings: &Value) -> Result<BTreeSet<String>, String> {
+    // What stands under them was read already.
+    let whole: BTreeMap<String, IgnoredAny> = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let inner = settings.as_object().into_iter().flatten().map(|(key, _)| format!("settings.{key}"));
+    Ok(whole.into_keys().filter(|key| !PASSING.contains(&key.as_str())).chain(inner).collect())
 }
 
 /// Reads the file's text.
@@ -105,6 +105,6 @@
         dial: tindock_sheet::span(&doc.settings, "/caps/dial_timeout_s")?,
         keep: tindock_sheet::span(&doc.settings, "/caps/keepalive_s")?,
         log: LogForm::default(),
-        keys: keys(text)?,
+        keys: keys(text, &doc.settings)?,
     })
 }
--- a/crates/scheduler/src/bans.rs
+++ b/crates/scheduler/src/bans.rs
@@ -1,5 +1,6 @@
 //! Workers taken out by hand, kept in a file of the runtime folder for the process that follows.
 
+use crate::stocking;
 use serde::{Deserialize, Serialize};
 use slog::{warn, Logger};
 use std::collections::BTreeSet;
@@ -45,12 +46,8 @@
         BTreeSet::new()
     }
 
-    /// Written beside and renamed, so that a reader finds the old file or the new one.
-    pub fn write(&self, banned: &BTreeSet<String>) -> std::io::Result<()> {
+    pub fn write(&self, banned: BTreeSet<String>) -> std::io::Result<()> {
         let Some(path) = &self.path else { return Ok(()) };
-        let text = serde_json::to_vec(&Doc { version: VERSION, banned: banned.clone() })?;
-        let beside = path.with_extension("new");
-        std::fs::write(&beside, text)?;
-        std::fs::rename(&beside, path)
+        stocking::replace(path, serde_json::to_vec(&Doc { version: VERSION, banned })?)
     }
 }
--- a/crates/scheduler/src/door.rs
+++ b/crates/scheduler/src/door.rs
@@ -32,7 +32,7 @@
 /// What was turned down or closed is told in sums, this often: a line each would cost more than the answer.
 const SUMS: Duration = Duration::from_secs(10);
 /// When no descriptor is left, some connection ends within this time.
-const SHORT_OF_DESCRIPTORS: Duration = Duration::from_millis(20);
+pub const SHORT_OF_DESCRIPTORS: Duration = Duration::from_millis(20);
 /// Room for a head in reading: the least that hyper takes.
 const READ_BUFFER: usize = 8 * 1024;
 
--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -629,23 +629,21 @@
     }
 
     fn listed(&mut self, entry: Entry, booted: Option<Duration>) {
-        let fresh = self.workers.len();
-        let at = self.names.get(entry.name.as_str()).copied().unwrap_or(fresh);
-        let address = entry.address;
-        if at == fresh {
-            let banned = self.bans.contains(&*entry.name);
-            self.names.insert(entry.name.as_str().into(), fresh);
-            self.workers.push(Listed { entry: entry.clone(), banned });
-        }
-        if self.workers[at].entry.address != address {
-            self.names_told.forget(at);
-        }
+        let known = self.names.get(entry.name.as_str()).copied();
+        let at = known.unwrap_or(self.workers.len());
         self.rules.listed(at, entry.site, entry.weight, entry.condition, booted);
-        self.workers[at].entry = entry;
-        if at == fresh {
-            let mark = self.names_told.enter(peers::address(address));
-            self.rules.marked(at, mark);
-            self.rules.banned(at, self.workers[at].banned);
+        if known.is_some() {
+            let before = std::mem::replace(&mut self.workers[at].entry, entry);
+            if before.address != self.workers[at].entry.address {
+                self.names_told.forget(at);
+            }
+            return;
         }
+        let (mark, banned) =
+            (self.names_told.enter(peers::address(entry.address)), self.bans.contains(&entry.name));
+        self.names.insert(entry.name.as_str().into(), at);
+        self.workers.push(Listed { entry, banned });
+        self.rules.marked(at, mark);
+        self.rules.banned(at, banned);
     }
 }
--- a/crates/scheduler/src/handover.rs
+++ b/crates/scheduler/src/handover.rs
@@ -2,7 +2,7 @@
 //! beside it, and both hand each other what reaches the wrong one, for as long as both live. The new one asks over a
 //! Unix socket in the runtime folder; frames are JSON behind their length.
 
-use crate::door::Door;
+use crate::door::{Door, SHORT_OF_DESCRIPTORS};
 use crate::exchange::Exchange;
 use crate::heritage::{Heritage, VERSION};
 use crate::muster::Muster;
@@ -36,8 +36,6 @@
 const LONGEST: usize = 16 * 1024 * 1024;
 /// Words that may wait for the other process; beyond that workers are asked to tell again.
 const WAITING: usize = 1024;
-/// When no descriptor is left, some connection ends within this time.
-const SHORT_OF_DESCRIPTORS: Duration = Duration::from_millis(20);
 
 /// What one process says to the other.
 #[derive(Debug, Serialize, Deserialize)]
@@ -71,12 +69,17 @@
     Ok([&length.to_be_bytes(), text.as_slice()].concat())
 }
 
-async fn read_frame(from: &mut (impl AsyncRead + Unpin)) -> Result<Vec<u8>> {
-    let length = from.read_u32().await? as usize;
+/// Room for a frame of this length.
+fn room(length: u32) -> Result<Vec<u8>> {
+    let length = length as usize;
     if length > LONGEST {
         return Err(too_long());
     }
-    let mut text = vec![0; length];
+    Ok(vec![0; length])
+}
+
+async fn read_frame(from: &mut (impl AsyncRead + Unpin)) -> Result<Vec<u8>> {
+    let mut text = room(from.read_u32().await?)?;
     from.read_exact(&mut text).await?;
     Ok(text)
 }
@@ -113,11 +116,7 @@
     listener.set_nonblocking(true)?;
     let mut length = [0; 4];
     stream.read_exact(&mut length)?;
-    let length = u32::from_be_bytes(length) as usize;
-    if length > LONGEST {
-        return Err(too_long());
-    }
-    let mut text = vec![0; length];
+    let mut text = room(u32::from_be_bytes(length))?;
     stream.read_exact(&mut text)?;
     let heritage = Heritage::read(&text).map_err(|why| Error::new(ErrorKind::InvalidData, why))?;
     stream.set_nonblocking(true)?;
@@ -195,11 +194,10 @@
     /// This process took over: it tells the one before that it serves, and has all of the room once that one is gone.
     pub async fn after(self: Rc<Self>, stream: UnixStream) {
         let (clients, workers) = (self.door.half(), self.pool.half());
-        let said = self.clone();
-        self.talk(stream, || said.line.say(Word::Serving), |_| ()).await;
-        info!(said.log, "the process before this one has ended");
-        said.door.widen(clients);
-        said.pool.widen(workers);
+        self.talk(stream, Some(Word::Serving), || ()).await;
+        info!(self.log, "the process before this one has ended");
+        self.door.widen(clients);
+        self.pool.widen(workers);
     }
 
     /// Waits for a process that is started beside this one, for as long as this one lives.
@@ -249,10 +247,10 @@
         match timeout(PATIENCE, sent).await {
             Ok(Ok(())) => {
                 info!(self.log, "handed over to the process started beside this one");
-                let begins = |this: &Self| {
+                let begins = || {
                     serves.set(true);
-                    this.stopping.succeeded(true);
-                    this.door.dismiss_all();
+                    self.stopping.succeeded(true);
+                    self.door.dismiss_all();
                 };
                 let in_time = async {
                     tokio::time::sleep(TO_SERVE).await;
@@ -261,7 +259,7 @@
                     }
                 };
                 tokio::select! {
-                    () = self.talk(stream, || (), begins) => {}
+                    () = self.talk(stream, None, begins) => {}
                     () = in_time => {}
                 }
             }
@@ -280,11 +278,11 @@
     }
 
     /// Speaks with the other process until one of both ends.
-    async fn talk(&self, stream: UnixStream, first: impl FnOnce(), serves: impl Fn(&Self)) {
+    async fn talk(&self, stream: UnixStream, first: Option<Word>, serves: impl Fn()) {
         let (mut read, mut write) = stream.into_split();
         let (words, mut told) = mpsc::channel(WAITING);
         self.line.partner.replace(Some(Partner { words, waiting: HashMap::new(), next: 0 }));
-        first();
+        first.into_iter().for_each(|word| self.line.say(word));
         let writes = async {
             while let Some(word) = told.recv().await {
                 write.write_all(&frame(&word)?).await?;
@@ -295,7 +293,7 @@
             loop {
                 match serde_json::from_slice(&read_frame(&mut read).await?)? {
                     Word::Hello { .. } => {}
-                    Word::Serving => serves(self),
+                    Word::Serving => serves(),
                     Word::News { number, body } => {
                         if let Ok(news) = news::decode(body.as_bytes()) {
                             self.exchange.news(news);
--- a/crates/scheduler/src/management.rs
+++ b/crates/scheduler/src/management.rs
@@ -2,6 +2,7 @@
 //! figures and a line `end`.
 
 use crate::bans::Bans;
+use crate::door::SHORT_OF_DESCRIPTORS;
 use crate::exchange::Exchange;
 use crate::handover::Line;
 use crate::telemetry::Telemetry;
@@ -23,8 +24,6 @@
 /// longest: whoever has sent a whole line is answered at once, so that one has not. Guards against callers that
 /// connect and say nothing.
 const MOST_CALLERS: usize = 12;
-/// When no descriptor is left, some connection ends within this time.
-const SHORT_OF_DESCRIPTORS: Duration = Duration::from_millis(20);
 
 pub struct Management {
     pub exchange: Rc<Exchange>,
@@ -75,28 +74,19 @@
     }
 
     fn answer(&self, line: &str) -> Result<String, String> {
-        let mut words = line.split_ascii_whitespace();
-        let call = words.next().ok_or("an empty line; a call was expected")?;
-        let wants = usize::from(matches!(call, "exclude" | "include"));
-        let given: Vec<&str> = words.collect();
-        if !["readyz", "telemetry", "exclude", "include"].contains(&call) {
-            return Err(format!("{call:?} is no call; those are readyz, telemetry, exclude ID, include ID"));
-        }
-        if given.len() != wants {
-            return Err(format!("{call} takes {wants} words, not {}", given.len()));
-        }
-        let done = || Ok(String::from("done\n"));
-        match (call, given.first()) {
-            ("readyz", _) => match self.why_not_ready() {
-                None => done(),
-                Some(why) => Err(why.into()),
-            },
-            ("telemetry", _) => Ok(self.telemetry.figures(self.exchange.moment()) + "\nend\n"),
-            (_, Some(name)) => {
-                self.ban(name, call == "exclude")?;
-                done()
+        let words: Vec<&str> = line.split_ascii_whitespace().collect();
+        let done = || String::from("done\n");
+        let takes = |call, wants| Err(format!("{call} takes {wants} words, not {}", words.len() - 1));
+        match words[..] {
+            [] => Err("an empty line; a call was expected".into()),
+            ["readyz"] => self.why_not_ready().map_or_else(|| Ok(done()), |why| Err(why.into())),
+            ["telemetry"] => Ok(self.telemetry.figures(self.exchange.moment()) + "\nend\n"),
+            [call @ ("exclude" | "include"), name] => self.ban(name, call == "exclude").map(|()| done()),
+            [call @ ("readyz" | "telemetry"), ..] => takes(call, 0),
+            [call @ ("exclude" | "include"), ..] => takes(call, 1),
+            [call, ..] => {
+                Err(format!("{call:?} is no call; those are readyz, telemetry, exclude ID, include ID"))
             }
-            _ => Err(format!("{call} takes {wants} words")),
         }
     }
 
@@ -116,7 +106,7 @@
             self.line.tell_ban(name, banned);
             let what = if banned { "taken out" } else { "put back" };
             info!(self.log, "worker {name} {what} by hand");
-            if let Err(e) = self.bans.write(&self.exchange.bans()) {
+            if let Err(e) = self.bans.write(self.exchange.bans()) {
                 warn!(self.log, "who is out by hand will be forgotten at the next start: {e}");
             }
         }
--- a/crates/scheduler/src/stocking.rs
+++ b/crates/scheduler/src/stocking.rs
@@ -235,11 +235,16 @@
     }
 }
 
+/// Written beside and renamed, so that a reader finds the old file or the new one.
+pub fn replace(path: &Path, text: impl AsRef<[u8]>) -> std::io::Result<()> {
+    let beside = path.with_extension("new");
+    std::fs::write(&beside, text)?;
+    std::fs::rename(&beside, path)
+}
+
 /// Keeps the list in force for the next start: whole, or not at all.
 fn keep(path: &Path, inventory: &Inventory) -> Result<(), String> {
-    let beside = path.with_extension("new");
-    let written = std::fs::write(&beside, write(inventory, Written::Csv));
-    let kept = written.and_then(|()| std::fs::rename(&beside, path));
+    let kept = replace(path, write(inventory, Written::Csv));
     kept.map_err(|e| format!("in force, but cannot be kept in {} for the next start: {e}", path.display()))
 }
 
