Workers that warm are taken at half way to the full, and a lull's cold budget is saved

One scheduler was at the pace of its cold budget all the time, the other at half of it: it held the worker for slow (0.5), from runs while it was cold, and the budget counts by speed. Lines: speed() knew no warmth, learn() took cold runs as they came, assign() lost what a lull left of the budget.

--- a/src/books.rs
+++ b/src/books.rs
@@ -53,10 +53,13 @@
         self.on_list && self.condition == Some(Condition::Ready) && !self.banned
     }
 
+    pub fn is_barred(&self, now: Duration) -> bool {
+        self.barred.is_some_and(|until| until > now)
+    }
+
     /// Listed, but gets nothing now, by hand or by choice.
     pub fn avoided(&self, now: Duration) -> bool {
-        let barred = self.barred.is_some_and(|until| until > now);
-        self.on_list && (self.banned || barred || self.silent || self.left_out > now)
+        self.on_list && (self.banned || self.is_barred(now) || self.silent || self.left_out > now)
     }
 
     /// Taken out by hand, or put back: then it is like one that returns, since it was worked on meanwhile.
@@ -111,6 +114,13 @@
         pause
     }
 
+    /// An assignment goes there; while cold it gets the next one at `rest`.
+    pub fn takes(&mut self, ticket: (usize, usize), size: f64, now: Duration, rest: Duration) {
+        (self.n, self.used, self.rest) = (self.n + size, now, rest);
+        self.room = (self.room - size).max(0.0);
+        self.waiting.push_back(ticket);
+    }
+
     /// An assignment there has started.
     pub fn begins(&mut self, ticket: (usize, usize), size: f64, now: Duration) {
         self.running += size;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,6 +42,7 @@
 const MISSES: usize = 4; // tasks that find no room before the others of that moment are not tried
 const CLAIMED: f64 = 2.0; // free slots of a worker that others may take at the same moment
 const COLD_ROOM: f64 = 0.5; // part of a cold budget that is used: tasks run long, schedulers coincide
+const SAVED: Duration = Duration::from_millis(500); // of that part may be saved up: short against a fall
 
 /// The paper's Whittle index (Theorem 1 with holding cost 1 and beta 0) of a worker with `n` in it.
 pub fn whittle(n: f64, energy: Energy, lambda: f64, mu: f64, delta: f64) -> f64 {
@@ -247,7 +248,7 @@
 
     pub fn ended(&mut self, task: usize, number: usize, ending: Ending, over: bool) {
         let Some(a) = self.tasks.out(task, number).copied() else { return };
-        let (now, i, talks, t) = (self.now, a.worker, self.talk != Talk::Silent, &mut self.tasks[task]);
+        let (now, i, warmed, t) = (self.now, a.worker, self.warmth(a.worker).sqrt(), &mut self.tasks[task]);
         let (size, workload, full) = (t.size, t.workload, ending == Ending::Full);
         let waited = a.started.is_none() && secs(now - a.sent) > AT_ONCE;
         t.assignments[number].ending = Some(ending);
@@ -259,13 +260,13 @@
         match ending {
             Ending::Finished => {
                 w.revive(now);
-                (w.energy, w.fresh) = (Energy::Busy, false);
-                w.errors -= ERROR_STEP * w.errors;
+                (w.energy, w.fresh, w.errors) = (Energy::Busy, false, w.errors - ERROR_STEP * w.errors);
                 // Served in order: what started at once found room, so what it held is free again.
-                if talks && a.started.is_some_and(|at| secs(at - a.sent) <= AT_ONCE) {
+                if self.talk != Talk::Silent && a.started.is_some_and(|at| secs(at - a.sent) <= AT_ONCE) {
                     self.rooms.freed.push((i, size));
                 }
-                self.known.learn(w, workload, size, secs(now - a.started.unwrap_or(a.sent)));
+                // Guards against a worker that passes for slow since it was cold.
+                self.known.learn(w, workload, size, secs(now - a.started.unwrap_or(a.sent)) * warmed);
             }
             Ending::Error | Ending::Reset | Ending::ConnectFailed => {
                 w.errors += ERROR_STEP - ERROR_STEP * w.errors;
@@ -384,9 +385,11 @@
         self.arrivals.since(self.start, self.now, RATE_SPAN).max(RATE_FLOOR)
     }
 
-    /// Speed of one core, pooled by kind; a worker's own counts when it is clearly apart.
+    /// Speed of one core, pooled by kind; a worker's own counts when it is clearly apart. While it warms it
+    /// is taken half way, by ratio, from what it surely has to the full.
     fn speed(&self, i: usize) -> f64 {
-        (self.known.kinds[self.workers[i].site.kind].speed + self.workers[i].own_speed(self.now)).exp()
+        let speed = self.known.kinds[self.workers[i].site.kind].speed + self.workers[i].own_speed(self.now);
+        speed.exp() * self.warmth(i).sqrt()
     }
 
     /// Slots of a worker: the most seen at once on its kind; before that its size, which may count speed too.
@@ -448,9 +451,9 @@
     /// Guards against pushing over a cold worker: the own share of its budget needs this long for a work.
     fn pause(&self, i: usize, work: f64) -> Duration {
         let (s, full) = (&self.sheet, self.slots(i) * self.speed(i));
-        // Half of it is split equally, so that who sends little may send at all, half by the own traffic.
+        // Half is split equally, half by the own traffic. Speed has one half of the warmth in it, by ratio.
         let part = 0.5 / s.schedulers as f64 + 0.5 * self.known.mine;
-        let budget = COLD_ROOM * s.overload_factor * self.warmth(i) * full * part;
+        let budget = COLD_ROOM * s.overload_factor * self.warmth(i).sqrt() * full * part;
         Duration::from_secs_f64((work / budget).min(secs(s.warm_within)))
     }
 
@@ -482,7 +485,7 @@
     /// Barred, or just back and with a task in it: only where no other has room, for what loses little there.
     fn doubtful(&self, i: usize) -> bool {
         let w = &self.workers[i];
-        w.barred.is_some_and(|until| until > self.now) || w.spells > 0 && w.errors > 0.2 && w.n > 0.0
+        w.is_barred(self.now) || w.spells > 0 && w.errors > 0.2 && w.n > 0.0
     }
 
     /// The workers that a task is scored on. Guards against schedulers that have seen almost none of a large
@@ -547,7 +550,7 @@
         scores.retain(|s| s.1 == best_tier);
         for score in &mut scores {
             let (i, occupied, able) = (score.0, score.2, score.3);
-            let (w, mu) = (&self.workers[i], able * self.warmth(i) / self.known.hold);
+            let (w, mu) = (&self.workers[i], able / self.known.hold);
             let delta = (1.0 / self.known.setup.max(1e-3)).max(1.05 * mu);
             let idle = w.n == 0.0 && secs(self.now.saturating_sub(w.used)) > IDLE_WINDOW;
             let energy = if idle { Energy::Off } else { w.energy };
@@ -740,16 +743,14 @@
         let pause = self.pause(i, work);
         let (t, w) = (&mut self.tasks[task], &mut self.workers[i]);
         let off = w.n == 0.0 && secs(now.saturating_sub(w.used)) > IDLE_WINDOW;
-        if off {
-            w.energy = Energy::Setup;
-        }
+        w.energy = if off { Energy::Setup } else { w.energy };
         let number = t.assignments.len();
         t.assignments.push(Assignment::new(i, now, w.n, off));
-        (w.n, w.used, w.rest) = (w.n + t.size, now, now + pause);
-        w.room = (w.room - t.size).max(0.0);
+        // Guards against a cold worker that idles: what a lull leaves of its budget would be lost.
+        let rest = w.rest.max(now.saturating_sub(SAVED.saturating_sub(pause))) + pause;
+        w.takes((task, number), t.size, now, rest);
         self.out += t.size;
         self.changed.push(i);
-        w.waiting.push_back((task, number));
         t.stage = Stage::Out;
         self.due = self.due.min(now + Duration::from_secs_f64(AT_ONCE));
         Decision::Assign { task, worker: i }
@@ -867,17 +868,16 @@
         let sum: f64 = suspects.iter().map(|&i| self.workers[i].errors).sum();
         let bar = ERRORS_BAR.max((2.5 * sum / self.ready.max(1) as f64).min(0.95));
         let most = ((BARRED_SHARE * self.ready as f64) as usize).max(1);
-        let is_barred = |w: &Worker| w.barred.is_some_and(|until| until > now);
-        let mut barred = suspects.iter().filter(|&&i| is_barred(&self.workers[i])).count();
+        let mut barred = suspects.iter().filter(|&&i| self.workers[i].is_barred(now)).count();
         suspects.retain(|&i| {
             let w = &mut self.workers[i];
             let errors = w.errors;
-            if !is_barred(w) && errors > bar && barred < most {
+            if !w.is_barred(now) && errors > bar && barred < most {
                 barred += 1;
                 let pause = w.set_aside(now);
                 let line = format!("worker {i} barred for {:.1} s: share of errors {errors:.2}", secs(pause));
                 self.say.push_back(Decision::Log(line));
-            } else if !is_barred(w) && errors < 0.05 && w.spells > 0 {
+            } else if !w.is_barred(now) && errors < 0.05 && w.spells > 0 {
                 (w.spells, w.barred) = (0, None);
                 self.say.push_back(Decision::Log(format!("worker {i} back: share of errors {errors:.2}")));
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -205,6 +205,35 @@
     assert_snapshot!(desk.trace);
 }
 
+/// Guards against a worker that warms and passes for a slow one, and against its cold budget lost in a lull.
+#[test]
+fn a_worker_that_warms_is_no_slow_one() {
+    let mut desk = Desk::new(duty(&[Effect::Idempotent]), 2);
+    let share = |now: u64| (0.2 + 0.8 * now.saturating_sub(3000) as f64 / 10_000.0).min(1.0);
+    for (worker, until, warm) in [(1, 3000, true), (0, 9000, false)] {
+        desk.list(1 - worker, Condition::Gone, None);
+        desk.list(worker, Condition::Ready, (!warm).then_some(3000));
+        while desk.now < until {
+            let task = desk.arrive(0);
+            desk.until(desk.now + 200);
+            desk.rules.started(task, 0);
+            let now = if warm { 13_000 } else { desk.now };
+            let ends = desk.now + (100.0 / share(now).sqrt()) as u64;
+            desk.at(ends).rules.ended(task, 0, Ending::Finished, true);
+            desk.pull();
+        }
+    }
+    desk.until(10_000);
+    desk.trace.clear();
+    let known = &desk.rules.records().1[0];
+    let line = format!("{} runs, {:.2} apart from its kind", known.completions, known.apart);
+    desk.note(&line);
+    desk.arrive(0);
+    desk.arrive(0);
+    desk.until(10_300);
+    assert_snapshot!(desk.trace);
+}
+
 /// Guards against sending to a draining worker, and holds tasks while there is none at all.
 #[test]
 fn nothing_goes_to_a_draining_worker() {
