With all workers out by hand, tasks are answered at once instead of waiting

Workers that drain, are barred or cold are still waited for. The new test fails without it: tasks wait and run when a worker is put back.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -475,8 +475,7 @@
     fn eligible(&self, task: usize, i: usize) -> bool {
         let (t, w) = (&self.tasks[task], &self.workers[i]);
         let row = &self.sheet.workloads[t.workload];
-        let harmless = row.effect == Effect::Idempotent && t.assignments.len() < 2;
-        let out = self.doubtful(i) && !harmless;
+        let out = self.doubtful(i) && (row.effect != Effect::Idempotent || t.assignments.len() > 1);
         let rests = (self.yielded || w.rest > self.now) && self.warmth(i) < 1.0 || w.left_out > self.now;
         let tried = t.assignments.iter().any(|a| a.worker == i);
         w.ready() && !w.silent && !rests && !out && !tried && self.allowed(task, i)
@@ -634,18 +633,16 @@
     /// The task is done for this scheduler: a shed reply only where trying again is harmless.
     fn give_up(&mut self, task: usize) -> Decision {
         let t = &mut self.tasks[task];
-        let harmless = match self.sheet.workloads[t.workload].effect {
-            Effect::Idempotent | Effect::Deduplicated(Group::All) => true,
-            _ => t.maybe_ran().next().is_none(),
-        };
+        let effect = self.sheet.workloads[t.workload].effect;
+        let free = matches!(effect, Effect::Idempotent | Effect::Deduplicated(Group::All));
+        let harmless = free || t.maybe_ran().next().is_none();
         t.stage = Stage::Over;
         self.call_off(task);
         self.forget(task);
         let come_back = self.sheet.come_back.map(|most| most.min(Duration::from_secs(1)));
-        if harmless {
-            Decision::Shed { task, come_back }
-        } else {
-            Decision::BreakOff { task }
+        match harmless {
+            true => Decision::Shed { task, come_back },
+            false => Decision::BreakOff { task },
         }
     }
 
@@ -693,10 +690,15 @@
         match lowest {
             Some((i, tier)) if tier == 3 || tier == 2 && guess => Some(self.assign(task, i)),
             Some((i, 1)) if alone && self.may_queue(task) => Some(self.assign(task, i)),
-            _ => late.then(|| self.give_up(task)),
+            _ => (late || self.shut()).then(|| self.give_up(task)),
         }
     }
 
+    /// Whoever is listed is out by hand. Guards against tasks that wait for nobody.
+    fn shut(&self) -> bool {
+        self.roster.listed > 0 && self.workers.iter().all(|w| w.banned || !w.on_list)
+    }
+
     /// Draws a group of the workers where a data set is at home: the same at every scheduler, without
     /// a word, by highest random weight, the larger and faster ones more often; as many as the set's share of
     /// arrivals needs. Guards against each set being fetched everywhere.
@@ -802,9 +804,8 @@
         self.bar();
         self.tell();
         self.seek();
-        if !self.changed.is_empty() {
-            self.due = self.due.min(self.peers.told + TELL_EVERY);
-        }
+        self.due =
+            if self.changed.is_empty() { self.due } else { self.due.min(self.peers.told + TELL_EVERY) };
     }
 
     /// Guards against waiting behind hidden traffic: what has not started at once, and may be sent again.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -405,6 +405,26 @@
     assert_snapshot!(desk.trace);
 }
 
+/// Guards against tasks that wait for nobody: with all out by hand they are answered at once, one that may have run too.
+#[test]
+fn with_all_out_by_hand_nothing_waits() {
+    let mut desk = Desk::new(duty(&[Effect::Idempotent, Effect::Unrepeatable]), 2);
+    let runs = desk.arrive(1);
+    desk.rules.started(runs, 0);
+    desk.list(1, Condition::Draining, None);
+    for worker in 0..2 {
+        desk.note(&format!("worker {worker} is taken out by hand"));
+        desk.rules.banned(worker, true);
+        desk.pull();
+        desk.arrive(0);
+    }
+    desk.end(runs, 0, Ending::Reset);
+    desk.rules.banned(0, false);
+    desk.note("worker 0 is put back");
+    desk.arrive(0);
+    assert_snapshot!(desk.trace);
+}
+
 /// Guards against a cold worker pushed over by two processes of one scheduler: the one that yields sends it nothing.
 #[test]
 fn who_has_yielded_leaves_cold_workers_to_the_other() {
