Cold budgets are spaced as before; cold runs are left out once others are known

Seen: the integration run failed at both_kinds_keep_the_rules_and_neither_starves_the_other, 80 tasks in a second at a cold worker where 67 push it over (rule 4). Cause, by parts: with nothing saved up still 70 and 76 in 2 of 3 runs, since learn() took cold runs as shorter than they were, so work passed for less and was spaced closer; with a quarter of a second saved up and no cold runs learned 80 to 87 in 4 of 5; with neither 0 of 6. Ruled out: chance (the form before passed, this one passes six times on end).

Now nothing is saved up, and a run on a worker that warms is learned only while fewer than 8 of its workload are known. The whole integration run passes.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,7 +42,6 @@
 const MISSES: usize = 4; // tasks that find no room before the others of that moment are not tried
 const CLAIMED: f64 = 2.0; // free slots of a worker that others may take at the same moment
 const COLD_ROOM: f64 = 0.5; // part of a cold budget that is used: tasks run long, schedulers coincide
-const SAVED: Duration = Duration::from_millis(500); // of that part may be saved up: short against a fall
 
 /// The paper's Whittle index (Theorem 1 with holding cost 1 and beta 0) of a worker with `n` in it.
 pub fn whittle(n: f64, energy: Energy, lambda: f64, mu: f64, delta: f64) -> f64 {
@@ -248,7 +247,7 @@
 
     pub fn ended(&mut self, task: usize, number: usize, ending: Ending, over: bool) {
         let Some(a) = self.tasks.out(task, number).copied() else { return };
-        let (now, i, warmed, t) = (self.now, a.worker, self.warmth(a.worker).sqrt(), &mut self.tasks[task]);
+        let (now, i, warm, t) = (self.now, a.worker, self.warmth(a.worker) >= 1.0, &mut self.tasks[task]);
         let (size, workload, full) = (t.size, t.workload, ending == Ending::Full);
         let waited = a.started.is_none() && secs(now - a.sent) > AT_ONCE;
         t.assignments[number].ending = Some(ending);
@@ -265,8 +264,10 @@
                 if self.talk != Talk::Silent && a.started.is_some_and(|at| secs(at - a.sent) <= AT_ONCE) {
                     self.rooms.freed.push((i, size));
                 }
-                // Guards against a worker that passes for slow since it was cold.
-                self.known.learn(w, workload, size, secs(now - a.started.unwrap_or(a.sent)) * warmed);
+                // Guards against a worker that passes for slow since it was cold, unless nothing else is known.
+                if warm || self.known.runs[workload].seen < 8.0 {
+                    self.known.learn(w, workload, size, secs(now - a.started.unwrap_or(a.sent)));
+                }
             }
             Ending::Error | Ending::Reset | Ending::ConnectFailed => {
                 w.errors += ERROR_STEP - ERROR_STEP * w.errors;
@@ -748,9 +749,7 @@
         w.energy = if off { Energy::Setup } else { w.energy };
         let number = t.assignments.len();
         t.assignments.push(Assignment::new(i, now, w.n, off));
-        // Guards against a cold worker that idles: what a lull leaves of its budget would be lost.
-        let rest = w.rest.max(now.saturating_sub(SAVED.saturating_sub(pause))) + pause;
-        w.takes((task, number), t.size, now, rest);
+        w.takes((task, number), t.size, now, now + pause);
         self.out += t.size;
         self.changed.push(i);
         t.stage = Stage::Out;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -205,7 +205,7 @@
     assert_snapshot!(desk.trace);
 }
 
-/// Guards against a worker that warms and passes for a slow one, and against its cold budget lost in a lull.
+/// Guards against a worker that warms and passes for a slow one, which its cold budget would be cut by once more.
 #[test]
 fn a_worker_that_warms_is_no_slow_one() {
     let mut desk = Desk::new(duty(&[Effect::Idempotent]), 2);
