The reason for the equal half of a cold budget stands beside it again

Seen on rereading the change: the comment in pause() had lost why half of the part is split equally. No behaviour changes. Tried and put back: one named bound for "a workload's run time is known" in rules.rs and books.rs. The two differ by one run (under 8, over 8), so a single bound changes what is learned; a_worker_that_warms_is_no_slow_one turned red.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -452,7 +452,8 @@
     /// Guards against pushing over a cold worker: the own share of its budget needs this long for a work.
     fn pause(&self, i: usize, work: f64) -> Duration {
         let (s, full) = (&self.sheet, self.slots(i) * self.speed(i));
-        // Half is split equally, half by the own traffic. Speed has one half of the warmth in it, by ratio.
+        // Half is split equally, so that who sends little may send at all, half by the own traffic. Speed has
+        // one half of the warmth in it, by ratio.
         let part = 0.5 / s.schedulers as f64 + 0.5 * self.known.mine;
         let budget = COLD_ROOM * s.overload_factor * self.warmth(i).sqrt() * full * part;
         Duration::from_secs_f64((work / budget).min(secs(s.warm_within)))
