--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -161,6 +161,11 @@
         self.voting.seen.get(&member).copied()
     }
 
+    /// Proposals made here, by number, with what became of them; the latest last.
+    pub fn outcomes(&self) -> impl Iterator<Item = (u64, Digest, &Outcome)> {
+        self.outcomes.iter().map(|(number, digest, outcome)| (*number, *digest, outcome))
+    }
+
     pub fn outcome(&self, digest: Digest) -> Option<(u64, &Outcome)> {
         let found = self.outcomes.iter().rev().find(|(_, known, _)| *known == digest);
         found.map(|(number, _, outcome)| (*number, outcome))
--- a/crates/berth/src/berth.rs
+++ b/crates/berth/src/berth.rs
@@ -1,5 +1,6 @@
 //! All that a scheduler is told at its start, from whichever form it was read.
 
+use crate::accord::Accord;
 use crate::listing::Listing;
 use crate::words::Words;
 use sha2::{Digest, Sha256};
@@ -35,6 +36,8 @@
     pub inventory: Option<Stock>,
     /// The schedulers that tell one another of workers, where they do.
     pub others: Option<Others>,
+    /// The group that decides the policy together, where there is one.
+    pub accord: Option<Accord>,
     /// Where operators call, if anywhere.
     pub management: Option<SocketAddr>,
     /// A folder that this process shares with the one that takes over from it.
--- a/crates/berth/src/installation.rs
+++ b/crates/berth/src/installation.rs
@@ -1,6 +1,7 @@
 //! An installation's own form of the configuration: TOML, in the operators' words. The keys, their units, ranges and
 //! defaults are listed in `docs/operating/configuration.md`.
 
+use crate::accord::accord;
 use crate::berth::{digest, Berth, HealthTerms, Level, LogForm, Others, Rooms, Stock};
 use crate::layers::{Layers, Reader, Section, Shown, Written};
 use crate::units;
@@ -37,7 +38,7 @@
     }
 }
 
-fn whole(low: u64, high: u64) -> impl Fn(&Written) -> Result<u64, String> {
+pub(crate) fn whole(low: u64, high: u64) -> impl Fn(&Written) -> Result<u64, String> {
     move |w| {
         let plain: String = w.text.chars().filter(|c| *c != '_').collect();
         let found = plain.parse().ok().filter(|n| (low..=high).contains(n));
@@ -117,6 +118,7 @@
     let (dial, keep, most) = workers(r, top, &mut sheet, &mut words);
     sheet.workloads.iter_mut().for_each(|row| row.most_assignments = most);
     let others = others(r, top, &mut sheet);
+    let accord = accord(r, top, &title, folder);
     let inventory = inventory(r, top, folder);
     if inventory.is_none() && discovery.is_none() {
         r.problem(
@@ -147,6 +149,7 @@
         discovery,
         inventory,
         others,
+        accord,
         management,
         runtime,
         seed,
@@ -162,7 +165,7 @@
     })
 }
 
-fn one_of<T: Copy>(words: &[(&'static str, T)]) -> impl Fn(&Written) -> Result<T, String> {
+pub(crate) fn one_of<T: Copy>(words: &[(&'static str, T)]) -> impl Fn(&Written) -> Result<T, String> {
     let words = words.to_vec();
     move |w| {
         let found = words.iter().find(|(word, _)| *word == w.text).map(|(_, value)| *value);
--- a/crates/berth/src/lib.rs
+++ b/crates/berth/src/lib.rs
@@ -2,6 +2,7 @@
 //! (`platform`), as one `Berth`; the list of workers as a discovery agent tells it (`listing`); and what a change in
 //! stages and a keeper are told (`plan`, `keeper`), and how a configuration takes other settings and stays its own (`grafting`).
 
+mod accord;
 mod berth;
 pub mod grafting;
 pub mod installation;
@@ -14,6 +15,7 @@
 mod whole;
 mod words;
 
+pub use accord::Accord;
 pub use berth::{digest, digest_of, Berth, HealthTerms, Level, LogForm, Others, Rooms, Stock};
 pub use layers::{Layers, Shown, Source};
 pub use tindock_inventory::{Place, Problem};
--- a/crates/berth/src/platform.rs
+++ b/crates/berth/src/platform.rs
@@ -95,6 +95,8 @@
         discovery: Some(address(&doc.discovery, "discovery")?),
         inventory: None,
         others: None,
+        // It tells no addresses of others, so there is no group.
+        accord: None,
         management: management.map(|at| address(at, "mgmt")).transpose()?,
         runtime: process.runtime.clone(),
         seed: u64::from_str_radix(&doc.seed, 16).map_err(|_| format!("seed {:?} is no number", doc.seed))?,
--- /dev/null
+++ b/crates/scheduler/src/accord/store.rs
@@ -0,0 +1,199 @@
+//! What a member of a group keeps on disk, in a folder of its own: its state, replaced whole and synced before anything
+//! is said that it permits, and the texts of proposals by their digests. A lock keeps a second process out.
+
+use crate::rollout::files::replace;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::fs::{self, File, TryLockError};
+use std::io::ErrorKind;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use tindock_accord::{Digest, Kept};
+
+const STATE: &str = "state";
+const LOCK: &str = "lock";
+const ENDING: &str = "text";
+/// The first words of the state. Another version is told apart from a file that was cut.
+const MARK: &str = "tindock-accord 1";
+/// The process before this one lets go within this time, where it hands over.
+const LET_GO: Duration = Duration::from_secs(2);
+const LOOK: Duration = Duration::from_millis(10);
+
+#[derive(Serialize, Deserialize)]
+struct State {
+    name: String,
+    kept: Kept,
+}
+
+/// A folder that this process alone has.
+pub struct Store {
+    folder: PathBuf,
+    name: String,
+    _lock: File,
+}
+
+pub fn digest(text: &[u8]) -> Digest {
+    use sha2::{Digest as _, Sha256};
+    Digest(Sha256::digest(text).into())
+}
+
+impl Store {
+    /// Opens or makes the folder; what is kept there, none where it was just made. One line says what is wrong: a state
+    /// that is not whole or another's is never taken for an empty one.
+    pub fn open(folder: &Path, name: &str) -> Result<(Store, Option<Kept>), String> {
+        let out = |path: &Path| {
+            let path = path.display().to_string();
+            move |e: std::io::Error| format!("accord: {path}: {e}")
+        };
+        fs::create_dir_all(folder).map_err(out(folder))?;
+        let path = folder.join(LOCK);
+        let lock =
+            File::options().create(true).truncate(false).write(true).open(&path).map_err(out(&path))?;
+        let began = Instant::now();
+        loop {
+            match lock.try_lock() {
+                Ok(()) => break,
+                Err(TryLockError::WouldBlock) if began.elapsed() < LET_GO => std::thread::sleep(LOOK),
+                Err(TryLockError::WouldBlock) => {
+                    return Err(format!("accord: {} is another process's", folder.display()))
+                }
+                Err(TryLockError::Error(e)) => return Err(out(&path)(e)),
+            }
+        }
+        let store = Store { folder: folder.into(), name: name.into(), _lock: lock };
+        let path = folder.join(STATE);
+        let text = match fs::read_to_string(&path) {
+            Err(e) if e.kind() == ErrorKind::NotFound => {
+                // Guards against a state that was lost alone: with texts beside it this was no new member.
+                return match store.texts().next() {
+                    None => Ok((store, None)),
+                    Some(_) => Err(format!(
+                        "accord: {}: there are texts of proposals, and no state; remove the folder to begin as a new \
+                         member",
+                        folder.display()
+                    )),
+                };
+            }
+            text => text.map_err(out(&path))?,
+        };
+        let kept = read(&text, name).map_err(|why| format!("accord: {}: {why}", path.display()))?;
+        Ok((store, Some(kept)))
+    }
+
+    /// On the disk when this returns.
+    pub fn keep(&self, kept: &Kept) -> Result<(), String> {
+        let state = State { name: self.name.clone(), kept: kept.clone() };
+        let line = serde_json::to_string(&state).map_err(|e| e.to_string())?;
+        let text = format!("{MARK} {}\n{line}\n", digest(line.as_bytes()));
+        let path = self.folder.join(STATE);
+        replace(&path, text.as_bytes()).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    fn path(&self, digest: Digest) -> PathBuf {
+        self.folder.join(format!("{digest}.{ENDING}"))
+    }
+
+    /// The text of that digest, if it is here and whole.
+    pub fn text(&self, of: Digest) -> Option<Vec<u8>> {
+        fs::read(self.path(of)).ok().filter(|text| digest(text) == of)
+    }
+
+    pub fn add(&self, text: &[u8]) -> Result<Digest, String> {
+        let of = digest(text);
+        let path = self.path(of);
+        if self.text(of).is_none() {
+            replace(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+        }
+        Ok(of)
+    }
+
+    fn texts(&self) -> impl Iterator<Item = PathBuf> {
+        let all = fs::read_dir(&self.folder).into_iter().flatten().flatten().map(|entry| entry.path());
+        all.filter(|path| path.extension().is_some_and(|ending| ending == ENDING))
+    }
+
+    /// Removes the texts that nobody needs any more.
+    pub fn tidy(&self, needed: &BTreeSet<Digest>) {
+        let needed: BTreeSet<PathBuf> = needed.iter().map(|digest| self.path(*digest)).collect();
+        // One that stays is looked at again the next time.
+        self.texts().filter(|path| !needed.contains(path)).for_each(|path| drop(fs::remove_file(path)));
+    }
+}
+
+fn read(text: &str, name: &str) -> Result<Kept, String> {
+    let (first, rest) = text.split_once('\n').unwrap_or((text, ""));
+    let Some(sum) = first.strip_prefix(MARK).map(str::trim) else {
+        return Err(match first.starts_with("tindock-accord ") {
+            true => "is of another version of the program".into(),
+            false => "is no state of a member".into(),
+        });
+    };
+    let line = rest.strip_suffix('\n').unwrap_or(rest);
+    if digest(line.as_bytes()).to_string() != sum {
+        return Err("was cut or changed; remove its folder to begin as a new member".into());
+    }
+    let state: State = serde_json::from_str(line).map_err(|e| e.to_string())?;
+    if state.name != name {
+        return Err(format!("is the state of {}, not of {name}", state.name));
+    }
+    Ok(state.kept)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn folder(name: &str) -> PathBuf {
+        let folder = std::env::temp_dir().join(format!("tindock-store-{name}-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&folder);
+        folder
+    }
+
+    fn wrong(folder: &Path, name: &str) -> String {
+        Store::open(folder, name).map(|_| ()).expect_err("an error")
+    }
+
+    /// Guards against a member that takes a torn, old or strange file for an empty memory, and votes once more.
+    #[test]
+    fn a_state_is_whole_or_an_error() {
+        let folder = folder("whole");
+        let kept = Kept { id: u64::MAX, ..Kept::default() };
+        let (store, before) = Store::open(&folder, "n0").expect("a store");
+        assert_eq!(before, None);
+        let text = store.add(b"a policy").expect("added");
+        store.keep(&kept).expect("kept");
+        drop(store);
+        assert!(wrong(&folder, "n1").ends_with("is the state of n0, not of n1"));
+        let (store, again) = Store::open(&folder, "n0").expect("a store");
+        assert_eq!((again.as_ref(), store.text(text)), (Some(&kept), Some(b"a policy".to_vec())));
+        drop(store);
+        let path = folder.join(STATE);
+        let whole = fs::read_to_string(&path).expect("text");
+        for cut in 0..whole.len() - 1 {
+            fs::write(&path, &whole[..cut]).expect("written");
+            wrong(&folder, "n0");
+        }
+        fs::write(&path, whole.replace("accord 1", "accord 2")).expect("written");
+        assert!(wrong(&folder, "n0").contains("another version"));
+        fs::remove_file(&path).expect("removed");
+        assert!(wrong(&folder, "n0").contains("no state"));
+        fs::write(folder.join(format!("{text}.text")), "another").expect("written");
+        fs::write(&path, &whole).expect("written");
+        let (store, _) = Store::open(&folder, "n0").expect("a store");
+        assert_eq!(store.text(text), None);
+        store.tidy(&BTreeSet::new());
+        assert_eq!(store.texts().count(), 0);
+        fs::remove_dir_all(&folder).expect("removed");
+    }
+
+    /// Guards against two processes with one vote.
+    #[test]
+    fn a_second_process_is_kept_out() {
+        let folder = folder("lock");
+        let first = Store::open(&folder, "n0").expect("a store");
+        assert!(wrong(&folder, "n0").ends_with("is another process's"));
+        drop(first);
+        Store::open(&folder, "n0").expect("a store");
+        fs::remove_dir_all(&folder).expect("removed");
+    }
+}
--- a/crates/scheduler/src/cli.rs
+++ b/crates/scheduler/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line: what it takes, and the commands that end by themselves.
 
+use crate::accord::commands::Policies;
 use crate::berth::{self, open, Layers, Problem, Shown, Stock};
 use crate::list::shelves;
 use crate::list::stocking::accept_file;
@@ -51,6 +52,9 @@
     /// Change the settings of many schedulers in stages, stopped and undone when a stage does worse
     #[command(subcommand)]
     Rollout(Rollouts),
+    /// Change a policy that takes hold at all schedulers of a group or at none
+    #[command(subcommand)]
+    Policy(Policies),
     /// Stand over the schedulers of this machine: start them, start them again, bring a new program beside the old one
     Keep {
         file: PathBuf,
@@ -77,18 +81,23 @@
 /// How long an answer to an operator may take; it is owed in one second.
 const ANSWER: Duration = Duration::from_secs(5);
 
-/// Asks a scheduler; its answer, or what it says against the call.
-pub fn manage(at: Option<SocketAddr>, config: Option<&Path>, call: &[String]) -> Result<String, Vec<String>> {
+/// The operators' address that is meant.
+pub fn management(at: Option<SocketAddr>, config: Option<&Path>) -> Result<SocketAddr, Vec<String>> {
     let told = |config: &Path| {
         let (berth, _) = open(config, &Over::default().layers())?;
         berth.management.ok_or_else(|| vec![format!("{}: no operators' address", config.display())])
     };
-    let at = match (at, config, std::env::var("GW_MGMT").ok()) {
-        (Some(at), ..) => at,
-        (None, Some(config), _) => told(config)?,
-        (None, None, Some(at)) => at.parse().map_err(|_| vec![format!("GW_MGMT {at:?} is no address")])?,
-        (None, None, None) => return Err(vec!["no address: --at, --config or GW_MGMT was expected".into()]),
-    };
+    match (at, config, std::env::var("GW_MGMT").ok()) {
+        (Some(at), ..) => Ok(at),
+        (None, Some(config), _) => told(config),
+        (None, None, Some(at)) => at.parse().map_err(|_| vec![format!("GW_MGMT {at:?} is no address")]),
+        (None, None, None) => Err(vec!["no address: --at, --config or GW_MGMT was expected".into()]),
+    }
+}
+
+/// Asks a scheduler; its answer, or what it says against the call.
+pub fn manage(at: Option<SocketAddr>, config: Option<&Path>, call: &[String]) -> Result<String, Vec<String>> {
+    let at = management(at, config)?;
     let answer = calls::ask(at, &call.join(" "), ANSWER).map_err(|e| vec![format!("{at}: {e}")])?;
     match calls::yes(&answer) {
         Ok(_) => Ok(answer),
--- a/crates/scheduler/src/clients/door.rs
+++ b/crates/scheduler/src/clients/door.rs
@@ -1,5 +1,6 @@
 //! The server side: accepts connections of clients and workers, and answers what they ask.
 
+use crate::accord::Accord;
 use crate::clients::answering::{self, Reply};
 use crate::clients::guest::{Guest, Standing, Watched};
 use crate::clients::heads::Ends;
@@ -15,7 +16,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{warn, Logger};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::pin::pin;
@@ -33,6 +34,8 @@
 const SUMS: Duration = Duration::from_secs(10);
 /// When no descriptor is left, some connection ends within this time.
 pub const SHORT_OF_DESCRIPTORS: Duration = Duration::from_millis(20);
+/// Without the word of its group a scheduler asks clients to come back after this, where it may say so.
+const AGAIN: Duration = Duration::from_secs(1);
 /// Room for a head in reading: the least that hyper takes.
 const READ_BUFFER: usize = 8 * 1024;
 
@@ -47,6 +50,8 @@
     next: Cell<u64>,
     gone: Notify,
     rooms: Rooms,
+    /// The group whose word it takes to serve, where there is one.
+    group: OnceCell<Rc<Accord>>,
     telemetry: Rc<Telemetry>,
     sums: RefCell<BTreeMap<&'static str, u64>>,
     log: Logger,
@@ -89,12 +94,23 @@
             next,
             gone,
             rooms,
+            group: OnceCell::new(),
             telemetry,
             sums,
             log,
         })
     }
 
+    /// From now on tasks are taken on this group's word only.
+    pub fn under(&self, group: Rc<Accord>) {
+        let _ = self.group.set(group);
+    }
+
+    /// Whether tasks may be taken now.
+    fn may_serve(&self) -> bool {
+        self.group.get().is_none_or(|group| group.serves().is_ok())
+    }
+
     /// Accepts until the process ends.
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         let (mut short, mut paused) = (false, self.paused.subscribe());
@@ -263,7 +279,7 @@
         let read = reading::read(call, &self.names, &self.rooms).await;
         guest.read();
         match read {
-            Ok(Message::Health) => answering::health(self.exchange.can_decide()),
+            Ok(Message::Health) => answering::health(self.exchange.can_decide() && self.may_serve()),
             Ok(Message::News(news, words)) => {
                 guest.standing.set(Standing::Worker);
                 // Guards against news lost between two processes at one address.
@@ -275,6 +291,11 @@
             }
             Ok(Message::Task(call, _room)) => {
                 let workload = self.names.borrow().workloads[call.workload].clone();
+                if !self.may_serve() {
+                    // It never came in, so that it can be shed whatever its effect is.
+                    self.telemetry.ended(workload.as_deref().unwrap_or_default(), Outcome::Shed);
+                    return answering::answer(Answer::Shed { come_back: self.exchange.come_back(AGAIN) });
+                }
                 let Some(hold) = self.exchange.arrived(call) else {
                     return self.turn_down(Bad(StatusCode::BAD_REQUEST, "with an id in hand already"));
                 };
--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -494,6 +494,11 @@
 
     // ---- operators ----
 
+    /// After which time a client may be asked to come back, if it may: this, or the most that is allowed.
+    pub fn come_back(&self, after: Duration) -> Option<Duration> {
+        self.state.borrow().rows.come_back.map(|most| most.min(after))
+    }
+
     /// The names by which tasks are taken now.
     pub fn names(&self) -> Titles {
         self.state.borrow().rows.titles()
@@ -507,6 +512,7 @@
             let busy = |row| hands.iter().any(|hand| hand.workload == row && is_busy(hand));
             let before = state.rows.retune(&words.workloads, &sheet.workloads, busy);
             state.rows.customers.clone_from(&words.customers);
+            state.rows.come_back = sheet.come_back;
             state.rules.retune(state.rows.sheet(sheet), &before);
             state.rows.table.iter().map(|row| row.hard_limit).max().unwrap_or_default()
         })
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -8,6 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::mpsc;
 use std::time::Duration;
+use tindock_scheduler::accord;
 use tindock_scheduler::berth::{self, Layers, Level, LogForm};
 use tindock_scheduler::cli::{self, Cli, Command, LogFormat, LogLevel};
 use tindock_scheduler::keep;
@@ -93,6 +94,7 @@
         Some(Command::Show { file, over }) => return Ok(cli::show(&file, &over)?),
         Some(Command::Manage { at, config, call }) => return Ok(cli::manage(at, config.as_deref(), &call)?),
         Some(Command::Keep { file, log_format }) => keep(&file, log_format)?,
+        Some(Command::Policy(command)) => return accord::commands::command(&command),
         Some(Command::Rollout(command)) => return rollout::command(&command),
         Some(Command::Inventory(command)) => return Ok(cli::inventories(&command)?),
         Some(Command::Completions { shell }) => {
--- a/crates/scheduler/src/operators/calls.rs
+++ b/crates/scheduler/src/operators/calls.rs
@@ -9,13 +9,18 @@
 
 /// The whole answer to a line, all of it within that time.
 pub fn ask(at: SocketAddr, line: &str, within: Duration) -> Result<String> {
+    ask_with(at, line, &[], within)
+}
+
+/// The same of a line with bytes behind it, whose number the line says.
+pub fn ask_with(at: SocketAddr, line: &str, bytes: &[u8], within: Duration) -> Result<String> {
     let ends = Instant::now() + within;
     // Of no time at all a socket would wait for ever.
     let rest = || Some(ends.saturating_duration_since(Instant::now())).filter(|rest| !rest.is_zero());
     let late = || Error::new(ErrorKind::TimedOut, format!("no whole answer in {within:?}"));
     let mut stream = TcpStream::connect_timeout(&at, rest().ok_or_else(late)?)?;
     stream.set_write_timeout(rest())?;
-    stream.write_all(format!("{line}\n").as_bytes())?;
+    stream.write_all(&[line.as_bytes(), b"\n", bytes].concat())?;
     let (mut answer, mut some) = (Vec::new(), [0; 16 * 1024]);
     loop {
         stream.set_read_timeout(Some(rest().ok_or_else(late)?))?;
--- a/crates/scheduler/src/operators/management.rs
+++ b/crates/scheduler/src/operators/management.rs
@@ -1,6 +1,7 @@
 //! The operators' address: one line a connection, answered by a line that begins with `done` or `error`, or by the
 //! figures and a line `end`.
 
+use crate::accord::{Accord, Change};
 use crate::clients::door::SHORT_OF_DESCRIPTORS;
 use crate::exchange::Exchange;
 use crate::operators::bans::Bans;
@@ -37,6 +38,8 @@
     pub rereads: mpsc::Sender<Reread>,
     /// To the process beside this one, during an upgrade.
     pub line: Rc<Line>,
+    /// Where a group decides the policy.
+    pub group: Option<Rc<Accord>>,
     /// Clients are let in, and nothing that is handed over is still to come.
     pub open: Rc<Cell<bool>>,
     pub log: Logger,
@@ -67,7 +70,12 @@
         };
         let answer = match line {
             Ok(None) => return,
-            Ok(Some(line)) => self.answer(&line).await,
+            Ok(Some((line, behind))) => match line.split_ascii_whitespace().collect::<Vec<_>>()[..] {
+                ["propose", ending, digest, count] => {
+                    self.propose(&mut stream, behind, ending, digest, count).await
+                }
+                _ => self.answer(&line).await,
+            },
             Err(why) => Err(why),
         };
         // Lines of answers are the program's own; what they quote was escaped.
@@ -95,17 +103,68 @@
                 self.version.lease(run, number)?;
                 self.reread(digest.into()).await.map(|()| done())
             }
-            [call @ ("readyz" | "telemetry" | "version"), ..] => takes(call, 0),
-            [call @ ("exclude" | "include"), ..] => takes(call, 1),
-            [call @ ("lease" | "release"), ..] => takes(call, 2),
-            [call @ "reread", ..] => takes(call, 3),
+            ["policy"] => Ok(self.group()?.status()? + "\nend\n"),
+            ["policy-history"] => Ok(self.group()?.history()? + "\nend\n"),
+            ["policy-text", number] => {
+                let number = number.parse().map_err(|_| format!("{number:?} is no number"))?;
+                Ok(self.group()?.text_of(number)? + "\nend\n")
+            }
+            ["admit", name, address] => {
+                let at = address.parse().map_err(|_| format!("{address:?}; address:port was expected"))?;
+                self.change(Change::LetIn { name: name.into(), address: at }).await
+            }
+            ["forget", name] => self.change(Change::LeaveOut { name: name.into() }).await,
+            [call @ ("readyz" | "telemetry" | "version" | "policy" | "policy-history"), ..] => takes(call, 0),
+            [call @ ("exclude" | "include" | "policy-text" | "forget"), ..] => takes(call, 1),
+            [call @ ("lease" | "release" | "admit"), ..] => takes(call, 2),
+            [call @ ("reread" | "propose"), ..] => takes(call, 3),
             [call, ..] => Err(format!(
                 "{call:?} is no call; those are readyz, telemetry, exclude ID, include ID, version, \
-                 lease RUN NUMBER, reread RUN NUMBER DIGEST, release RUN NUMBER"
+                 lease RUN NUMBER, reread RUN NUMBER DIGEST, release RUN NUMBER, policy, policy-history, \
+                 policy-text NUMBER, propose ENDING DIGEST BYTES, admit NAME ADDRESS, forget NAME"
             )),
         }
     }
 
+    fn group(&self) -> Result<&Accord, String> {
+        self.group.as_deref().ok_or_else(|| "no group decides the policy here: there is no [accord]".into())
+    }
+
+    async fn change(&self, change: Change) -> Result<String, String> {
+        let (number, digest) = self.group()?.propose(change).await?;
+        Ok(format!("done {number} {digest}\n"))
+    }
+
+    /// A policy comes behind its line, with its digest. Guards against one that was cut on its way.
+    async fn propose(
+        &self,
+        stream: &mut TcpStream,
+        mut policy: Vec<u8>,
+        ending: &str,
+        digest: &str,
+        count: &str,
+    ) -> Result<String, String> {
+        self.group()?;
+        let longest = tindock_accord::LONGEST_TEXT;
+        let count: usize = count
+            .parse()
+            .ok()
+            .filter(|count| *count <= longest)
+            .ok_or_else(|| format!("{count:?} bytes; a number up to {longest} was expected"))?;
+        if !matches!(ending, "toml" | "json") {
+            return Err(format!("{ending:?}; toml or json was expected"));
+        }
+        policy.truncate(count);
+        let begins = policy.len();
+        policy.resize(count, 0);
+        let whole = timeout(WHOLE, stream.read_exact(&mut policy[begins..])).await;
+        if !matches!(whole, Ok(Ok(_))) || tindock_berth::digest(&policy) != digest {
+            return Err("the policy did not come whole".into());
+        }
+        let policy = String::from_utf8(policy).map_err(|_| "a policy that is no UTF-8")?;
+        self.change(Change::Policy { policy, ending: ending.into() }).await
+    }
+
     async fn reread(&self, digest: String) -> Result<(), String> {
         let (answer, told) = oneshot::channel();
         let full = |_| "too many such calls at once";
@@ -117,7 +176,11 @@
         if !self.open.get() {
             return Some("not ready: clients are not let in");
         }
-        (!self.exchange.can_decide()).then_some("not ready: no workers are known")
+        if !self.exchange.can_decide() {
+            return Some("not ready: no workers are known");
+        }
+        let group = self.group.as_ref().filter(|group| group.serves().is_err());
+        group.map(|_| "not ready: the group does not say that the policy here is in force; ask policy")
     }
 
     /// In force, and in the file, before the yes.
@@ -137,8 +200,8 @@
     }
 }
 
-/// The one line of a caller; none where it left before the end of it.
-async fn line(stream: &mut TcpStream) -> Result<Option<String>, String> {
+/// The one line of a caller and what came behind it; none where it left before the end of it.
+async fn line(stream: &mut TcpStream) -> Result<Option<(String, Vec<u8>)>, String> {
     let (mut buffer, mut filled) = ([0; LONGEST_LINE], 0);
     loop {
         if filled == buffer.len() {
@@ -152,7 +215,8 @@
         filled += came;
         if let Some(at) = buffer[before..filled].iter().position(|&b| b == b'\n') {
             let text = std::str::from_utf8(&buffer[..before + at]);
-            return text.map(|t| Some(t.into())).map_err(|_| "a line that is no UTF-8".into());
+            let behind = buffer[before + at + 1..filled].to_vec();
+            return text.map(|t| Some((t.into(), behind))).map_err(|_| "a line that is no UTF-8".into());
         }
     }
 }
--- a/crates/scheduler/src/operators/reloading.rs
+++ b/crates/scheduler/src/operators/reloading.rs
@@ -2,6 +2,8 @@
 //! limits of assignments, what workers are held to) and a new discovery address; what else has changed in it counts
 //! from the next start on.
 
+use crate::accord::text::Text;
+use crate::accord::{policy, Policies};
 use crate::berth::{self, Berth, Layers};
 use crate::clients::door::Door;
 use crate::exchange::Exchange;
@@ -10,6 +12,7 @@
 use crate::operators::version::Version;
 use crate::succession::stopping::Stopping;
 use slog::{info, warn, Logger};
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -26,11 +29,20 @@
     pub answer: oneshot::Sender<Result<(), String>>,
 }
 
+/// What the own file says of the things that a group decides, as it was at the start, and the policy in force in its
+/// place.
+pub struct Group {
+    pub says: String,
+    pub policy: RefCell<Option<Rc<Text>>>,
+}
+
 pub struct Reloading {
     pub path: PathBuf,
     pub layers: Layers,
     /// What the file in force says at all.
-    pub keys: BTreeSet<String>,
+    pub keys: RefCell<BTreeSet<String>>,
+    /// Where a group decides the policy.
+    pub group: Option<Group>,
     pub discovery: Option<watch::Sender<SocketAddr>>,
     pub exchange: Rc<Exchange>,
     pub muster: Rc<Muster>,
@@ -43,7 +55,7 @@
 
 impl Reloading {
     /// Reads again after each signal and call. Several signals at once are one, and the file is read after the last.
-    pub async fn keep(mut self, mut told: Signal, mut asked: mpsc::Receiver<Reread>) {
+    pub async fn keep(self: Rc<Self>, mut told: Signal, mut asked: mpsc::Receiver<Reread>) {
         loop {
             tokio::select! {
                 came = told.recv() => match came {
@@ -60,7 +72,7 @@
     }
 
     /// The file is small and on the own machine: read at once, in the midst of all else.
-    fn again(&mut self, wanted: Option<&str>) -> Result<(), String> {
+    fn again(&self, wanted: Option<&str>) -> Result<(), String> {
         let meant = |berth: Berth| match wanted {
             // Guards against a file that was replaced since the call was sent: nobody vouches for it.
             Some(digest) if digest != berth.digest => {
@@ -68,8 +80,7 @@
             }
             _ => Ok(berth),
         };
-        let read =
-            berth::from_file(&self.path, &self.layers).and_then(meant).and_then(|berth| self.whole(berth));
+        let read = self.read().and_then(meant).and_then(|berth| self.whole(berth));
         self.telemetry.reloaded(read.is_ok());
         match read {
             Ok(berth) => {
@@ -84,10 +95,26 @@
         }
     }
 
+    /// The file; under a policy that a group has decided, with that one in it.
+    fn read(&self) -> Result<Berth, String> {
+        let own = berth::from_file(&self.path, &self.layers)?;
+        let policy = self.group.as_ref().and_then(|group| Some((group, group.policy.borrow().clone()?)));
+        let Some((group, text)) = policy else { return Ok(own) };
+        if policy::says(&own) != group.says {
+            // Guards against a scheduler that decides by a file of its own beside others.
+            return Err(format!(
+                "workloads, customers and workers are decided by the group (number {}): undo what was changed by hand, \
+                 or propose it with tindock policy propose",
+                text.number
+            ));
+        }
+        policy::over(&self.path, &self.layers, &text)
+    }
+
     /// Guards against a file that was cut and still can be read, and against words that nobody could hold: nothing is
     /// taken from it.
     fn whole(&self, mut berth: Berth) -> Result<Berth, String> {
-        if let Some(missing) = self.keys.difference(&berth.keys).next() {
+        if let Some(missing) = self.keys.borrow().difference(&berth.keys).next() {
             return Err(format!("no {missing}, which the file before had"));
         }
         let kinds = &berth.words.kinds;
@@ -100,8 +127,8 @@
         Ok(berth)
     }
 
-    fn take_in(&mut self, berth: Berth) {
-        self.keys = berth.keys;
+    fn take_in(&self, berth: Berth) {
+        self.keys.replace(berth.keys);
         self.version.took(berth.digest);
         self.stopping.reaches(self.exchange.retune(berth.sheet, &berth.words));
         self.door.rename();
@@ -117,3 +144,19 @@
         info!(self.log, "configuration read again: {}workloads {names}", at.unwrap_or_default());
     }
 }
+
+impl Policies for Reloading {
+    fn check(&self, text: &Text) -> Result<(), String> {
+        policy::over(&self.path, &self.layers, text).and_then(|berth| self.whole(berth)).map(|_| ())
+    }
+
+    /// Goes through the same step as a file that is read again.
+    fn take_up(&self, text: &Rc<Text>) -> Result<(), String> {
+        let berth = policy::over(&self.path, &self.layers, text).and_then(|berth| self.whole(berth))?;
+        if let Some(group) = &self.group {
+            group.policy.replace(Some(text.clone()));
+        }
+        self.take_in(berth);
+        Ok(())
+    }
+}
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -2,6 +2,7 @@
 //! changes gets another row, and one that is dropped keeps its own until its last task is over.
 
 use std::rc::Rc;
+use std::time::Duration;
 use tindock::terms::{DutySheet, Workload};
 use tindock_berth::Words;
 
@@ -23,6 +24,8 @@
     pub names: Vec<Option<Rc<str>>>,
     pub table: Vec<Workload>,
     pub customers: Vec<String>,
+    /// The longest time after which clients may be asked to come back, if they may.
+    pub come_back: Option<Duration>,
     /// Where it stands among the schedulers: `talkers`, `position` and `zone` of the start.
     place: (usize, usize, usize),
 }
@@ -31,7 +34,8 @@
     pub fn new(sheet: &DutySheet, words: &Words) -> Self {
         let names = words.workloads.iter().map(|name| Some(name.as_str().into())).collect();
         let (table, customers) = (sheet.workloads.clone(), words.customers.clone());
-        Rows { names, table, customers, place: (sheet.talkers, sheet.position, sheet.zone) }
+        let come_back = sheet.come_back;
+        Rows { names, table, customers, come_back, place: (sheet.talkers, sheet.position, sheet.zone) }
     }
 
     /// The names by which tasks are taken now.
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -1,6 +1,7 @@
 //! Puts the parts together and runs them on one thread until the scheduler was told to stop.
 
-use crate::berth::{Berth, Layers};
+use crate::accord::{policy, Accord, Opened};
+use crate::berth::{self, Berth, Layers};
 use crate::clients::door::Door;
 use crate::clients::reading::Rooms;
 use crate::clock::Clock;
@@ -12,7 +13,7 @@
 use crate::list::wire::Tcp;
 use crate::operators::bans::Bans;
 use crate::operators::management::Management;
-use crate::operators::reloading::{self, Reloading};
+use crate::operators::reloading::{self, Group, Reloading};
 use crate::operators::telemetry::Telemetry;
 use crate::operators::version::Version;
 use crate::others::peers::{self, Peers};
@@ -24,7 +25,7 @@
 use crate::workers::pool::Pool;
 use crate::workers::sending::Sending;
 use slog::{info, o, warn, Logger};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -82,6 +83,17 @@
             TcpListener::from_std(taken.listener).map_err(|e| e.to_string())?
         }
     };
+    // After the process that runs has let go of its place in the group.
+    let opened = berth.accord.as_ref().map(|told| Opened::folder(told, &berth.name)).transpose()?;
+    let mut group = berth.accord.as_ref().map(|_| Group { says: policy::says(&berth), policy: None.into() });
+    if let Some((text, group)) = opened.as_ref().and_then(Opened::in_force).zip(group.as_mut()) {
+        group.policy = RefCell::new(Some(text.clone()));
+        match policy::over(&path, &layers, text) {
+            Ok(under) => berth = berth::Berth { accord: berth.accord, known: berth.known, ..under },
+            // It is no member that can serve, and says so for as long as it lives.
+            Err(why) => warn!(log, "the policy in force cannot be read here: {why}"),
+        }
+    }
     // What the other process has is newer than what the file says.
     let list = heritage.as_mut().and_then(|h| h.list.take()).filter(|_| berth.inventory.is_none());
     let list = list.map(|list| list.decode(&mut berth.words)).transpose().unwrap_or_else(|why| {
@@ -174,10 +186,11 @@
         part("clients"),
     );
     door.rename();
-    let reloading = Reloading {
+    let reloading = Rc::new(Reloading {
         path,
         layers,
-        keys: berth.keys,
+        keys: berth.keys.into(),
+        group,
         discovery: moved,
         exchange: exchange.clone(),
         muster: muster.clone(),
@@ -186,7 +199,16 @@
         telemetry: telemetry.clone(),
         version: version.clone(),
         log: part("configuration"),
-    };
+    });
+    let mut accord = None;
+    if let Some((told, opened)) = berth.accord.zip(opened) {
+        let policies = reloading.clone();
+        let group = Accord::new(told, berth.name.clone(), opened, clock, policies, part("accord"))?;
+        door.under(group.clone());
+        spawn_local(group.clone().keep());
+        group.first_word().await;
+        accord = Some(group);
+    }
     let (rereads, asked) = mpsc::channel(reloading::ASKED);
     spawn_local(reloading.keep(hang_up, asked));
     spawn_local(sending.carry_out(orders));
@@ -209,6 +231,7 @@
         door: door.clone(),
         pool,
         stopping: stopping.clone(),
+        group: accord.clone(),
         open: open.clone(),
         again: Notify::new(),
         log: part("handover"),
@@ -221,7 +244,8 @@
         info!(log, "operators' address is {}", listener.local_addr().map_err(|e| e.to_string())?);
         let (exchange, open) = (exchange.clone(), open.clone());
         let log = part("management");
-        let management = Management { exchange, telemetry, bans, version, rereads, line, open, log };
+        let management =
+            Management { exchange, telemetry, bans, version, rereads, line, group: accord, open, log };
         spawn_local(Rc::new(management).accept(listener));
     }
     leaving::over(&stopping, terminate, &door, &exchange, &open).await;
--- a/crates/scheduler/src/succession/handover.rs
+++ b/crates/scheduler/src/succession/handover.rs
@@ -2,6 +2,7 @@
 //! beside it, and both hand each other what reaches the wrong one, for as long as both live. The new one asks over a
 //! Unix socket in the runtime folder.
 
+use crate::accord::Accord;
 use crate::clients::door::{Door, SHORT_OF_DESCRIPTORS};
 use crate::exchange::Exchange;
 use crate::list::muster::Muster;
@@ -78,6 +79,8 @@
     pub door: Rc<Door>,
     pub pool: Rc<Pool>,
     pub stopping: Rc<Stopping>,
+    /// Where a group decides the policy: its place there goes along.
+    pub group: Option<Rc<Accord>>,
     /// Clients are let in here.
     pub open: Rc<Cell<bool>>,
     /// The file that names this process's place may be another's by now.
@@ -133,6 +136,7 @@
         // From here on it takes the new tasks: whoever connects waits in the one queue until it serves.
         self.open.set(false);
         self.door.pause(true);
+        self.group.iter().for_each(|group| group.rest());
         let heritage = self.exchange.bequeath(&self.muster.words());
         let sent = async {
             stream.writable().await?;
@@ -167,6 +171,7 @@
             warn!(self.log, "the process started beside this one is gone: this one goes on");
             self.stopping.succeeded(false);
             self.exchange.yielded(false);
+            self.group.iter().for_each(|group| group.resume());
             self.door.pause(false);
             self.open.set(true);
             self.again.notify_one();
--- a/crates/trial/src/between.rs
+++ b/crates/trial/src/between.rs
@@ -1,8 +1,9 @@
-//! A relay on loopback between two processes, whose faults are set while it runs.
+//! Relays on loopback between two processes, for connections and for datagrams, whose faults are set while they run.
 
 use crate::peers::listener;
+use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::Duration;
@@ -106,6 +107,93 @@
     let _ = from.shutdown(Shutdown::Read);
 }
 
+/// Passes datagrams on to one address; faults strike by who sends them.
+pub struct Datagrams {
+    pub address: SocketAddr,
+    faults: Arc<Mutex<Ways>>,
+}
+
+/// What happens to datagrams of one sender, or of all.
+#[derive(Clone, Debug, Default)]
+struct Ways {
+    all: Way,
+    of: HashMap<SocketAddr, Way>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Way {
+    #[default]
+    Open,
+    Cut,
+    /// Each comes so much later, and once more after twice that.
+    LateAndTwice(Duration),
+    /// One in so many is lost, by turns.
+    Loses(usize),
+}
+
+impl Datagrams {
+    pub fn to(target: SocketAddr) -> Self {
+        let front = Arc::new(UdpSocket::bind((target.ip(), 0)).expect("a socket"));
+        let address = front.local_addr().expect("an address");
+        let faults = Arc::new(Mutex::new(Ways::default()));
+        let ways = faults.clone();
+        spawn(move || pass(&front, target, &ways));
+        Datagrams { address, faults }
+    }
+
+    /// For whoever sends from there; the last word counts, also over `set_all`.
+    pub fn set(&self, from: SocketAddr, way: Way) {
+        self.faults.lock().expect("faults").of.insert(from, way);
+    }
+
+    pub fn set_all(&self, way: Way) {
+        *self.faults.lock().expect("faults") = Ways { all: way, of: HashMap::new() };
+    }
+}
+
+fn pass(front: &Arc<UdpSocket>, target: SocketAddr, ways: &Mutex<Ways>) {
+    let (mut bytes, mut count) = ([0; 2048], 0);
+    let mut behind: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
+    loop {
+        // An error tells of an earlier one that met nobody.
+        let Ok((length, from)) = front.recv_from(&mut bytes) else { continue };
+        let way = {
+            let ways = ways.lock().expect("faults");
+            ways.of.get(&from).copied().unwrap_or(ways.all)
+        };
+        let to = behind.entry(from).or_insert_with(|| {
+            let socket = Arc::new(UdpSocket::bind((target.ip(), 0)).expect("a socket"));
+            socket.connect(target).expect("a target");
+            let (back, front) = (socket.clone(), front.clone());
+            spawn(move || {
+                let mut bytes = [0; 2048];
+                loop {
+                    if let Ok(length) = back.recv(&mut bytes) {
+                        let _ = front.send_to(&bytes[..length], from);
+                    }
+                }
+            });
+            socket
+        });
+        count += 1;
+        match way {
+            Way::Open => drop(to.send(&bytes[..length])),
+            Way::Cut => {}
+            Way::Loses(in_so_many) if count % in_so_many == 0 => {}
+            Way::Loses(_) => drop(to.send(&bytes[..length])),
+            Way::LateAndTwice(by) => {
+                let (to, bytes) = (to.clone(), bytes[..length].to_vec());
+                spawn(move || {
+                    for _ in 0..2 {
+                        sleep(by);
+                        let _ = to.send(&bytes);
+                    }
+                });
+            }
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -136,6 +224,29 @@
         }
     }
 
+    /// Guards against a way of datagrams that is open when it is cut, or the other way round.
+    #[test]
+    fn datagrams_go_the_way_that_is_set() {
+        let [target, sender, other] = [(); 3].map(|()| UdpSocket::bind("127.0.0.1:0").expect("a socket"));
+        target.set_read_timeout(Some(Duration::from_millis(300))).expect("a time-out");
+        let relay = Datagrams::to(target.local_addr().expect("an address"));
+        let came = |from: &UdpSocket| {
+            from.send_to(b"word", relay.address).expect("sent");
+            let mut count = 0;
+            while target.recv(&mut [0; 16]).is_ok() {
+                count += 1;
+            }
+            count
+        };
+        assert_eq!((came(&sender), came(&other)), (1, 1));
+        relay.set(sender.local_addr().expect("an address"), Way::Cut);
+        assert_eq!((came(&sender), came(&other)), (0, 1));
+        relay.set_all(Way::LateAndTwice(Duration::from_millis(20)));
+        assert_eq!((came(&sender), came(&other)), (2, 2));
+        relay.set_all(Way::Loses(2));
+        assert_eq!(came(&sender) + came(&sender), 1);
+    }
+
     /// Guards against a fault that does not strike, or strikes what it should not: tests would then prove nothing.
     #[test]
     fn each_fault_does_what_it_says() {
--- a/crates/trial/src/fleet.rs
+++ b/crates/trial/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use crate::between::Relay;
 use crate::judge;
-use crate::peers::{call, entry, program, scratch, try_call, Peer};
+use crate::peers::{call, entry, program, scratch, try_call};
 use crate::standins::{Agent, Client, Told, Worker};
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -57,17 +57,46 @@
 
     /// Starts its process; returns when it is ready.
     pub fn start(&mut self) {
+        self.launch();
+        until(&format!("{} is ready", self.name), || self.is_ready());
+        if let Some((_, back)) = self.gone.last_mut() {
+            back.get_or_insert(Instant::now());
+        }
+    }
+
+    /// Starts its process.
+    pub fn launch(&mut self) {
+        self.launch_with(&[]);
+    }
+
+    fn launch_with(&mut self, words: &[&str]) {
         let log = File::options().create(true).append(true).open(&self.log).expect("a log");
         let folder = self.configuration.with_extension("run");
         fs::create_dir_all(&folder).expect("a folder");
         let mut command = Command::new(program());
         command.env("GW_CONFIG", &self.configuration).env("TMPDIR", folder).env_remove("GW_MGMT");
         command.stdin(Stdio::null()).stderr(log.try_clone().expect("a log")).stdout(log);
+        command.args(words);
         self.child = Some(command.spawn().expect("a scheduler"));
-        until(&format!("{} is ready", self.name), || self.is_ready());
-        if let Some((_, back)) = self.gone.last_mut() {
-            back.get_or_insert(Instant::now());
-        }
+    }
+
+    /// Starts a second process beside the one that runs, with another operators' address, which is to take over; the one
+    /// before is told to end once the new one is ready. For an installation's own form.
+    pub fn upgrade(&mut self) {
+        let mut before = self.child.take().expect("it runs");
+        self.management.set_port(self.management.port() + SECOND);
+        let (file, at) = (self.configuration.clone(), format!("management.listen={}", self.management));
+        self.launch_with(&["run", &file.display().to_string(), "--set", &at]);
+        let id = self.child.as_ref().expect("it runs").id();
+        until("the new process answers", || self.says("version").contains(&format!("\"pid\":{id},")));
+        until("the new process is ready", || self.is_ready());
+        send("-TERM", before.id());
+        assert!(before.wait().expect("an end").success());
+    }
+
+    /// What it answers to a call, or nothing.
+    pub fn says(&self, call: &str) -> String {
+        try_call(self.management, format!("{call}\n").as_bytes()).unwrap_or_default()
     }
 
     pub fn signal(&self, signal: &str) {
@@ -94,10 +123,6 @@
         let word = said.split("\"settings\":\"").nth(1).and_then(|rest| rest.split('"').next());
         word.unwrap_or_else(|| panic!("no version of {}: {said}", self.name)).into()
     }
-
-    pub fn log(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Node {
@@ -130,7 +155,7 @@
     pub nodes: Vec<Node>,
     pub workers: Vec<Arc<Worker>>,
     clients: Vec<Client>,
-    _agent: Arc<Agent>,
+    agent: Arc<Agent>,
 }
 
 /// What all schedulers of a fleet are told; `limit` is the hard limit of both workloads, in seconds.
@@ -156,7 +181,7 @@
     }
 
     /// The same with no process begun.
-    fn written(name: &str, schedulers: usize) -> Self {
+    pub(crate) fn written(name: &str, schedulers: usize) -> Self {
         let folder = scratch().join(name);
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).expect("a folder");
@@ -179,7 +204,11 @@
             Node { name, address, management, relay, configuration, child, gone, log }
         });
         let nodes = nodes.collect();
-        Fleet { folder, nodes, workers, clients: Vec::new(), _agent: agent }
+        Fleet { folder, nodes, workers, clients: Vec::new(), agent }
+    }
+
+    pub(crate) fn discovery(&self) -> SocketAddr {
+        self.agent.address
     }
 
     /// Two clients at each scheduler, one a workload.
@@ -280,11 +309,6 @@
     Coordinator::start(word, plan).end()
 }
 
-/// A connection to a scheduler's clients' side, for tests that speak by hand.
-pub fn client(node: &Node) -> Peer {
-    Peer::connect(node.address)
-}
-
 /// A keeper over a fleet's schedulers, with the file that tells it of them.
 pub struct Keeper {
     child: Option<Child>,
--- /dev/null
+++ b/crates/trial/src/group.rs
@@ -0,0 +1,212 @@
+//! Schedulers that decide their policy together: each hears the others through a relay of its own, so that the way from
+//! any one to any other can be cut by itself. A policy's number shows from outside: under number n the workload `under-n`
+//! is taken, and no other of that name.
+
+use crate::between::{Datagrams, Way};
+use crate::fleet::{until, Fleet, Node};
+use crate::peers::program;
+use crate::standins::{Client, End, Told};
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+/// What a member serves on, and the longest time for which two numbers may be in force.
+pub const LEASE: Duration = Duration::from_millis(1500);
+pub const BOUND: Duration = Duration::from_millis(1600);
+const GROUP: u16 = 6000;
+const EVERY: Duration = Duration::from_millis(25);
+
+pub struct Group {
+    pub fleet: Fleet,
+    /// In front of each member.
+    pub relays: Vec<Datagrams>,
+    /// Where each hears, and speaks from.
+    pub hears: Vec<SocketAddr>,
+    /// By number of the policy and of the scheduler.
+    clients: Vec<(usize, Client)>,
+}
+
+/// The policy that is to be number `n`; `more` stands under `[workers]`.
+pub fn policy(n: usize, more: &str) -> String {
+    let workload = |name: &str, effect: &str| {
+        format!("[[workload]]\nname = \"{name}\"\neffect = \"{effect}\"\npromised = \"3s\"\nhard-limit = \"6s\"\n")
+    };
+    let own = format!("under-{n}");
+    let workloads = [("plan", "idempotent"), ("release", "unrepeatable"), (own.as_str(), "idempotent")];
+    let workloads: String = workloads.iter().map(|(name, effect)| workload(name, effect)).collect();
+    format!(
+        "{workloads}[workers]\nmost-assignments = 3\ntell-start = true\nconnect-within = \"1s\"\n\
+         warm-within = \"500ms\"\ncome-back-at-most = \"500ms\"\n{more}\n"
+    )
+}
+
+impl Group {
+    /// So many schedulers that run, and have decided nothing yet; `more` is for the file of each.
+    pub fn start(name: &str, schedulers: usize, more: impl Fn(usize) -> String) -> Self {
+        let mut fleet = Fleet::written(name, schedulers);
+        let at = |node: &Node| SocketAddr::from((node.address.ip(), node.address.port() - 7000 + GROUP));
+        let hears: Vec<SocketAddr> = fleet.nodes.iter().map(at).collect();
+        let relays: Vec<Datagrams> = hears.iter().map(|at| Datagrams::to(*at)).collect();
+        let members =
+            fleet.nodes.iter().zip(&relays).map(|(node, r)| format!("\"{}={}\"", node.name, r.address));
+        let members = members.collect::<Vec<_>>().join(", ");
+        let discovery = fleet.discovery();
+        for (number, node) in fleet.nodes.iter_mut().enumerate() {
+            node.configuration = fleet.folder.join(format!("n{number}.toml"));
+            let (listen, management, hears) = (node.address, node.management, hears[number]);
+            let text = format!(
+                "name = \"n{number}\"\nlisten = \"{listen}\"\ndiscovery = \"{discovery}\"\nseed = {number}\n{}\n\
+                 [management]\nlisten = \"{management}\"\nruntime = \"n{number}.run\"\n\
+                 [accord]\nlisten = \"{hears}\"\nfolder = \"n{number}.accord\"\nmembers = [{members}]\n\
+                 lease = \"{}ms\"\nwait-for-members = \"500ms\"\n{}",
+                policy(0, &format!("schedulers = {schedulers}")),
+                LEASE.as_millis(),
+                more(number),
+            );
+            fs::write(&node.configuration, text).expect("a configuration");
+            node.launch();
+        }
+        let group = Group { fleet, relays, hears, clients: Vec::new() };
+        group.until_all_answer();
+        group
+    }
+
+    /// The same, with number 1 in force at all and clients at work.
+    pub fn founded(name: &str, schedulers: usize, more: impl Fn(usize) -> String) -> Self {
+        let mut group = Group::start(name, schedulers, more);
+        let (code, said) = group.propose(0, 1);
+        assert_eq!(code, Some(0), "{said}");
+        group.until_in_force(1, &group.all());
+        group.load(3);
+        group.fleet.load();
+        group.fleet.wait_for_answers(50);
+        group
+    }
+
+    pub fn all(&self) -> Vec<usize> {
+        (0..self.fleet.nodes.len()).collect()
+    }
+
+    fn until_all_answer(&self) {
+        for node in &self.fleet.nodes {
+            until(&format!("{} answers", node.name), || node.says("policy").ends_with("end\n"));
+        }
+    }
+
+    /// Clients for the first policies, at each scheduler.
+    fn load(&mut self, policies: usize) {
+        for number in 1..=policies {
+            for (to, node) in self.fleet.nodes.iter().enumerate() {
+                let path = format!("/under-{number}/u{number}");
+                self.clients.push((number, Client::start(to, node.address, &path, EVERY)));
+            }
+        }
+    }
+
+    /// A policy's file.
+    pub fn file(&self, number: usize, more: &str) -> PathBuf {
+        let path = self.fleet.folder.join(format!("policy-{number}.toml"));
+        fs::write(&path, policy(number, more)).expect("a policy");
+        path
+    }
+
+    /// A command of staff's to one scheduler, begun.
+    pub fn begin(&self, to: usize, words: &[&str]) -> std::process::Child {
+        let mut command = Command::new(program());
+        command.arg("policy").args(words).arg("--at").arg(self.fleet.nodes[to].management.to_string());
+        command.stdout(std::process::Stdio::piped()).stderr(std::process::Stdio::piped());
+        command.spawn().expect("a command")
+    }
+
+    pub fn command(&self, to: usize, words: &[&str]) -> (Option<i32>, String) {
+        said(self.begin(to, words).wait_with_output().expect("its end"))
+    }
+
+    /// Proposes the policy that is to be that number.
+    pub fn propose(&self, to: usize, number: usize) -> (Option<i32>, String) {
+        let file = self.file(number, "");
+        self.command(to, &["propose", &file.display().to_string()])
+    }
+
+    /// The number in force at one, as it says itself; none where it gives no answer.
+    pub fn number(&self, at: usize) -> Option<usize> {
+        self.word(at, "\"number\":")?.parse().ok()
+    }
+
+    /// What stands behind some words of a status.
+    pub fn word(&self, at: usize, words: &str) -> Option<String> {
+        let said = self.fleet.nodes[at].says("policy");
+        let rest = said.split(words).nth(1)?;
+        Some(rest.split([',', '}']).next()?.trim_matches('"').into())
+    }
+
+    pub fn serves(&self, at: usize) -> bool {
+        self.word(at, "\"serves\":").as_deref() == Some("true")
+    }
+
+    /// Waits until that number is in force at all of them, and they serve.
+    pub fn until_in_force(&self, number: usize, at: &[usize]) {
+        for &at in at {
+            until(&format!("number {number} at n{at}"), || {
+                self.number(at) == Some(number) && self.serves(at)
+            });
+        }
+    }
+
+    /// Cuts all ways between the two parts, or opens them.
+    pub fn part(&self, one: &[usize], other: &[usize], way: Way) {
+        for &a in one {
+            for &b in other {
+                self.relays[a].set(self.hears[b], way);
+                self.relays[b].set(self.hears[a], way);
+            }
+        }
+    }
+
+    pub fn heal(&self) {
+        self.relays.iter().for_each(|relay| relay.set_all(Way::Open));
+    }
+
+    /// Answers to tasks of a policy's own workload.
+    pub fn told(&self, number: usize) -> Vec<Told> {
+        let of = self.clients.iter().filter(|(of, _)| *of == number);
+        of.flat_map(|(_, client)| client.told()).collect()
+    }
+
+    /// Waits until a scheduler has finished a task under that policy that was handed in from now on.
+    pub fn until_finished(&self, number: usize, at: usize) {
+        let from = Instant::now();
+        until(&format!("a task under {number} at n{at}"), || {
+            self.told(number).iter().any(|t| t.to == at && t.end == End::Finished && t.sent >= from)
+        });
+    }
+
+    /// For how long tasks were still taken under `old`, as far as clients can tell, after the first was under `new`.
+    pub fn mixture(&self, old: usize, new: usize) -> Duration {
+        let finished = |number| self.told(number).into_iter().filter(|told| told.end == End::Finished);
+        let first = finished(new).map(|told| told.told).min();
+        let last = finished(old).map(|told| told.sent).max();
+        first.zip(last).map_or(Duration::ZERO, |(first, last)| last.saturating_duration_since(first))
+    }
+
+    /// What broke: the four rules by the judge, and two policies for longer than the bound.
+    pub fn judge(&mut self) -> Vec<String> {
+        self.clients.iter_mut().for_each(|(_, client)| client.stop());
+        let mut wrong = self.fleet.judge();
+        for old in 1..3 {
+            let mixture = (old + 1..=3).map(|new| self.mixture(old, new)).max().unwrap_or_default();
+            if mixture > BOUND {
+                wrong.push(format!("number {old} was served under {mixture:?} after a later one"));
+            }
+        }
+        wrong
+    }
+}
+
+/// Exit code and all that was said.
+pub fn said(output: Output) -> (Option<i32>, String) {
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8(text).expect("text"))
+}
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -1,9 +1,10 @@
-//! The means of proof for what several processes do together: real schedulers on loopback ([`fleet`]), faults between
+//! The means of proof for what several processes do together: real schedulers on loopback ([`fleet`], [`group`]), faults between
 //! them ([`between`]), what stands around them ([`standins`], [`peers`]), and a judge that knows nothing of the inside
 //! ([`judge`]). No part of what is shipped.
 
 pub mod between;
 pub mod fleet;
+pub mod group;
 pub mod judge;
 pub mod peers;
 pub mod standins;
