One lock and one file that is replaced whole for all; a keeper is asked once

Need: what a reread of the changes in stages and of policies found, with no change in what they do. Four files opened and tried a lock by themselves (rollout/files, rollout/record, keep/standing, accord/store): crates/scheduler/src/disk.rs does it once, beside the synced replacement that three of them share. A keeper was asked where a scheduler is and then again what it tells (looking::reach, then kept): looking::way gives both. A member of a group woke once for nothing after each word (Accord::after told its own loop), and put a policy in force again that it had when it took its place back. Ballots are begun with what they are forced to instead of being changed right after; a lease's number goes through the same look as a ballot's (Member::is_next). Gone: a set of the checker that nothing was ever put in, and a comment that no longer held.

--- a/crates/accord/src/checking.rs
+++ b/crates/accord/src/checking.rs
@@ -561,7 +561,6 @@
     ticks: BTreeMap<Id, Duration>,
     loss: f64,
     calm: bool,
-    gone: BTreeSet<Id>,
     proposed: Vec<(Id, Digest)>,
     figures: Figures,
 }
@@ -596,7 +595,6 @@
             cut: BTreeSet::new(),
             ticks: BTreeMap::new(),
             calm: false,
-            gone: BTreeSet::new(),
             proposed: Vec::new(),
             figures: Figures::default(),
         };
@@ -654,14 +652,14 @@
     }
 
     fn go(mut self) -> Result<Figures, String> {
-        while let Some(Reverse((at, number, event))) = self.queue.pop() {
+        while let Some(Reverse((at, _, event))) = self.queue.pop() {
             if at > WHOLE {
                 break;
             }
             self.world.now = at;
             self.figures.steps += 1;
             match event {
-                Event::Hear(from, to, letter) => self.hear(at, from, to, letter, number),
+                Event::Hear(from, to, letter) => self.hear(at, from, to, letter),
                 Event::Tick(id) => self.tick(at, id),
                 Event::Propose => self.propose(),
                 Event::Fault => self.fault(),
@@ -676,9 +674,6 @@
                     (self.calm, self.cut) = (true, BTreeSet::new());
                     let ids: Vec<Id> = self.world.nodes.keys().copied().collect();
                     for id in ids {
-                        if self.gone.contains(&id) {
-                            continue;
-                        }
                         self.stopped.remove(&id);
                         if self.world.nodes[&id].member.is_none() {
                             self.world.start(id, false);
@@ -695,7 +690,7 @@
         self.end()
     }
 
-    fn hear(&mut self, at: Duration, from: Id, to: Id, letter: u64, _: u64) {
+    fn hear(&mut self, at: Duration, from: Id, to: Id, letter: u64) {
         if let Some(until) = self.stopped.get(&to).copied().filter(|until| at < *until) {
             return self.at(until, Event::Hear(from, to, letter));
         }
@@ -742,13 +737,8 @@
                 is = members(self.world.nodes.keys().copied(), 5);
             }
             let (count, change) = (is.voters.len(), self.chance.rand_float());
-            let outside: Vec<Id> = self
-                .world
-                .nodes
-                .keys()
-                .copied()
-                .filter(|id| !is.all.contains(id) && !self.gone.contains(id))
-                .collect();
+            let outside: Vec<Id> =
+                self.world.nodes.keys().copied().filter(|id| !is.all.contains(id)).collect();
             let number = self.world.nodes[&by].disk.decided.number;
             if number > 0 && change < 0.15 && is.all.len() > 3 {
                 let all: Vec<Id> = is.all.iter().copied().collect();
@@ -783,7 +773,7 @@
         if now + wait < FAULTS {
             self.at(now + wait, Event::Fault);
         }
-        let ids: Vec<Id> = self.world.nodes.keys().copied().filter(|id| !self.gone.contains(id)).collect();
+        let ids: Vec<Id> = self.world.nodes.keys().copied().collect();
         let (id, kind) = (self.pick(&ids), self.chance.rand_float());
         if kind < 0.3 {
             if self.world.nodes[&id].member.is_some() {
@@ -827,7 +817,7 @@
         if number > 0 {
             let (digest, _) = self.world.truth.chosen[&number];
             for &id in &self.world.texts[&digest].members.all.clone() {
-                let able = !self.world.unfit.contains(&(id, digest)) && !self.gone.contains(&id);
+                let able = !self.world.unfit.contains(&(id, digest));
                 if able && self.world.serves(id) != Some(number) {
                     let node = &self.world.nodes[&id];
                     let standing = node.member.as_ref().map(|m| m.standing(node.clock(self.world.now)));
--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -4,7 +4,8 @@
 use crate::planted::{planted, Defect};
 use crate::proposing::{Proposal, Spreading};
 use crate::terms::{
-    Chosen, Digest, Id, Kept, Members, Message, Outcome, Reading, Standing, Terms, LONGEST_REASON, REMEMBERED,
+    Ballot, Chosen, Digest, Id, Kept, Members, Message, Outcome, Reading, Reason, Standing, Terms,
+    LONGEST_REASON, REMEMBERED,
 };
 use crate::voting::Voting;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -343,7 +344,7 @@
         }
     }
 
-    fn stage(&mut self, now: Duration, from: Id, number: u64, ballot: crate::terms::Ballot, digest: Digest) {
+    fn stage(&mut self, now: Duration, from: Id, number: u64, ballot: Ballot, digest: Digest) {
         let message = Message::Stage { number, ballot, digest };
         let Some(reading) = self.text(digest, from, from, &message) else { return };
         if let Some((by, _)) = self.kept.staged.filter(|(staged, _)| *staged > ballot) {
@@ -444,7 +445,7 @@
             if *outcome == Outcome::UnderWay && *of <= number {
                 *outcome = match (*of == number, *proposed == digest) {
                     (true, true) => Outcome::Decided { missing: self.members.all.clone() },
-                    (true, false) => Outcome::Nowhere(crate::terms::Reason::Outrun),
+                    (true, false) => Outcome::Nowhere(Reason::Outrun),
                     (false, _) => Outcome::Unknown,
                 };
             }
--- a/crates/accord/src/proposing.rs
+++ b/crates/accord/src/proposing.rs
@@ -69,7 +69,7 @@
             self.members = reading.members.clone();
         }
         self.note(number, digest, Outcome::UnderWay);
-        self.begin(now, now, Some(digest), Ballot::default());
+        self.begin(now, now, Some(digest), false, Ballot::default());
         self.tick(now);
         Ok(())
     }
@@ -86,19 +86,19 @@
     pub(crate) fn recover(&mut self, now: Duration) {
         if self.proposal.is_none() {
             let own = self.unsettled();
-            self.begin(now, now, own, Ballot::default());
-            self.proposal.iter_mut().for_each(|proposal| proposal.forced = own.is_some());
+            self.begin(now, now, own, own.is_some(), Ballot::default());
         }
     }
 
-    fn begin(&mut self, now: Duration, began: Duration, own: Option<Digest>, above: Ballot) {
+    /// A ballot above that one; `forced` where somebody may have accepted `own` by an earlier one.
+    fn begin(&mut self, now: Duration, began: Duration, own: Option<Digest>, forced: bool, above: Ballot) {
         let round = self.kept.promised.max(above).round + 1;
         self.proposal = Some(Proposal {
             number: self.kept.decided.number + 1,
             ballot: Ballot { round, by: self.kept.id },
             own,
             digest: None,
-            forced: false,
+            forced,
             phase: Phase::Preparing,
             since: now,
             began,
@@ -137,15 +137,17 @@
         let Some(p) = &self.proposal else { return };
         // Guards against a second ballot that is let in over a first one at work: every voter hears of this one for as
         // long as it lasts, also where it has answered.
-        if p.phase == Phase::Staging {
-            self.say_all(self.members.voters.clone(), &Message::Prepare { number, ballot });
-        }
-        let Some(p) = &self.proposal else { return };
         let done = |id: &Id| p.answered.contains(id) && p.phase != Phase::Fencing;
         let silent: Vec<Id> = to.into_iter().filter(|id| !done(id)).collect();
-        if let (Phase::Accepting, Some(digest), true) = (p.phase, p.digest, number > 1) {
+        match (p.phase, p.digest) {
+            (Phase::Staging, _) => {
+                self.say_all(self.members.voters.clone(), &Message::Prepare { number, ballot });
+            }
             // A voter accepts behind a fence of its own only.
-            self.say_all(silent.iter().copied(), &Message::Fence { number, ballot, digest });
+            (Phase::Accepting, Some(digest)) if number > 1 => {
+                self.say_all(silent.iter().copied(), &Message::Fence { number, ballot, digest });
+            }
+            _ => {}
         }
         self.say_all(silent, &message);
     }
@@ -258,8 +260,7 @@
         if p.phase == Phase::Preparing && by == by.closed() {
             // Nobody is at that one any more: once more, above it.
             let (began, own, forced) = (p.began, p.own, p.forced);
-            self.begin(now, began, own, by);
-            return self.proposal.iter_mut().for_each(|proposal| proposal.forced = forced);
+            return self.begin(now, began, own, forced, by);
         }
         if !voter {
             // It has staged a later one, and says so when that is asked for.
--- a/crates/accord/src/voting.rs
+++ b/crates/accord/src/voting.rs
@@ -2,7 +2,7 @@
 
 use crate::member::Member;
 use crate::planted::{planted, Defect};
-use crate::terms::{Ballot, Chosen, Digest, Id, Message};
+use crate::terms::{Ballot, Digest, Id, Message};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -76,15 +76,12 @@
         number: u64,
         staged: Option<Digest>,
     ) {
-        let Chosen { number: last, digest } = self.kept.decided;
         if self.is_voter() && self.members.all.contains(&from) {
             self.voting.seen.insert(from, (now, number));
         }
-        if number < last {
-            return self.say(from, Message::Decided { number: last, digest });
-        }
-        if number > last {
-            return self.say(from, Message::Behind { number: last });
+        // A lease is for the number in force, after which the next one comes.
+        if !self.is_next(from, number.saturating_add(1)) {
+            return;
         }
         if !self.is_voter() || !self.members.all.contains(&from) {
             return;
--- a/crates/rollout/src/keeping.rs
+++ b/crates/rollout/src/keeping.rs
@@ -272,7 +272,6 @@
         let other = 1 - self.place;
         match self.state {
             State::Down(at) if now >= at => {
-                // Whatever still stands at the place is not what is wanted, and would hold its address.
                 self.state = State::Serves;
                 return Some(self.start(self.program, self.place, now));
             }
--- a/crates/scheduler/src/accord/mod.rs
+++ b/crates/scheduler/src/accord/mod.rs
@@ -115,6 +115,18 @@
     stuck: Option<String>,
 }
 
+impl State {
+    /// What its written number stands for.
+    fn in_force(&self) -> Option<&Rc<Text>> {
+        self.texts.get(&self.written.decided.digest)
+    }
+
+    /// 0 before the founding.
+    fn group(&self) -> u64 {
+        self.in_force().map_or(0, |text| text.group)
+    }
+}
+
 pub struct Accord {
     told: Told,
     name: String,
@@ -262,7 +274,7 @@
         {
             let mut state = self.state.borrow_mut();
             let Some(state) = state.as_mut() else { return };
-            let (id, group) = (state.written.id, group(state));
+            let (id, group) = (state.written.id, state.group());
             match frame.word {
                 Word::Who { nonce, name } if name == self.name => {
                     let number = state.written.decided.number;
@@ -315,14 +327,12 @@
     /// A text is whole; what it is not, is not taken.
     fn came(&self, state: &mut State, digest: Digest, text: &[u8]) {
         let read = Some(text).filter(|text| store::digest(text) == digest).and_then(|t| Text::read(t).ok());
-        match read.map(|text_read| (text_read, state.store.add(text))) {
-            Some((read, Ok(_))) => self.take_text(state, digest, Rc::new(read)),
-            Some((_, Err(why))) => {
-                warn!(self.log, "a proposal cannot be kept: {why}");
-                state.member.unread(digest);
-            }
-            None => {
-                warn!(self.log, "the text of a proposal, {digest}, cannot be read here");
+        let read = read.ok_or_else(|| format!("the text of a proposal, {digest}, cannot be read here"));
+        let kept = read.and_then(|read| state.store.add(text).map(|_| read));
+        match kept {
+            Ok(read) => self.take_text(state, digest, Rc::new(read)),
+            Err(why) => {
+                warn!(self.log, "a proposal is not taken in: {why}");
                 state.member.unread(digest);
             }
         }
@@ -330,8 +340,7 @@
 
     fn take_text(&self, state: &mut State, digest: Digest, text: Rc<Text>) {
         let (settled, id) = (state.written.decided.number > 0, state.written.id);
-        let lease =
-            state.texts.get(&state.written.decided.digest).map_or(self.told.lease, |text| text.lease());
+        let lease = state.in_force().map_or(self.told.lease, |text| text.lease());
         let reading = self.reading(&text, id, settled, lease);
         if state.book.len() + text.members.len() > BOOK {
             state.book.clear();
@@ -370,7 +379,7 @@
             // What was to be said depends on what is not on the disk: it is lost, as any word may be.
             return;
         }
-        let (id, group) = (state.written.id, group(state));
+        let (id, group) = (state.written.id, state.group());
         let frames = said.into_iter().map(|(to, message)| (to, Word::Say(message)));
         let pieces = pieces.into_iter().map(|p| (p.from, Word::Want { digest: p.digest, piece: p.piece }));
         for (to, word) in frames.chain(pieces) {
@@ -379,7 +388,6 @@
             }
         }
         self.take_up(state);
-        self.moved.notify_one();
     }
 
     /// Whether all that must not be forgotten is on the disk.
@@ -532,21 +540,13 @@
     fn take_again(&self) -> Result<(), String> {
         let opened = Opened::folder_within(&self.told, &self.name, Duration::ZERO)?;
         let socket = bind(self.told.listen, Duration::ZERO)?;
-        // What is in force here is what it was before; a newer one is taken up like any other.
-        if let Some(text) = opened.in_force() {
-            self.policies.take_up(text)?;
-        }
-        let number = opened.kept.decided.number;
-        self.begin(opened, number)?;
+        // A number that was decided meanwhile is taken up like any other.
+        self.begin(opened, self.rests.get().1)?;
         self.socket.replace(Some(socket));
         Ok(())
     }
 }
 
-fn group(state: &State) -> u64 {
-    state.texts.get(&state.written.decided.digest).map_or(0, |text| text.group)
-}
-
 fn part(digest: Digest, piece: u16, text: &[u8]) -> Option<Word> {
     let begins = usize::from(piece) * PIECE;
     let bytes = text.get(begins..text.len().min(begins + PIECE))?.to_vec();
--- a/crates/scheduler/src/accord/staff.rs
+++ b/crates/scheduler/src/accord/staff.rs
@@ -1,7 +1,7 @@
 //! What staff ask of a member at its operators' address: proposals, and where it stands.
 
 use super::text::{Person, Text};
-use super::{draw, group, Accord, Here, State, ASK_AGAIN};
+use super::{draw, Accord, Here, State, ASK_AGAIN};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -79,6 +79,8 @@
             state.member.propose(self.clock.now(), digest).map(|()| (number, digest))
         };
         self.after();
+        // Its next tick is another now.
+        self.moved.notify_one();
         outcome
     }
 
@@ -89,7 +91,7 @@
         found: &BTreeMap<String, Here>,
         drawn: u64,
     ) -> Result<Text, String> {
-        let in_force = state.texts.get(&state.written.decided.digest);
+        let in_force = state.in_force();
         let mut text = match in_force {
             Some(text) => Text::clone(text),
             None => {
@@ -155,7 +157,7 @@
                 return Err(format!("no answer from {}", names.join(", ")));
             }
             let (id, group) =
-                self.state.borrow().as_ref().map(|s| (s.written.id, group(s))).unwrap_or_default();
+                self.state.borrow().as_ref().map(|s| (s.written.id, s.group())).unwrap_or_default();
             for (name, at) in missing {
                 let word = Word::Who { nonce, name: name.clone() };
                 if *name == self.name {
@@ -176,7 +178,7 @@
         let state = self.state.borrow();
         let state = state.as_ref().ok_or("another process of this name has its place")?;
         let (now, chosen) = (self.clock.now(), state.written.decided);
-        let text = state.texts.get(&chosen.digest);
+        let text = state.in_force();
         let known = |id: Id| {
             let names = state.texts.values().find_map(|text| text.name_of(id));
             names.map_or_else(|| format!("{id:016x}"), String::from)
--- a/crates/scheduler/src/accord/store.rs
+++ b/crates/scheduler/src/accord/store.rs
@@ -1,13 +1,13 @@
 //! What a member of a group keeps on disk, in a folder of its own: its state, replaced whole and synced before anything
 //! is said that it permits, and the texts of proposals by their digests. A lock keeps a second process out.
 
-use crate::rollout::files::replace;
+use crate::disk::{locked, replace};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
-use std::fs::{self, File, TryLockError};
+use std::fs::{self, File};
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tindock_accord::{Digest, Kept};
 
 const STATE: &str = "state";
@@ -15,7 +15,6 @@
 const ENDING: &str = "text";
 /// The first words of the state. Another version is told apart from a file that was cut.
 const MARK: &str = "tindock-accord 1";
-const LOOK: Duration = Duration::from_millis(10);
 
 #[derive(Serialize, Deserialize)]
 struct State {
@@ -45,19 +44,8 @@
         };
         fs::create_dir_all(folder).map_err(out(folder))?;
         let path = folder.join(LOCK);
-        let lock =
-            File::options().create(true).truncate(false).write(true).open(&path).map_err(out(&path))?;
-        let began = Instant::now();
-        loop {
-            match lock.try_lock() {
-                Ok(()) => break,
-                Err(TryLockError::WouldBlock) if began.elapsed() < wait => std::thread::sleep(LOOK),
-                Err(TryLockError::WouldBlock) => {
-                    return Err(format!("accord: {} is another process's", folder.display()))
-                }
-                Err(TryLockError::Error(e)) => return Err(out(&path)(e)),
-            }
-        }
+        let lock = locked(&path, wait).map_err(out(&path))?;
+        let lock = lock.ok_or_else(|| format!("accord: {} is another process's", folder.display()))?;
         let store = Store { folder: folder.into(), name: name.into(), _lock: lock };
         let path = folder.join(STATE);
         let text = match fs::read_to_string(&path) {
--- /dev/null
+++ b/crates/scheduler/src/disk.rs
@@ -0,0 +1,51 @@
+//! Files that several processes know: replaced whole, and locked.
+
+use std::fs::{self, File, TryLockError};
+use std::io::{Result, Write};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// How often a lock that another process holds is tried.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// The file of that name with something behind it.
+pub fn beside(path: &Path, ending: &str) -> PathBuf {
+    let mut name = path.file_name().unwrap_or_default().to_os_string();
+    name.push(ending);
+    path.with_file_name(name)
+}
+
+/// Replaced whole or not at all, and on the disk when this returns: written beside, synced, renamed, the folder synced.
+pub fn replace(path: &Path, text: &[u8]) -> Result<()> {
+    let new = beside(path, ".rollout-new");
+    let written = (|| {
+        let mut file = File::create(&new)?;
+        if let Ok(old) = fs::metadata(path) {
+            file.set_permissions(old.permissions())?;
+        }
+        file.write_all(text)?;
+        file.sync_all()?;
+        fs::rename(&new, path)
+    })();
+    if written.is_err() {
+        let _ = fs::remove_file(&new);
+        return written;
+    }
+    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    File::open(folder)?.sync_all()
+}
+
+/// The file, made where it is not there, locked for as long as what is given back lives; none where another process
+/// holds it for longer than that.
+pub fn locked(path: &Path, wait: Duration) -> Result<Option<File>> {
+    let lock = File::options().create(true).truncate(false).write(true).open(path)?;
+    let began = Instant::now();
+    loop {
+        match lock.try_lock() {
+            Ok(()) => return Ok(Some(lock)),
+            Err(TryLockError::WouldBlock) if began.elapsed() < wait => std::thread::sleep(LOOK),
+            Err(TryLockError::WouldBlock) => return Ok(None),
+            Err(TryLockError::Error(e)) => return Err(e),
+        }
+    }
+}
--- a/crates/scheduler/src/keep/standing.rs
+++ b/crates/scheduler/src/keep/standing.rs
@@ -1,11 +1,12 @@
 //! What a keeper knows over its own end: the programs, each a copy under its digest, so that going back finds what was
 //! left; and for each scheduler which of them it runs and the largest number of a run.
 
-use crate::rollout::files;
+use crate::disk::{locked, replace};
 use serde::{Deserialize, Serialize};
-use std::fs::{self, File, TryLockError};
+use std::fs::{self, File};
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 use tindock_berth::{digest, digest_of};
 use tindock_rollout::keeping::Program;
 
@@ -19,12 +20,8 @@
 pub fn alone(folder: &Path) -> Result<File, String> {
     fs::create_dir_all(folder).map_err(plain(folder))?;
     let path = folder.join("lock");
-    let lock = File::options().create(true).truncate(false).write(true).open(&path).map_err(plain(&path))?;
-    match lock.try_lock() {
-        Ok(()) => Ok(lock),
-        Err(TryLockError::WouldBlock) => Err(format!("{}: another keeper works here", path.display())),
-        Err(TryLockError::Error(e)) => Err(plain(&path)(e)),
-    }
+    let lock = locked(&path, Duration::ZERO).map_err(plain(&path))?;
+    lock.ok_or_else(|| format!("{}: another keeper works here", path.display()))
 }
 
 /// The programs, by the order in which they were met.
@@ -53,7 +50,7 @@
         let digest = digest(&text);
         let copy = self.folder.join(&digest);
         if !self.is_whole(&copy, &digest) {
-            files::replace(&copy, &text).map_err(plain(&copy))?;
+            replace(&copy, &text).map_err(plain(&copy))?;
             let mode = fs::metadata(path).map_err(plain(path))?.permissions();
             fs::set_permissions(&copy, mode).map_err(plain(&copy))?;
         }
@@ -118,6 +115,6 @@
     pub fn write(&self, folder: &Path, name: &str) -> Result<(), String> {
         let path = Self::path(folder, name);
         let text = serde_json::to_vec(self).map_err(|e| e.to_string())?;
-        files::replace(&path, &text).map_err(plain(&path))
+        replace(&path, &text).map_err(plain(&path))
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cli;
 pub mod clients;
 pub mod clock;
+pub mod disk;
 pub mod exchange;
 pub mod keep;
 pub mod list;
--- a/crates/scheduler/src/rollout/coordinator.rs
+++ b/crates/scheduler/src/rollout/coordinator.rs
@@ -12,7 +12,7 @@
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
-use tindock_berth::plan::{Change, Managed, Plan, Way};
+use tindock_berth::plan::{Change, Managed, Plan};
 use tindock_berth::{digest, digest_of, grafting};
 use tindock_rollout::{planning, Order, Outcome, Reason, Rolling, Seen, Stand, State, Total};
 
@@ -99,7 +99,7 @@
     let found = each(&plan.schedulers, |is| {
         let began = Instant::now();
         loop {
-            let standing = looking::reach(is).and_then(looking::standing);
+            let standing = looking::way(is).and_then(|(at, _)| looking::standing(at));
             match standing.map_err(|why| format!("{}: {why}", is.name))?.program {
                 Some(old) => return Ok(Member::of_programs(is.clone(), old, new.clone())),
                 None if began.elapsed() < TO_FIND_OUT => std::thread::sleep(LOOK / 2),
@@ -119,7 +119,7 @@
 fn ready(plan: &Plan, members: &[Member]) -> Result<u64, Vec<String>> {
     let found = each(members, |member| {
         let name = &member.is.name;
-        let at = looking::reach(&member.is).map_err(|why| format!("{name}: {why}"))?;
+        let (at, kept) = looking::way(&member.is).map_err(|why| format!("{name}: {why}"))?;
         let standing = looking::standing(at).map_err(|why| format!("{name}: {why}"))?;
         if !standing.ready {
             return Err(format!("{name}: not ready"));
@@ -129,11 +129,7 @@
             return Err(format!("{name}: runs with other settings than {file} says; SIGHUP first"));
         }
         let (number, _) = files::holder(&member.is.configuration).map_err(|why| why.text().to_string())?;
-        let kept = match member.is.way {
-            Way::Keeper(at) => looking::kept(at, name).map_err(|why| format!("{name}: {why}"))?.fence,
-            Way::Management(_) => 0,
-        };
-        Ok(number.max(standing.fence).max(kept))
+        Ok(number.max(standing.fence).max(kept.map_or(0, |kept| kept.fence)))
     });
     let (mut most, mut wrong) = (0, Vec::new());
     for one in found {
@@ -319,12 +315,10 @@
             return Err(format!("the record is of run {} over {} schedulers", story.run, story.kept.len()));
         }
         let held = each(&members, |member| {
-            let told = looking::reach(&member.is).and_then(looking::standing).map_or(0, |told| told.fence);
-            let kept = match member.is.way {
-                Way::Keeper(at) => looking::kept(at, &member.is.name).map_or(0, |kept| kept.fence),
-                Way::Management(_) => 0,
-            };
-            files::holder(&member.is.configuration).map_or(0, |(number, _)| number).max(told).max(kept)
+            let number = files::holder(&member.is.configuration).map_or(0, |(number, _)| number);
+            let Ok((at, kept)) = looking::way(&member.is) else { return number };
+            let told = looking::standing(at).map_or(0, |told| told.fence);
+            number.max(told).max(kept.map_or(0, |kept| kept.fence))
         });
         // Those of this run itself count too: whoever worked on it before has none any more.
         let most = held.into_iter().max().unwrap_or(0).max(story.number);
@@ -488,7 +482,7 @@
             Said::Done => {}
         }
         let serves = || {
-            let at = looking::reach(is)?;
+            let (at, _) = looking::way(is)?;
             let standing = looking::standing(at)?;
             Ok(standing.ready && standing.program.as_ref() == Some(digest))
         };
--- a/crates/scheduler/src/rollout/files.rs
+++ b/crates/scheduler/src/rollout/files.rs
@@ -1,15 +1,15 @@
 //! The configurations on disk. Each is replaced under a lock, by a run that holds the largest number seen there: a run
 //! that was stopped in the midst and wakes after another has begun replaces nothing any more.
 
-use std::fs::{self, File, TryLockError};
-use std::io::{ErrorKind, Write};
-use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
+use crate::disk::{beside, locked, replace};
+use std::fs;
+use std::io::ErrorKind;
+use std::path::Path;
+use std::time::Duration;
 use tindock_berth::digest;
 
 /// A lock is held for the time of a write; whoever holds it for longer stands still.
 const LOCK_WITHIN: Duration = Duration::from_secs(1);
-const LOOK: Duration = Duration::from_millis(5);
 
 #[derive(Debug, PartialEq)]
 pub enum Wrong {
@@ -28,36 +28,10 @@
     }
 }
 
-fn beside(path: &Path, ending: &str) -> PathBuf {
-    let mut name = path.file_name().unwrap_or_default().to_os_string();
-    name.push(ending);
-    path.with_file_name(name)
-}
-
 fn out(path: &Path) -> impl Fn(std::io::Error) -> Wrong + '_ {
     move |e| Wrong::Out(format!("{}: {e}", path.display()))
 }
 
-/// Replaced whole or not at all, and on the disk when this returns: written beside, synced, renamed, the folder synced.
-pub fn replace(path: &Path, text: &[u8]) -> std::io::Result<()> {
-    let new = beside(path, ".rollout-new");
-    let written = (|| {
-        let mut file = File::create(&new)?;
-        if let Ok(old) = fs::metadata(path) {
-            file.set_permissions(old.permissions())?;
-        }
-        file.write_all(text)?;
-        file.sync_all()?;
-        fs::rename(&new, path)
-    })();
-    if written.is_err() {
-        let _ = fs::remove_file(&new);
-        return written;
-    }
-    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
-    File::open(folder)?.sync_all()
-}
-
 /// The number and the run that last said they have this file; 0 with none.
 pub fn holder(path: &Path) -> Result<(u64, String), Wrong> {
     let fence = beside(path, ".fence");
@@ -81,19 +55,8 @@
     /// Under the lock of the file, with no larger number in its fence.
     fn held<T>(&self, act: impl FnOnce() -> Result<T, Wrong>) -> Result<T, Wrong> {
         let path = beside(self.path, ".lock");
-        let lock =
-            File::options().create(true).truncate(false).write(true).open(&path).map_err(out(&path))?;
-        let began = Instant::now();
-        loop {
-            match lock.try_lock() {
-                Ok(()) => break,
-                Err(TryLockError::WouldBlock) if began.elapsed() < LOCK_WITHIN => std::thread::sleep(LOOK),
-                Err(TryLockError::WouldBlock) => {
-                    return Err(Wrong::Out(format!("{}: held by another process", path.display())))
-                }
-                Err(TryLockError::Error(e)) => return Err(out(&path)(e)),
-            }
-        }
+        let lock = locked(&path, LOCK_WITHIN).map_err(out(&path))?;
+        let _held = lock.ok_or_else(|| Wrong::Out(format!("{}: held by another process", path.display())))?;
         let (number, run) = holder(self.path)?;
         if number > self.number || number == self.number && run != self.run {
             return Err(Wrong::Outrun(format!("{run} has number {number} at {}", self.path.display())));
@@ -136,6 +99,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::fs::File;
+    use std::path::PathBuf;
 
     fn folder(name: &str) -> PathBuf {
         let folder = std::env::temp_dir().join(format!("tindock-files-{name}-{}", std::process::id()));
--- a/crates/scheduler/src/rollout/looking.rs
+++ b/crates/scheduler/src/rollout/looking.rs
@@ -75,7 +75,7 @@
 }
 
 /// What the keeper at that address tells of a scheduler.
-pub fn kept(keeper: SocketAddr, name: &str) -> Result<Kept, String> {
+fn kept(keeper: SocketAddr, name: &str) -> Result<Kept, String> {
     let text = asked(keeper, "programs", ANSWER)?;
     let programs: Programs =
         serde_json::from_str(&text).map_err(|e| format!("its keeper's programs: {e}"))?;
@@ -86,11 +86,11 @@
     found.ok_or_else(|| format!("its keeper does not know {name}"))
 }
 
-/// Where its operators' address is now.
-pub fn reach(is: &Managed) -> Result<SocketAddr, String> {
+/// Where its operators' address is now, and what its keeper tells, where it has one, in the same answer.
+pub fn way(is: &Managed) -> Result<(SocketAddr, Option<Kept>), String> {
     match is.way {
-        Way::Management(at) => Ok(at),
-        Way::Keeper(at) => kept(at, &is.name).map(|kept| kept.management),
+        Way::Management(at) => Ok((at, None)),
+        Way::Keeper(at) => kept(at, &is.name).map(|kept| (kept.management, Some(kept))),
     }
 }
 
@@ -109,10 +109,7 @@
 }
 
 pub fn look(is: &Managed) -> Result<Look, String> {
-    let (at, kept) = match is.way {
-        Way::Management(at) => (at, None),
-        Way::Keeper(at) => kept(at, &is.name).map(|kept| (kept.management, Some(kept)))?,
-    };
+    let (at, kept) = way(is)?;
     let standing = standing(at)?;
     let text = asked(at, "telemetry", ANSWER)?;
     let figures: Figures = serde_json::from_str(&text).map_err(|e| format!("its figures: {e}"))?;
@@ -152,7 +149,7 @@
 }
 
 fn told(is: &Managed, call: &str, within: Duration) -> Said {
-    reach(is).map_or_else(Said::Nothing, |at| tell(at, call, within))
+    way(is).map_or_else(Said::Nothing, |(at, _)| tell(at, call, within))
 }
 
 pub fn lease(is: &Managed, run: &str, number: u64) -> Said {
--- a/crates/scheduler/src/rollout/record.rs
+++ b/crates/scheduler/src/rollout/record.rs
@@ -2,13 +2,14 @@
 //! gone on with, or undone. One line of JSON a step; a last line that is torn was not begun, any other that cannot be
 //! read is an error with its place.
 
-use super::{files, StatusForm, Wrong};
+use super::{StatusForm, Wrong};
+use crate::disk;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
-use std::fs::{self, File, TryLockError};
+use std::fs::{self, File};
 use std::io::{ErrorKind, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const VERSION: u32 = 1;
 const LOG: &str = "log.jsonl";
@@ -154,15 +155,9 @@
 
 fn locked(folder: &Path) -> Result<Result<File, String>, String> {
     let path = folder.join(LOCK);
-    let open = File::options().create(true).truncate(false).read(true).write(true).open(&path);
-    let mut lock = open.map_err(plain(&path))?;
-    match lock.try_lock() {
-        Ok(()) => {}
-        Err(TryLockError::WouldBlock) => {
-            return Ok(Err(fs::read_to_string(&path).unwrap_or_default().trim().into()));
-        }
-        Err(TryLockError::Error(e)) => return Err(plain(&path)(e)),
-    }
+    let Some(mut lock) = disk::locked(&path, Duration::ZERO).map_err(plain(&path))? else {
+        return Ok(Err(fs::read_to_string(&path).unwrap_or_default().trim().into()));
+    };
     // For whoever wants to know which process it is.
     let tells = lock.set_len(0).and_then(|()| writeln!(lock, "{}", std::process::id()));
     tells.map_err(plain(&path))?;
@@ -215,7 +210,7 @@
 
     pub fn keep(&self, name: &str, ending: &str, text: &str) -> Result<(), String> {
         let path = self.folder.join(format!("{name}.{ending}"));
-        files::replace(&path, text.as_bytes()).map_err(plain(&path))
+        disk::replace(&path, text.as_bytes()).map_err(plain(&path))
     }
 
     pub fn kept(&self, name: &str, ending: &str) -> Result<String, String> {
