--- a/crates/house/src/archive.rs
+++ b/crates/house/src/archive.rs
@@ -277,11 +277,15 @@
             Note::Leaving { ip } => {
                 self.readers.remove(&ip);
             }
-            Note::Follow { number, version } => {
+            Note::Follow { number, version, greets } => {
                 let reader =
                     self.readers.entry(from.ip()).or_insert(Reader { revision: 0, seen: now, follows: None });
                 reader.seen = now;
                 reader.follows = Some((number, version));
+                if greets {
+                    let news = self.news(now, from.ip());
+                    self.post.send(from, &news);
+                }
                 self.show_stacks(Some(from.ip()));
             }
             Note::Demand(demands) => {
--- a/crates/house/src/lib.rs
+++ b/crates/house/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod page;
 pub mod platform;
 pub mod post;
+pub mod ring;
 pub mod settings;
 pub mod workers;
 
@@ -21,6 +22,7 @@
     program: impl FnOnce(Settings) -> F,
 ) -> Result<(), String> {
     let settings = Settings::from_environment().map_err(|fault| fault.to_string())?;
+    ring::install(&settings.node_name);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/house/src/notes.rs
+++ b/crates/house/src/notes.rs
@@ -25,10 +25,12 @@
     },
     /// The whole configuration, read and checked.
     Word(Catalogue),
-    /// To the holder: a page follows the stacks, and has them up to this version under this number.
+    /// To the holder: a page follows the stacks, and has them up to this version under this number. All pages follow one
+    /// holder, so it knows of all: `greets` asks it for some of them.
     Follow {
         number: u64,
         version: u64,
+        greets: bool,
     },
     /// From the holder: what changed after the version `from`; `whole`: this is everything.
     Stacks {
--- a/crates/house/src/page.rs
+++ b/crates/house/src/page.rs
@@ -19,6 +19,8 @@
 const SILENT: Duration = Duration::from_millis(1500);
 /// The holder is told this often how far the stacks are known here.
 const FOLLOW: Duration = Duration::from_millis(1000);
+/// One follow in so many asks for other pages.
+const GREETS: u32 = 4;
 /// What was confirmed so lately counts as the newest.
 const FRESH: f64 = 0.5; // of convergence_ms
 
@@ -43,6 +45,7 @@
     heard: Duration,
     pulled: Duration,
     followed: Duration,
+    follows: u32,
     confirmed: Option<Duration>,
     fresh: bool,
     holder: Option<(SocketAddr, u64)>,
@@ -126,6 +129,7 @@
         heard: Duration::ZERO,
         pulled: Duration::ZERO,
         followed: Duration::ZERO,
+        follows: 0,
         confirmed: None,
         fresh: false,
         holder: None,
@@ -222,6 +226,13 @@
         self.post.send(to, &Note::Pull { ip: self.me.ip(), revision });
     }
 
+    /// What the holder is asked; once in some follows also for other pages, or two halves of them that began at two archives
+    /// would never hear of each other.
+    fn follow(&mut self) -> Note {
+        self.follows = self.follows.wrapping_add(1);
+        Note::Follow { number: self.number, version: self.version, greets: self.follows % GREETS == 1 }
+    }
+
     fn tick(&mut self, now: Duration) {
         if now >= self.heard + SILENT && now >= self.pulled + PULL.min(Duration::from_millis(300)) {
             // Silent, or not in touch with the others: the next one, and the seeds again once in a while.
@@ -240,7 +251,8 @@
         if let Some((holder, _)) = self.holder {
             if now >= self.followed + FOLLOW {
                 self.followed = now;
-                self.post.send(holder, &Note::Follow { number: self.number, version: self.version });
+                let follow = self.follow();
+                self.post.send(holder, &follow);
             }
         }
         let newest = crate::settings::seconds(self.settings.timers.convergence_ms / 1000.0 * FRESH);
@@ -332,7 +344,7 @@
                     self.archive =
                         self.archives.iter().position(|a| Some(*a) == current).unwrap_or(self.archive);
                 }
-                self.views.greet(pages);
+                self.views.greet(now, pages);
                 let own = self.catalogue.as_ref().map_or(0, |c| c.revision);
                 if touch {
                     self.heard = now;
@@ -351,7 +363,8 @@
                             let inherit = Note::Inherit { entries: self.known(now), tag: self.tag, numbers };
                             self.post.send(at, &inherit);
                         }
-                        self.post.send(at, &Note::Follow { number: self.number, version: self.version });
+                        let follow = self.follow();
+                        self.post.send(at, &follow);
                     }
                 }
             }
@@ -369,7 +382,8 @@
                 }
                 // A gap: what was missed is asked for again.
                 if !whole && base > self.version {
-                    self.post.send(from, &Note::Follow { number: self.number, version: self.version });
+                    let follow = self.follow();
+                    self.post.send(from, &follow);
                     return;
                 }
                 let mut ended = ended;
