--- a/crates/house/src/archive.rs
+++ b/crates/house/src/archive.rs
@@ -6,6 +6,7 @@
 use crate::platform::{Failed, Platform};
 use crate::post::{listen, Post};
 use crate::settings::{seconds, Settings};
+use spdlog::{error, info, warn};
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -26,6 +27,22 @@
 const HEARING: Duration = Duration::from_millis(450);
 /// The list of instances is read this often, the worker machines half as often; slower where the platform allows less.
 const LIST: f64 = 0.5;
+/// After SIGTERM it stays at least so long, for those who are to hear of it, and at most so long for operators' calls.
+const STAYS: Duration = Duration::from_millis(150);
+const STAYS_MOST: Duration = Duration::from_secs(1);
+/// An answer needs so long to go out.
+const GOES_OUT: Duration = Duration::from_millis(30);
+/// What lasts is looked at for the log this often.
+const LOOK: Duration = Duration::from_millis(100);
+/// Without a majority in touch for so long: that is said.
+const UNTOUCHED: Duration = Duration::from_secs(2);
+/// A write to the disk that takes so long is said.
+const SLOW_DISK: Duration = Duration::from_millis(300);
+/// Lists that were not read for so long are said, and again this often.
+const UNREAD: Duration = Duration::from_secs(3);
+const UNREAD_AGAIN: Duration = Duration::from_secs(30);
+/// Failed calls to the platform are summed for so long.
+const SUMMED: Duration = Duration::from_secs(5);
 
 enum Event {
     Note(SocketAddr, Note),
@@ -33,8 +50,8 @@
     Stored(u64, bool),
     Begun(u64, u64, stacks::Begun),
     Stopped(u64, u64, bool),
-    List(u64, Option<Vec<stacks::Listed>>),
-    Hosts(u64, Option<Vec<stacks::Host>>),
+    List(u64, Result<Vec<stacks::Listed>, Failed>),
+    Hosts(u64, Result<Vec<stacks::Host>, Failed>),
     Leave,
 }
 
@@ -56,6 +73,42 @@
     listing: bool,
     hosting: bool,
     shown: u64,
+    /// When both lists were last read, and from when on it is said that they are not.
+    list_at: Duration,
+    hosts_at: Duration,
+    unread_due: Duration,
+    unread_why: Failed,
+}
+
+/// An operator's call in hand.
+struct Asked {
+    reply: tokio::sync::oneshot::Sender<Reply>,
+    came: Duration,
+    /// Of a configuration to be taken.
+    revision: Option<u64>,
+}
+
+/// Calls to the platform that failed since this was last said.
+#[derive(Default)]
+struct Failures {
+    since: Option<Duration>,
+    no_room: u32,
+    too_many: u32,
+    no_service: u32,
+    unclear: u32,
+}
+
+/// What the log was told last.
+struct Said {
+    look: Duration,
+    ready: bool,
+    seats: Vec<SocketAddr>,
+    /// Since when no majority is in touch.
+    untouched: Option<Duration>,
+    untouched_said: bool,
+    /// The revision that could not be read.
+    unread: Option<u64>,
+    failures: Failures,
 }
 
 struct Archive {
@@ -67,8 +120,11 @@
     events: mpsc::Sender<Event>,
     catalogue: Option<Catalogue>,
     readers: HashMap<IpAddr, Reader>,
-    calls: HashMap<u64, tokio::sync::oneshot::Sender<Reply>>,
+    calls: HashMap<u64, Asked>,
     next_call: u64,
+    /// When an operator was last answered.
+    answered: Duration,
+    said: Said,
     duty: Option<Duty>,
     holder: Option<(SocketAddr, u64)>,
     start: Instant,
@@ -91,7 +147,15 @@
     let written = events.clone();
     std::thread::spawn(move || {
         while let Ok((token, what)) = orders.recv() {
-            let ok = files.save(&what).is_ok();
+            let began = Instant::now();
+            let saved = files.save(&what);
+            let took = began.elapsed();
+            if let Err(why) = &saved {
+                error!("disk write of the {} failed: {why}", kind(&what));
+            } else if took >= SLOW_DISK {
+                warn!("disk took {} ms to write the {}", took.as_millis(), kind(&what));
+            }
+            let ok = saved.is_ok();
             if written.blocking_send(Event::Stored(token, ok)).is_err() {
                 return;
             }
@@ -140,8 +204,8 @@
         life,
     };
     let platform = settings.provider_api.as_ref().map(|p| Rc::new(Platform::new(p.address)));
+    let vault = Vault::new(setup, kept, start.elapsed());
     let mut archive = Archive {
-        vault: Vault::new(setup, kept, start.elapsed()),
         post: Post::new(me),
         store,
         platform,
@@ -150,33 +214,42 @@
         readers: HashMap::new(),
         calls: HashMap::new(),
         next_call: 1,
+        answered: Duration::ZERO,
+        said: Said {
+            look: Duration::ZERO,
+            ready: false,
+            seats: vault.members(),
+            untouched: Some(Duration::ZERO),
+            untouched_said: false,
+            unread: None,
+            failures: Failures::default(),
+        },
+        vault,
         duty: None,
         holder: None,
         start,
         settings,
     };
-    println!("archive {} up", archive.settings.node_name);
+    info!("up: archive at {me}, operators at {control}, {} seats known", archive.said.seats.len());
     let mut leaving: Option<Duration> = None;
     loop {
         archive.carry();
         let now = archive.now();
-        if leaving.is_some_and(|at| now >= at) {
+        if let Some(began) = leaving.filter(|began| archive.may_end(now, *began)) {
+            archive.ended(now, began);
             return Ok(());
         }
-        let due = archive.next_due().min(leaving.unwrap_or(Duration::MAX));
+        let due = archive.next_due().min(leaving.map_or(Duration::MAX, |_| now + GOES_OUT));
         let wait = due.saturating_sub(now).clamp(Duration::from_millis(2), Duration::from_millis(500));
         match tokio::time::timeout(wait, inbox.recv()).await {
-            Ok(Some(Event::Leave)) => {
-                archive.vault.leave(now);
-                leaving = Some(now + Duration::from_millis(150));
-            }
+            Ok(Some(Event::Leave)) => leaving = Some(archive.leave()),
             Ok(Some(event)) => archive.take(event),
             Ok(None) => return Ok(()),
             Err(_) => {}
         }
         while let Ok(event) = inbox.try_recv() {
             match event {
-                Event::Leave => leaving = Some(archive.now() + Duration::from_millis(150)),
+                Event::Leave => leaving = Some(archive.leave()),
                 event => archive.take(event),
             }
         }
@@ -195,6 +268,68 @@
         self.start.elapsed()
     }
 
+    /// SIGTERM has come.
+    fn leave(&mut self) -> Duration {
+        let now = self.now();
+        info!("SIGTERM: leaving, {} calls open", self.calls.len());
+        self.vault.leave(now);
+        now
+    }
+
+    fn may_end(&self, now: Duration, began: Duration) -> bool {
+        let answered = self.calls.is_empty() && now >= self.answered + GOES_OUT;
+        now >= began + if answered { STAYS } else { STAYS_MOST }
+    }
+
+    fn ended(&self, now: Duration, began: Duration) {
+        let after = now.saturating_sub(began).as_secs_f64();
+        match self.calls.len() {
+            0 => info!("ended {after:.2} s after SIGTERM, 0 calls unanswered"),
+            open => warn!("ended {after:.2} s after SIGTERM, {open} calls unanswered"),
+        }
+    }
+
+    /// What has lasted long enough for the log, or has changed.
+    fn look(&mut self, now: Duration) {
+        if now < self.said.look {
+            return;
+        }
+        self.said.look = now + LOOK;
+        if !self.said.ready && self.vault.ready() {
+            self.said.ready = true;
+            let revision = self.vault.committed().map_or(0, |word| word.revision);
+            let seats = self.vault.members().len();
+            info!("ready first, {} ms after the start: {seats} seats, revision {revision}", now.as_millis());
+        }
+        let seats = self.vault.members();
+        if seats != self.said.seats {
+            warn!("seats changed: {}; before: {}", ips(&seats), ips(&self.said.seats));
+            self.said.seats = seats;
+        }
+        if self.vault.in_touch(now) {
+            if let Some(since) = self.said.untouched.take().filter(|_| self.said.untouched_said) {
+                warn!("in touch again after {} s", now.saturating_sub(since).as_secs());
+            }
+            self.said.untouched_said = false;
+        } else {
+            let since = *self.said.untouched.get_or_insert(now);
+            if !self.said.untouched_said && now >= since + UNTOUCHED {
+                self.said.untouched_said = true;
+                warn!("not in touch with a majority of the seats");
+            }
+        }
+        if self.said.failures.since.is_some_and(|since| now >= since + SUMMED) {
+            let Failures { no_room, too_many, no_service, unclear, .. } =
+                std::mem::take(&mut self.said.failures);
+            warn!(
+                "platform: {} calls failed in {} s: {no_room} no room, {too_many} too many, \
+                 {no_service} no service, {unclear} unclear",
+                no_room + too_many + no_service + unclear,
+                SUMMED.as_secs()
+            );
+        }
+    }
+
     fn next_due(&self) -> Duration {
         let mut due = self.vault.next_due();
         if let Some(duty) = &self.duty {
@@ -210,11 +345,22 @@
             Event::Operator(call) => self.operator(now, call),
             Event::Stored(token, ok) => self.vault.stored(now, token, ok),
             Event::Begun(number, token, begun) => {
+                let failures = &mut self.said.failures;
+                match begun {
+                    stacks::Begun::Done { .. } => {}
+                    stacks::Begun::NoRoom => failures.count(now).no_room += 1,
+                    stacks::Begun::TooMany => failures.count(now).too_many += 1,
+                    stacks::Begun::NoService => failures.count(now).no_service += 1,
+                    stacks::Begun::Unclear => failures.count(now).unclear += 1,
+                }
                 if let Some(duty) = self.duty.as_mut().filter(|d| d.number == number) {
                     duty.scaler.begun(now, token, begun);
                 }
             }
             Event::Stopped(number, token, ok) => {
+                if !ok {
+                    self.said.failures.count(now).unclear += 1;
+                }
                 if let Some(duty) = self.duty.as_mut().filter(|d| d.number == number) {
                     duty.scaler.stopped(now, token, ok);
                 }
@@ -222,6 +368,7 @@
             Event::List(number, listed) => {
                 if let Some(duty) = self.duty.as_mut().filter(|d| d.number == number) {
                     duty.listing = false;
+                    let listed = duty.read(now, listed, true);
                     if let Some(listed) = listed {
                         duty.lists = true;
                         duty.scaler.listed(now, &listed);
@@ -231,6 +378,7 @@
             Event::Hosts(number, hosts) => {
                 if let Some(duty) = self.duty.as_mut().filter(|d| d.number == number) {
                     duty.hosting = false;
+                    let hosts = duty.read(now, hosts, false);
                     if let Some(hosts) = hosts {
                         duty.hosts = true;
                         duty.scaler.hosts(now, &hosts);
@@ -247,15 +395,19 @@
         match call {
             Call::Replace { text, reply } => match Catalogue::read(&text) {
                 Ok(catalogue) => {
-                    self.calls.insert(number, reply);
+                    let revision = catalogue.revision;
+                    info!("revision {revision} came from the operator, {} bytes", text.len());
+                    self.calls.insert(number, Asked { reply, came: now, revision: Some(revision) });
                     self.vault.replace(now, number, catalogue.revision, text);
                 }
                 Err(fault) => {
+                    warn!("configuration refused: {fault}");
+                    self.answered = now;
                     let _ = reply.send(Reply::Invalid(fault.to_string()));
                 }
             },
             Call::Show { reply } => {
-                self.calls.insert(number, reply);
+                self.calls.insert(number, Asked { reply, came: now, revision: None });
                 self.vault.show(now, number);
             }
         }
@@ -390,9 +542,18 @@
             match order {
                 Order::Send { to, say } => self.post.send(to, &Note::Vault(say)),
                 Order::Store { token, what } => {
-                    let _ = self.store.send((token, what));
+                    // Without its disk it would promise what it cannot keep.
+                    assert!(self.store.send((token, what)).is_ok(), "the disk's thread has ended");
                 }
                 Order::Answer { call, outcome } => {
+                    let Some(asked) = self.calls.remove(&call) else { continue };
+                    self.answered = now;
+                    let why = match (self.vault.ready(), self.vault.in_touch(now)) {
+                        (false, _) => "not ready yet",
+                        (true, false) => "no majority in touch",
+                        (true, true) => "no majority has it on disk yet",
+                    };
+                    asked.tell(now, &outcome, why);
                     let reply = match outcome {
                         Outcome::Taken => Reply::Taken,
                         Outcome::Later { after_ms } => Reply::Later(Duration::from_millis(after_ms.into())),
@@ -400,28 +561,38 @@
                         Outcome::Word(word) => Reply::Word(word.text.to_vec()),
                         Outcome::Elsewhere(at) => Reply::Elsewhere(at.ip()),
                     };
-                    if let Some(call) = self.calls.remove(&call) {
-                        let _ = call.send(reply);
-                    }
+                    let _ = asked.reply.send(reply);
                 }
             }
         }
         let revision = self.catalogue.as_ref().map_or(0, |c| c.revision);
-        if let Some(word) =
-            self.vault.committed().filter(|word| word.revision > revision || self.catalogue.is_none())
-        {
+        let unread = self.said.unread;
+        if let Some(word) = self.vault.committed().filter(|word| {
+            (word.revision > revision || self.catalogue.is_none()) && unread != Some(word.revision)
+        }) {
             // It was checked before it was taken; what cannot be read now is not put in force.
-            if let Ok(catalogue) = Catalogue::read(&word.text) {
-                if let Some(duty) = &mut self.duty {
-                    duty.scaler.services(now, &services(&catalogue));
+            match Catalogue::read(&word.text) {
+                Ok(catalogue) => {
+                    if let Some(duty) = &mut self.duty {
+                        duty.scaler.services(now, &services(&catalogue));
+                    }
+                    info!("revision {} in force", catalogue.revision);
+                    self.catalogue = Some(catalogue);
+                    self.send_word(now, None);
+                }
+                Err(fault) => {
+                    self.said.unread = Some(word.revision);
+                    error!("committed revision {} cannot be read: {fault}", word.revision);
                 }
-                self.catalogue = Some(catalogue);
-                self.send_word(now, None);
             }
         }
         self.duty(now);
+        self.look(now);
         let holder = self.vault.holder();
         if holder != self.holder {
+            if let Some((at, number)) = holder {
+                info!("holder is {} under {number}", at.ip());
+            }
             self.holder = holder;
             let port = self.settings.peer().port();
             let readers: Vec<IpAddr> =
@@ -437,6 +608,9 @@
     fn duty(&mut self, now: Duration) {
         let held = self.vault.duty(now);
         if self.duty.as_ref().map(|d| d.number) != held {
+            if let Some(duty) = &self.duty {
+                info!("duty {} laid down after {} s", duty.number, now.saturating_sub(duty.since).as_secs());
+            }
             self.duty = held.map(|number| self.take_up(now, number));
         }
         let (Some(duty), Some(platform), Some(provider)) =
@@ -445,6 +619,7 @@
             return;
         };
         let number = duty.number;
+        duty.say_unread(now);
         let pause = seconds(LIST.max(4.0 / provider.rate_per_s.max(0.01)));
         if now >= duty.list_due && !duty.listing {
             duty.list_due = now + pause;
@@ -461,7 +636,7 @@
             let (platform, events) = (platform.clone(), self.events.clone());
             tokio::task::spawn_local(async move {
                 let hosts =
-                    platform.hosts().await.ok().map(|pool| pool.worker_pool.into_iter().map(host).collect());
+                    platform.hosts().await.map(|pool| pool.worker_pool.into_iter().map(host).collect());
                 let _ = events.send(Event::Hosts(number, hosts)).await;
             });
         }
@@ -520,7 +695,7 @@
         if let Some(catalogue) = &self.catalogue {
             scaler.services(now, &services(catalogue));
         }
-        println!("duty {number} taken up");
+        info!("duty {number} taken up");
         Duty {
             number,
             since: now,
@@ -533,16 +708,86 @@
             listing: false,
             hosting: false,
             shown: 0,
+            list_at: now,
+            hosts_at: now,
+            unread_due: now + UNREAD,
+            unread_why: Failed::Unclear,
+        }
+    }
+}
+
+impl Duty {
+    /// What was read, and when.
+    fn read<T>(&mut self, now: Duration, read: Result<T, Failed>, list: bool) -> Option<T> {
+        match read {
+            Ok(read) => {
+                *(if list { &mut self.list_at } else { &mut self.hosts_at }) = now;
+                self.unread_due = self.unread_due.min(self.list_at.min(self.hosts_at) + UNREAD);
+                Some(read)
+            }
+            Err(why) => {
+                self.unread_why = why;
+                None
+            }
+        }
+    }
+
+    fn say_unread(&mut self, now: Duration) {
+        let since = self.list_at.min(self.hosts_at);
+        if now < self.unread_due || now < since + UNREAD {
+            return;
+        }
+        self.unread_due = now + UNREAD_AGAIN;
+        let span = now.saturating_sub(since).as_secs();
+        match self.unread_why {
+            Failed::Status(status) => warn!("platform: lists not read for {span} s: status {status}"),
+            Failed::Unclear => warn!("platform: lists not read for {span} s: no whole answer"),
+        }
+    }
+}
+
+impl Asked {
+    fn tell(&self, now: Duration, outcome: &Outcome, why: &str) {
+        let Some(revision) = self.revision else { return };
+        let took = now.saturating_sub(self.came).as_millis();
+        match outcome {
+            Outcome::Taken => info!("revision {revision} taken, {took} ms after the call"),
+            Outcome::Later { .. } => warn!("revision {revision} not taken within {took} ms: {why}"),
+            Outcome::Nothing | Outcome::Word(_) | Outcome::Elsewhere(_) => {}
         }
     }
 }
 
-/// The whole list, page by page; None if any page failed.
-async fn read_list(platform: &Platform) -> Option<Vec<stacks::Listed>> {
+impl Failures {
+    fn count(&mut self, now: Duration) -> &mut Failures {
+        self.since.get_or_insert(now);
+        self
+    }
+}
+
+fn ips(seats: &[SocketAddr]) -> String {
+    let ips: Vec<String> = seats.iter().map(|at| at.ip().to_string()).collect();
+    if ips.is_empty() {
+        return "none".to_string();
+    }
+    ips.join(" ")
+}
+
+/// As the log names it.
+fn kind(what: &Stored) -> &'static str {
+    match what {
+        Stored::Word(_) => "word",
+        Stored::Seats(_) => "seats",
+        Stored::Number(_) => "duty's number",
+    }
+}
+
+/// The whole list, page by page, or why a page failed. A list without end is none.
+async fn read_list(platform: &Platform) -> Result<Vec<stacks::Listed>, Failed> {
     let (mut all, mut token) = (Vec::new(), None);
     // Bounds a list whose pages never end.
     for _ in 0..1000 {
-        let page = platform.instances(token.as_deref()).await.ok()?;
+        let page = platform.instances(token.as_deref()).await?;
         all.extend(page.instances.into_iter().filter_map(|i| {
             Some(stacks::Listed {
                 instance: i.instance_id,
@@ -555,10 +800,10 @@
         }));
         token = page.next_token;
         if token.is_none() {
-            return Some(all);
+            return Ok(all);
         }
     }
-    None
+    Err(Failed::Unclear)
 }
 
 fn host(host: crate::platform::Host) -> stacks::Host {
--- a/crates/house/src/desk.rs
+++ b/crates/house/src/desk.rs
@@ -5,6 +5,7 @@
 use crate::post::{frame, read_frame};
 use crate::settings::{seconds, Settings};
 use crate::workers::{self, Outcome, Workers};
+use spdlog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -28,6 +29,9 @@
 const MARGIN: Duration = Duration::from_millis(60);
 /// Attempts to find a slot for one call whose earlier ones provably did not run.
 const ROUNDS: usize = 6;
+/// What happens often is said in the log at most this often.
+const SUMMED: Duration = Duration::from_secs(5);
+const SELDOM: Duration = Duration::from_millis(100);
 
 /// A slot, or none in time.
 enum Slot {
@@ -53,6 +57,10 @@
     desks: usize,
     calls: Cell<usize>,
     wake: Rc<Notify>,
+    /// Further tries withheld since this was last said in the log.
+    withheld: HashMap<Kind, u32>,
+    full_said: Duration,
+    ready_said: bool,
 }
 
 type Shared = Rc<RefCell<State>>;
@@ -95,8 +103,12 @@
         desks: 1,
         calls: Cell::new(0),
         wake: wake.clone(),
+        withheld: HashMap::new(),
+        full_said: Duration::ZERO,
+        ready_said: false,
         settings,
     };
+    info!("up: desk at {front}, readiness at {ready}, slots at {}", state.settings.lending());
     let shared: Shared = Rc::new(RefCell::new(state));
 
     tokio::task::spawn_local(page_link(shared.clone(), outbox, life));
@@ -119,6 +131,7 @@
         let mut state = shared.borrow_mut();
         state.leaving = true;
         state.tell(&Tells::Leaving);
+        info!("SIGTERM: leaving, {} calls open", state.calls.get());
     }
     let began = Instant::now();
     // The platform misses readiness twice before it sends nobody here: until then new connections come.
@@ -126,8 +139,13 @@
     let last = grace.saturating_sub(Duration::from_millis(500));
     loop {
         tokio::time::sleep(Duration::from_millis(50)).await;
-        let idle = shared.borrow().calls.get() == 0;
-        if began.elapsed() >= last || (began.elapsed() >= stays && idle) {
+        let open = shared.borrow().calls.get();
+        if began.elapsed() >= last || (began.elapsed() >= stays && open == 0) {
+            let after = began.elapsed().as_secs_f64();
+            match open {
+                0 => info!("ended {after:.1} s after SIGTERM, 0 calls unanswered"),
+                open => warn!("ended {after:.1} s after SIGTERM, {open} calls unanswered"),
+            }
             return;
         }
     }
@@ -161,6 +179,7 @@
                 });
                 self.lending.functions(now, functions.collect());
                 let finder = Finder::new(&catalogue);
+                info!("revision {} in force", catalogue.revision);
                 self.catalogue = Some(Rc::new((catalogue, finder)));
             }
             Told::Desks(desks) => {
@@ -185,6 +204,15 @@
             }
             Told::Fresh(fresh) => self.fresh = fresh,
         }
+        if !self.ready_said && self.ready() {
+            self.ready_said = true;
+            info!("ready first, {} ms after the start: revision {}", now.as_millis(), self.revision());
+        }
+    }
+
+    /// Of the configuration in force; 0 without one.
+    fn revision(&self) -> u64 {
+        self.catalogue.as_ref().map_or(0, |own| own.0.revision)
     }
 
     fn demand(&self, spoken: Spoken) -> Option<Demand> {
@@ -217,7 +245,7 @@
 fn pump(shared: &Shared) {
     loop {
         let mut state = shared.borrow_mut();
-        let Some(order) = state.lending.next() else { return };
+        let Some(order) = state.lending.pull() else { return };
         match order {
             Order::Send { to, bytes } => {
                 // A datagram that does not go now is said again by who waits for its answer.
@@ -242,6 +270,7 @@
                 tokio::task::spawn_local(dial(shared.clone(), instance, at));
             }
             Order::Gone { instance } => {
+                info!("instance {instance} gone: it refuses connections, or its address is another's");
                 state.workers.forget(&instance);
                 state.tell(&Tells::Gone(instance));
             }
@@ -251,6 +280,10 @@
                     state.tell(&Tells::Demand(vec![demand]));
                 }
             }
+            Order::PassedOver { lender } => {
+                let pause = tindock_lending::PASSED_OVER.as_secs_f64();
+                info!("lender {} passed over for {pause} s", lender.ip());
+            }
         }
     }
 }
@@ -295,7 +328,13 @@
         };
         tokio::select! { () = said => {}, () = heard => {} }
         // The page has gone: what is known stays in use, but no 404 is said on its word.
-        shared.borrow_mut().fresh = false;
+        {
+            let mut state = shared.borrow_mut();
+            state.fresh = false;
+            if !state.leaving {
+                warn!("page's link broke; going on with revision {}", state.revision());
+            }
+        }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
@@ -318,7 +357,7 @@
 }
 
 async fn clock(shared: Shared, wake: Rc<Notify>) {
-    let mut told = Duration::ZERO;
+    let (mut told, mut summed) = (Duration::ZERO, Duration::ZERO);
     loop {
         let busy = shared.borrow().lending.busy();
         let pause = if busy { TICK } else { REST };
@@ -336,6 +375,14 @@
                 }
                 state.workers.sweep(now);
             }
+            if now >= summed + SUMMED {
+                summed = now;
+                for (kind, tries) in std::mem::take(&mut state.withheld) {
+                    let service = state.lending.name(kind).unwrap_or("a service that is gone");
+                    let pause = SUMMED.as_secs();
+                    warn!("budget of {service} spent: {tries} further tries withheld in {pause} s");
+                }
+            }
         }
         pump(&shared);
     }
@@ -379,12 +426,17 @@
 async fn accept(shared: Shared, door: TcpListener) {
     let open = Rc::new(Cell::new(0usize));
     let most = shared.borrow().settings.limits.file_descriptors / 2;
+    let mut said: Option<Instant> = None;
     loop {
         let Ok((stream, _)) = door.accept().await else {
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
         if open.get() >= most {
+            if said.is_none_or(|at| at.elapsed() >= SUMMED) {
+                said = Some(Instant::now());
+                warn!("{most} connections are the most; new ones are closed");
+            }
             continue;
         }
         let _ = stream.set_nodelay(true);
@@ -453,7 +505,7 @@
         loop {
             let (header, idle, most, body_most) = {
                 let state = self.shared.borrow();
-                let limits = state.catalogue.as_ref().map(|c| c.0.limits.clone()).unwrap_or_default();
+                let limits = state.catalogue.as_ref().map(|c| c.0.limits).unwrap_or_default();
                 (
                     Duration::from_millis(limits.header_timeout_ms.into()),
                     Duration::from_millis(limits.idle_timeout_ms.into()),
@@ -593,9 +645,11 @@
                 }
                 if arrivals > 0 {
                     let others = state.desks;
-                    if arrivals >= usize::from(route.max_retries.max(1))
-                        || !state.budget.repeat(now, kind, others)
-                    {
+                    if arrivals >= usize::from(route.max_retries.max(1)) {
+                        return tried.give_up(pause, false);
+                    }
+                    if !state.budget.repeat(now, kind, others) {
+                        *state.withheld.entry(kind).or_default() += 1;
                         return tried.give_up(pause, false);
                     }
                 }
@@ -645,6 +699,7 @@
                 }
                 Outcome::Unsent(_) => {}
                 Outcome::NotExecuted { after } => {
+                    self.full(&instance);
                     arrivals += 1;
                     pause = after.unwrap_or(Duration::from_millis(60));
                 }
@@ -662,6 +717,15 @@
         tried.give_up(pause, false)
     }
 
+    fn full(&self, instance: &str) {
+        let mut state = self.shared.borrow_mut();
+        let now = state.now();
+        if now >= state.full_said + SELDOM {
+            state.full_said = now;
+            info!("instance {instance} was full, by its own word");
+        }
+    }
+
     fn settle(&self, call: u32, ended: Ended) {
         {
             let mut state = self.shared.borrow_mut();
--- a/crates/house/src/page.rs
+++ b/crates/house/src/page.rs
@@ -4,6 +4,7 @@
 use crate::notes::{Desk, Listed, Note, Tells, Told};
 use crate::post::{frame, listen, read_frame, Post};
 use crate::settings::Settings;
+use spdlog::{info, warn};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
@@ -23,6 +24,10 @@
 const GREETS: u32 = 4;
 /// What was confirmed so lately counts as the newest.
 const FRESH: f64 = 0.5; // of convergence_ms
+/// Without a desk, or without an archive in touch, for so long: that is said in the log.
+const ALONE: Duration = Duration::from_secs(3);
+/// And the latter again this often.
+const ALONE_AGAIN: Duration = Duration::from_secs(60);
 
 enum Event {
     Note(SocketAddr, Note),
@@ -56,6 +61,17 @@
     stacks: BTreeMap<String, (Listed, Duration)>,
     desks: Vec<Desk>,
     start: Instant,
+    said: Said,
+}
+
+/// What the log was told last.
+struct Said {
+    desk: bool,
+    desk_due: Duration,
+    /// That an archive was left, in this silence.
+    left: bool,
+    alone_due: Duration,
+    alone: bool,
 }
 
 pub async fn run(settings: Settings) -> Result<(), String> {
@@ -141,7 +157,9 @@
         desks: Vec::new(),
         start,
         settings,
+        said: Said { desk: false, desk_due: ALONE, left: true, alone_due: ALONE, alone: false },
     };
+    info!("up: page at {me}, for the desk at {}", page.settings.loopback());
     page.pull();
     let mut leaving: Option<Duration> = None;
     loop {
@@ -164,6 +182,7 @@
             Ok(Some(Event::Leave)) => {
                 // The desk beside it ends what it holds; the page stays for that.
                 let now = page.start.elapsed();
+                info!("SIGTERM: leaving, with the desk");
                 page.views.serves(now, 0);
                 leaving = Some(now + crate::settings::seconds((page.settings.timers.grace_s - 0.4).max(0.2)));
             }
@@ -236,14 +255,21 @@
     fn tick(&mut self, now: Duration) {
         if now >= self.heard + SILENT && now >= self.pulled + PULL.min(Duration::from_millis(300)) {
             // Silent, or not in touch with the others: the next one, and the seeds again once in a while.
+            let left = self.archive_now();
             self.archive = self.archive.wrapping_add(1);
-            if self.archive % 8 == 0 {
+            if self.archive.is_multiple_of(8) {
                 for seed in self.settings.seed_peers() {
                     if !self.archives.contains(&seed) {
                         self.archives.push(seed);
                     }
                 }
             }
+            if let (false, Some(left), Some(to)) = (self.said.left, left, self.archive_now()) {
+                // Once a silence: the next ones may be as silent.
+                self.said.left = true;
+                let silent = now.saturating_sub(self.heard).as_millis();
+                info!("archive {} left for {}: silent for {silent} ms", left.ip(), to.ip());
+            }
             self.pull();
         } else if now >= self.pulled + PULL {
             self.pull();
@@ -255,6 +281,7 @@
                 self.post.send(holder, &follow);
             }
         }
+        self.say(now);
         let newest = crate::settings::seconds(self.settings.timers.convergence_ms / 1000.0 * FRESH);
         let fresh = self.confirmed.is_some_and(|at| now < at + newest);
         if fresh != self.fresh {
@@ -278,6 +305,26 @@
         }
     }
 
+    fn archive_now(&self) -> Option<SocketAddr> {
+        self.archives.get(self.archive % self.archives.len().max(1)).copied()
+    }
+
+    /// What has lasted long enough for the log.
+    fn say(&mut self, now: Duration) {
+        let there = self.desk.is_some();
+        if there != self.said.desk || (!there && now >= self.said.desk_due) {
+            (self.said.desk, self.said.desk_due) = (there, Duration::MAX);
+            match there {
+                true => info!("desk is there"),
+                false => warn!("no desk beside this page"),
+            }
+        }
+        if now >= self.said.alone_due && now >= self.heard + ALONE {
+            (self.said.alone_due, self.said.alone) = (now + ALONE_AGAIN, true);
+            warn!("no archive in touch for {} s", now.saturating_sub(self.heard).as_secs());
+        }
+    }
+
     fn take(&mut self, event: Event, leaving: bool) {
         let now = self.start.elapsed();
         match event {
@@ -347,6 +394,11 @@
                 self.views.greet(now, pages);
                 let own = self.catalogue.as_ref().map_or(0, |c| c.revision);
                 if touch {
+                    if self.said.alone {
+                        let silent = now.saturating_sub(self.heard).as_secs();
+                        warn!("archive {} in touch again after {silent} s", from.ip());
+                    }
+                    (self.said.left, self.said.alone, self.said.alone_due) = (false, false, now + ALONE);
                     self.heard = now;
                     if revision <= own && own > 0 {
                         self.confirmed = Some(now);
@@ -356,6 +408,7 @@
                 if let Some((at, number)) = holder {
                     if self.holder.is_none_or(|(old, known)| number > known || (number == known && at != old))
                     {
+                        info!("holder is {} under {number}", at.ip());
                         self.holder = Some((at, number));
                         self.followed = now;
                         if number != self.number {
@@ -371,6 +424,7 @@
             Note::Word(catalogue) => {
                 // A process never goes back within its life.
                 if self.catalogue.as_ref().is_none_or(|own| own.revision < catalogue.revision) {
+                    info!("revision {} in force", catalogue.revision);
                     self.tell(&Told::Word(catalogue.clone()));
                     self.confirmed = Some(now);
                     self.catalogue = Some(catalogue);
--- a/crates/house/src/platform.rs
+++ b/crates/house/src/platform.rs
@@ -1,6 +1,9 @@
 //! The platform's calls: the list of instances, the worker machines, starts and stops. HTTP/1.1, one call a connection
 //! at a time, connections kept.
 
+// What nanoserde derives is written that way.
+#![allow(clippy::question_mark)]
+
 use nanoserde::DeJson;
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/crates/house/src/ring.rs
+++ b/crates/house/src/ring.rs
@@ -1,6 +1,7 @@
 //! The log: a ring in memory that is written out when something goes wrong, and little else. `install` puts
 //! it behind the macros of `spdlog`: `debug!` and `info!` go to the ring alone; `warn!` and up go to standard
-//! output at once, a line each. `error!`, `critical!`, `spill` and a panic have the ring written out too. It
+//! output at once, a line each. `error!`, `critical!`, `spill` and a panic have the ring written out too, and
+//! a panic ends the process, wherever it happens: a task or a thread that is missing would go unnoticed. It
 //! has no thread and no timer: what may not be written yet is written with a later record.
 
 use spdlog::sink::{GetSinkProp, Sink, SinkProp};
@@ -153,6 +154,14 @@
         }
     }
 
+    /// The last words of a process: no pause keeps them back.
+    fn last(&self, reason: &str) {
+        if let Ok(mut book) = self.book.try_lock() {
+            book.spilled = None;
+        }
+        self.spill(reason);
+    }
+
     fn spill(&self, reason: &str) {
         // A panic may come from a thread that has the book: then there is nothing to be had from it.
         let mut book = match self.book.try_lock() {
@@ -193,8 +202,11 @@
 
 static RING: OnceLock<Arc<Ring>> = OnceLock::new();
 
-/// Puts the ring behind the macros, under this node's name, and has a panic write it out. Once a process;
-/// before it the macros write as the library does by itself.
+/// The exit code after a panic.
+const BROKEN: i32 = 101;
+
+/// Puts the ring behind the macros, under this node's name, and has a panic write it out and end the process.
+/// For programs only, since tests unwind. Once a process; before it the macros write as the library does by itself.
 pub fn install(node: &str) {
     let ring = Arc::new(Ring::new(node, to_stdout));
     if RING.set(ring.clone()).is_err() {
@@ -210,8 +222,11 @@
     }
     let usual = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
-        spill(&panic.to_string());
         usual(panic);
+        if let Some(ring) = RING.get() {
+            ring.last(&panic.to_string());
+        }
+        std::process::exit(BROKEN);
     }));
 }
 
@@ -286,6 +301,19 @@
         assert_eq!(book.take(at(11_000), Level::Info, "calm"), "");
     }
 
+    #[rstest]
+    fn the_last_words_wait_for_no_pause() {
+        static SEEN: Mutex<String> = Mutex::new(String::new());
+        let ring = Ring::new("n", |text| SEEN.lock().expect("one thread").push_str(text));
+        ring.take(Level::Error, "first");
+        SEEN.lock().expect("one thread").clear();
+        ring.spill("held back");
+        assert_eq!(*SEEN.lock().expect("one thread"), "");
+        ring.last("panicked at here:\nwhy");
+        let seen = SEEN.lock().expect("one thread");
+        assert!(seen.contains(" 0 before them are gone: panicked at here: why\n"), "{seen}");
+    }
+
     #[rstest]
     fn a_flood_of_warnings_goes_to_the_ring() {
         let mut book = Book::new("n");
--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -24,7 +24,7 @@
 /// Tries without any word before a lender is passed over.
 const TRIES: u32 = 4;
 /// For so long.
-const PASSED_OVER: Duration = Duration::from_secs(3);
+pub const PASSED_OVER: Duration = Duration::from_secs(3);
 /// A new lender of an instance that others may have lent waits so long for what is told of it.
 const HEARING: Duration = Duration::from_millis(400);
 /// What a lender said of its room is believed so long.
@@ -79,6 +79,10 @@
     },
     /// For the scaler, at once: a call has found no instance.
     Wanted(Told),
+    /// For the log: this lender has said nothing, and another is asked for a while.
+    PassedOver {
+        lender: SocketAddr,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -749,7 +753,10 @@
         }
         if !silent.is_empty() {
             for &(_, to) in &silent {
-                self.passed_over.insert(to, now + PASSED_OVER);
+                let before = self.passed_over.insert(to, now + PASSED_OVER);
+                if before.is_none_or(|until| until <= now) {
+                    self.orders.push_back(Order::PassedOver { lender: to });
+                }
             }
             self.arrange(true);
             self.tell_new_lenders(&HashSet::new());
@@ -780,7 +787,7 @@
     }
 
     /// The next order, if there is one.
-    pub fn next(&mut self) -> Option<Order> {
+    pub fn pull(&mut self) -> Option<Order> {
         self.pump();
         if let Some(order) = self.orders.pop_front() {
             return Some(order);
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,500 @@
+//! The system's own programs as child processes, each with a settings file of its own, as `DEPLOY.md` has them: an
+//! archive on each core machine, a desk and a page on each edge machine.
+//!
+//! A process that ends is started again after a short delay. All are ended by their ids: in order by [`Fleet::end`], at
+//! once when the fleet is dropped, and by a guard (the same program, with [`GUARD`]) when this process dies itself.
+
+use crate::clients::Door;
+use crate::places::Net;
+use rustix::process::{kill_process, Pid, Signal};
+use std::collections::BTreeSet;
+use std::fmt;
+use std::fs::{self, File, OpenOptions};
+use std::io::{BufRead, Write};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdin, Command, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, Instant};
+
+/// The hidden argument of `demo` that makes a process the guard of another.
+pub const GUARD: &str = "guard";
+/// How often it is looked whether a process has ended.
+const LOOK: Duration = Duration::from_millis(50);
+/// Starts of one process; one that ends that often is left alone.
+const STARTS: usize = 20;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    Archive,
+    Page,
+    Desk,
+}
+
+impl Role {
+    pub fn name(self) -> &'static str {
+        match self {
+            Role::Archive => "archive",
+            Role::Page => "page",
+            Role::Desk => "desk",
+        }
+    }
+}
+
+/// Bounds that the settings tell; the others are a usual deployment's.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// `tindock` itself.
+    pub program: PathBuf,
+    /// Where settings, logs and disks go. It is removed at the end.
+    pub folder: PathBuf,
+    pub zones: Vec<String>,
+    /// In each zone.
+    pub edges: usize,
+    /// In all, over the zones in turn.
+    pub cores: usize,
+    pub grace: Duration,
+    pub drain: Duration,
+    pub rate_per_s: f64,
+    pub duty_rate_s: f64,
+    pub max_lag: Duration,
+    /// After so long a process that has ended is started again; None: it is not.
+    pub again: Option<Duration>,
+}
+
+#[derive(Debug)]
+pub enum Fault {
+    File(PathBuf, std::io::Error),
+    Start(PathBuf, std::io::Error),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::File(path, why) | Fault::Start(path, why) => write!(f, "{}: {why}", path.display()),
+        }
+    }
+}
+
+struct Machine {
+    name: String,
+    zone: String,
+    ip: Ipv4Addr,
+}
+
+struct Process {
+    machine: usize,
+    role: Role,
+    child: Option<Child>,
+    starts: usize,
+    ended: Option<Instant>,
+}
+
+struct Inner {
+    plan: Plan,
+    net: Net,
+    provider: SocketAddr,
+    machines: Vec<Machine>,
+    processes: Vec<Process>,
+    guard: Option<(Child, ChildStdin)>,
+    happened: Vec<(Instant, String)>,
+    ending: bool,
+}
+
+/// The programs while they run.
+pub struct Fleet {
+    inner: Arc<Mutex<Inner>>,
+    watch: AbortHandle,
+}
+
+impl Fleet {
+    /// Writes the settings and starts all programs, archives first.
+    pub fn start(plan: Plan, net: Net, provider: SocketAddr) -> Result<Fleet, Fault> {
+        let zones = plan.zones.len().max(1);
+        let zone = |n: usize| plan.zones.get(n % zones).cloned().unwrap_or_default();
+        let mut machines = Vec::new();
+        let mut processes = Vec::new();
+        let process = |machine, role| Process { machine, role, child: None, starts: 0, ended: None };
+        for n in 0..plan.cores {
+            processes.push(process(machines.len(), Role::Archive));
+            let name = format!("core-{}-{}", zone(n), n / zones + 1);
+            machines.push(Machine { name, zone: zone(n), ip: net.core(n) });
+        }
+        for n in 0..plan.edges * zones {
+            processes.push(process(machines.len(), Role::Page));
+            processes.push(process(machines.len(), Role::Desk));
+            let name = format!("edge-{}-{}", zone(n), n / zones + 1);
+            machines.push(Machine { name, zone: zone(n), ip: net.edge(n) });
+        }
+        fs::create_dir_all(&plan.folder).map_err(|why| Fault::File(plan.folder.clone(), why))?;
+        let guard = guard_of(&plan);
+        let happened = Vec::new();
+        let inner = Inner { plan, net, provider, machines, processes, guard, happened, ending: false };
+        let inner = Arc::new(Mutex::new(inner));
+        let watched = inner.clone();
+        let watch = tokio::spawn(async move {
+            loop {
+                sleep(LOOK).await;
+                locked(&watched).look();
+            }
+        });
+        // From here on what was started is ended when this is dropped.
+        let fleet = Fleet { inner, watch: watch.abort_handle() };
+        let count = fleet.inner().processes.len();
+        for index in 0..count {
+            fleet.inner().begin(index)?;
+        }
+        Ok(fleet)
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        locked(&self.inner)
+    }
+
+    pub fn folder(&self) -> PathBuf {
+        self.inner().plan.folder.clone()
+    }
+
+    /// Where clients come in.
+    pub fn doors(&self) -> Vec<Door> {
+        let inner = self.inner();
+        let edge = |m: usize| inner.processes.iter().any(|p| p.machine == m && p.role == Role::Desk);
+        let door = |m: &Machine| Door {
+            zone: m.zone.clone(),
+            data_plane: (m.ip, inner.net.ports.data_plane).into(),
+            readiness: (m.ip, inner.net.ports.readiness).into(),
+        };
+        inner.machines.iter().enumerate().filter(|(n, _)| edge(*n)).map(|(_, m)| door(m)).collect()
+    }
+
+    /// Where the operator comes in.
+    pub fn controllers(&self) -> Vec<SocketAddr> {
+        self.inner().controllers()
+    }
+
+    /// Names of the machines that have a process of this role.
+    pub fn machines(&self, role: Role) -> Vec<String> {
+        let inner = self.inner();
+        let of = |p: &&Process| p.role == role;
+        inner.processes.iter().filter(of).map(|p| inner.machines[p.machine].name.clone()).collect()
+    }
+
+    /// SIGKILL. False where there is no such process, or it does not run.
+    pub fn kill(&self, machine: &str, role: Role) -> bool {
+        let mut inner = self.inner();
+        let Some(index) = inner.find(machine, role) else { return false };
+        inner.say(format!("{machine} {} killed", role.name()));
+        inner.processes[index].child.as_mut().is_some_and(|child| child.kill().is_ok())
+    }
+
+    /// SIGTERM.
+    pub fn term(&self, machine: &str, role: Role) -> bool {
+        let mut inner = self.inner();
+        let Some(index) = inner.find(machine, role) else { return false };
+        inner.say(format!("{machine} {} asked to leave", role.name()));
+        inner.processes[index].child.as_ref().is_some_and(term)
+    }
+
+    /// Whether it runs now.
+    pub fn runs(&self, machine: &str, role: Role) -> bool {
+        let inner = self.inner();
+        inner.find(machine, role).is_some_and(|index| inner.processes[index].child.is_some())
+    }
+
+    /// What it has written since its first start.
+    pub fn log(&self, machine: &str, role: Role) -> String {
+        let path = self.inner().plan.folder.join(format!("{machine}.{}.log", role.name()));
+        fs::read(path).map(|bytes| String::from_utf8_lossy(&bytes).into_owned()).unwrap_or_default()
+    }
+
+    /// The core machine that took up the duty last, as the archives' own words tell.
+    pub fn holder(&self) -> Option<String> {
+        let number = |machine: &String| {
+            let log = self.log(machine, Role::Archive);
+            let taken =
+                log.lines().filter_map(|line| line.strip_prefix("duty ")?.split(' ').next()?.parse().ok());
+            taken.max().unwrap_or(0u64)
+        };
+        let archives = self.machines(Role::Archive);
+        archives
+            .into_iter()
+            .map(|machine| (number(&machine), machine))
+            .filter(|(n, _)| *n > 0)
+            .max()
+            .map(|m| m.1)
+    }
+
+    /// What became of processes, with the times.
+    pub fn happened(&self) -> Vec<(Instant, String)> {
+        self.inner().happened.clone()
+    }
+
+    /// The last lines of those that have ended.
+    pub fn last_words(&self) -> String {
+        let ended: Vec<(String, Role)> = {
+            let inner = self.inner();
+            let ended = inner.processes.iter().filter(|p| p.starts > 1 || p.ended.is_some());
+            ended.map(|p| (inner.machines[p.machine].name.clone(), p.role)).collect()
+        };
+        let mut text = String::new();
+        for (machine, role) in ended {
+            let log = self.log(&machine, role);
+            let from = log.lines().count().saturating_sub(3);
+            for line in log.lines().skip(from) {
+                text.push_str(&format!("{machine} {}: {line}\n", role.name()));
+            }
+        }
+        text
+    }
+
+    /// SIGTERM to all, SIGKILL to those that are still there after their grace; the folder is removed unless it is kept.
+    pub async fn end(self, keep_folder: bool) {
+        let grace = {
+            let mut inner = self.inner();
+            inner.ending = true;
+            for process in &inner.processes {
+                process.child.as_ref().map(term);
+            }
+            inner.plan.grace
+        };
+        let until = Instant::now() + grace + Duration::from_millis(300);
+        while Instant::now() < until && self.inner().processes.iter().any(|p| p.child.is_some()) {
+            sleep(LOOK / 2).await;
+            self.inner().look();
+        }
+        if keep_folder {
+            self.inner().keep_folder();
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.watch.abort();
+        self.inner().end_now();
+    }
+}
+
+fn locked(inner: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
+    inner.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn term(child: &Child) -> bool {
+    kill_process(Pid::from_child(child), Signal::TERM).is_ok()
+}
+
+impl Inner {
+    fn controllers(&self) -> Vec<SocketAddr> {
+        let cores = self.processes.iter().filter(|p| p.role == Role::Archive);
+        cores.map(|p| (self.machines[p.machine].ip, self.net.ports.control_plane).into()).collect()
+    }
+
+    fn find(&self, machine: &str, role: Role) -> Option<usize> {
+        self.processes.iter().position(|p| p.role == role && self.machines[p.machine].name == machine)
+    }
+
+    fn say(&mut self, what: String) {
+        self.happened.push((Instant::now(), what));
+    }
+
+    fn tell_guard(&mut self, line: String) {
+        if let Some((_, to)) = &mut self.guard {
+            if writeln!(to, "{line}").and_then(|()| to.flush()).is_err() {
+                self.guard = None;
+            }
+        }
+    }
+
+    /// Starts a process, with the settings of this moment.
+    fn begin(&mut self, index: usize) -> Result<(), Fault> {
+        let process = &self.processes[index];
+        let (machine, role, first) = (&self.machines[process.machine], process.role, process.starts == 0);
+        let stem = format!("{}.{}", machine.name, role.name());
+        let file = self.plan.folder.join(format!("{stem}.toml"));
+        let unwritten = |path: &Path| {
+            let path = path.to_path_buf();
+            move |why| Fault::File(path, why)
+        };
+        fs::write(&file, self.settings(machine, role, first)).map_err(unwritten(&file))?;
+        let log = self.plan.folder.join(format!("{stem}.log"));
+        let out = OpenOptions::new().create(true).append(true).open(&log).map_err(unwritten(&log))?;
+        let err: File = out.try_clone().map_err(unwritten(&log))?;
+        let child = Command::new(&self.plan.program)
+            .arg(role.name())
+            .env("TINDOCK_BOOT", &file)
+            .stdin(Stdio::null())
+            .stdout(out)
+            .stderr(err)
+            // A group of its own: Ctrl-C reaches the demo alone, which ends the others in order.
+            .process_group(0)
+            .spawn()
+            .map_err(|why| Fault::Start(self.plan.program.clone(), why))?;
+        let id = child.id();
+        let process = &mut self.processes[index];
+        process.child = Some(child);
+        process.starts += 1;
+        process.ended = None;
+        self.tell_guard(format!("+{id}"));
+        Ok(())
+    }
+
+    /// Takes in who has ended and starts them again when it is time.
+    fn look(&mut self) {
+        let now = Instant::now();
+        for index in 0..self.processes.len() {
+            let process = &mut self.processes[index];
+            let (machine, role) = (process.machine, process.role);
+            if let Some(child) = &mut process.child {
+                let Ok(Some(status)) = child.try_wait() else { continue };
+                let id = child.id();
+                (process.child, process.ended) = (None, Some(now));
+                self.tell_guard(format!("-{id}"));
+                if !self.ending {
+                    self.say(format!("{} {} ended: {status}", self.machines[machine].name, role.name()));
+                }
+                continue;
+            }
+            let due = self.plan.again.zip(process.ended).is_some_and(|(again, at)| now >= at + again);
+            if due && !self.ending && process.starts < STARTS {
+                let again = match self.begin(index) {
+                    Ok(()) => "started again".to_string(),
+                    Err(why) => {
+                        self.processes[index].starts += 1;
+                        format!("not started again: {why}")
+                    }
+                };
+                self.say(format!("{} {} {again}", self.machines[machine].name, role.name()));
+            }
+        }
+    }
+
+    fn end_now(&mut self) {
+        self.ending = true;
+        for process in &mut self.processes {
+            if let Some(mut child) = process.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        if let Some((mut child, to)) = self.guard.take() {
+            // Its reader sees the end, removes the folder if it is there, and ends.
+            let mut to = to;
+            let _ = writeln!(to, "done");
+            drop(to);
+            let _ = child.wait();
+        }
+        if !self.plan.folder.as_os_str().is_empty() {
+            let _ = fs::remove_dir_all(&self.plan.folder);
+        }
+    }
+
+    fn keep_folder(&mut self) {
+        self.plan.folder = PathBuf::new();
+    }
+
+    /// The settings file of a process.
+    fn settings(&self, machine: &Machine, role: Role, first: bool) -> String {
+        let (plan, ports, ip) = (&self.plan, self.net.ports, machine.ip);
+        let quoted = |text: &str| format!("\"{}\"", text.replace('\\', "\\\\").replace('"', "\\\""));
+        let seeds: Vec<String> =
+            self.controllers().iter().take(3).map(|at| quoted(&at.to_string())).collect();
+        let zones: Vec<String> =
+            plan.zones.iter().map(|zone| format!("{} = \"here\"", quoted(zone))).collect();
+        let core = role == Role::Archive;
+        let (class, serves) = match role {
+            Role::Archive => ("core", "\"controller\""),
+            Role::Desk => ("edge", "\"edge\""),
+            Role::Page => ("edge", ""),
+        };
+        let disk = if core {
+            let path = plan.folder.join(format!("{}.disk", machine.name));
+            format!("data_directory = {}\n", quoted(&path.to_string_lossy()))
+        } else {
+            String::new()
+        };
+        let bindings = match role {
+            Role::Archive => format!("control_plane = \"{ip}:{}\"", ports.control_plane),
+            Role::Desk => format!(
+                "data_plane = \"{ip}:{}\"\nreadiness = \"{ip}:{}\"",
+                ports.data_plane, ports.readiness
+            ),
+            Role::Page => String::new(),
+        };
+        format!(
+            "node_name = {name}\nrole = \"{role}\"\nmachine_class = \"{class}\"\nserves = [{serves}]\n\
+             ip_address = \"{ip}\"\nzone = {zone}\nregion = \"here\"\nephemeral_ports = [{first_port},{last_port}]\n\
+             seed_peers = [{seeds}]\ninitial_boot = {first}\nquorum_member = {core}\n{disk}\
+             discovery = \"provider\"\nentry_mode = \"anycast\"\nkeepalive_ms = 1200\n\
+             policy_sections = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"functions\"]\n\
+             config_mode = \"highest\"\n\
+             [zones]\n{zones}\n\
+             [bindings]\n{bindings}\n\
+             [limits]\ncpu_share = 1.0\ncpu_cores = 1\nmemory_mb = 256\nfile_descriptors = 900\n\
+             link_speed_mbps = 1000.0\ndisk_mb = {disk_mb}\n\
+             [fault_tolerance]\nnode_failures = 1\nzones = 0\nregion_failures = 0\n\
+             [timers]\nseed_lag_s = 3\naddress_reuse_s = 2\ncontact_ms = 5000\nack_timeout_ms = 6000\n\
+             sync_time_s = 4\ndrain_ms = {drain}\ngrace_s = {grace}\nloss_slack_ms = 200\nconvergence_ms = 3000\n\
+             downgrade_slack_ms = 250\nstretch_max_ms = 15000\nretry_budget_ratio = 0.2\nretry_window_s = 10\n\
+             retry_budget_slack = 56\nrecovery_s = 12\nshed_allowance = 10\n\
+             [provider_api]\naddress = \"{provider}\"\nrate_per_s = {rate:?}\nduties = [\"spawn\"]\n\
+             max_lag_ms = {lag}\nduty_rate_s = {duty:?}\n",
+            name = quoted(&machine.name),
+            role = role.name(),
+            zone = quoted(&machine.zone),
+            first_port = ports.ephemeral.0,
+            last_port = ports.ephemeral.1,
+            seeds = seeds.join(","),
+            zones = zones.join("\n"),
+            disk_mb = if core { 128 } else { 0 },
+            drain = plan.drain.as_millis(),
+            grace = plan.grace.as_secs_f64(),
+            provider = self.provider,
+            rate = plan.rate_per_s,
+            lag = plan.max_lag.as_millis(),
+            duty = plan.duty_rate_s,
+        )
+    }
+}
+
+/// A process that ends the others if this one dies: it reads their ids until the end of its input. A program that has
+/// no such command is no hindrance.
+fn guard_of(plan: &Plan) -> Option<(Child, ChildStdin)> {
+    let mut child = Command::new(&plan.program)
+        .args(["demo", "--guard"])
+        .arg(&plan.folder)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .process_group(0)
+        .spawn()
+        .ok()?;
+    let to = child.stdin.take()?;
+    Some((child, to))
+}
+
+/// The guard itself: until the end of the input, which comes with the end of who started it, however that comes.
+pub fn guard(folder: &Path, input: impl BufRead) {
+    let mut theirs = BTreeSet::new();
+    for line in input.lines().map_while(Result::ok) {
+        match line.split_at_checked(1) {
+            Some(("+", id)) => theirs.extend(id.parse::<i32>()),
+            Some(("-", id)) => {
+                id.parse::<i32>().map(|id| theirs.remove(&id)).unwrap_or_default();
+            }
+            _ if line == "done" => return,
+            _ => {}
+        }
+    }
+    let own = fs::read_link("/proc/self/exe").ok();
+    for id in theirs {
+        // A number that was given to another program meanwhile is left alone.
+        let same = own.is_some() && fs::read_link(format!("/proc/{id}/exe")).ok() == own;
+        if let Some(id) = Pid::from_raw(id).filter(|_| same) {
+            let _ = kill_process(id, Signal::KILL);
+        }
+    }
+    let _ = fs::remove_dir_all(folder);
+}
--- /dev/null
+++ b/crates/standins/src/places.rs
@@ -0,0 +1,90 @@
+//! Addresses of machines that are only played: one 127.x.y.z for each, with the same ports on all of them, as in a
+//! deployment. On Linux all of 127.0.0.0/8 can be bound without any set-up.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+
+/// The ports of a deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ports {
+    pub data_plane: u16,
+    pub readiness: u16,
+    pub control_plane: u16,
+    pub provider: u16,
+    pub ephemeral: (u16, u16),
+}
+
+impl Ports {
+    fn from(base: u16) -> Ports {
+        Ports {
+            data_plane: base,
+            readiness: base + 2,
+            control_plane: base + 6,
+            provider: base + 9,
+            ephemeral: (base + 20, base + 35),
+        }
+    }
+}
+
+/// 127.x.y.0/24 for as long as this lives: no other one of these has it meanwhile.
+pub struct Net {
+    x: u8,
+    y: u8,
+    pub ports: Ports,
+    _held: TcpListener,
+}
+
+const EDGES: u8 = 11;
+const CORES: u8 = 51;
+const PROVIDER: u8 = 100;
+const HOSTS: u8 = 101;
+const GUARD: u8 = 250;
+
+impl Net {
+    /// One that is free, looked for from `seed` on.
+    pub fn free(seed: u32) -> std::io::Result<Net> {
+        let mut last = std::io::ErrorKind::AddrInUse.into();
+        for turn in 0..64u32 {
+            let n = seed.wrapping_mul(0x9e37_79b1).wrapping_add(turn.wrapping_mul(0x0101)) >> 8;
+            let (x, y) = (64 + (n % 190) as u8, (n / 190 % 250) as u8);
+            // Below the ports that the kernel gives to outgoing connections.
+            let ports = Ports::from([18_000, 20_000, 22_000, 8_020][turn as usize % 4]);
+            match Self::hold(x, y, ports) {
+                Ok(net) => return Ok(net),
+                Err(why) => last = why,
+            }
+        }
+        Err(last)
+    }
+
+    fn hold(x: u8, y: u8, ports: Ports) -> std::io::Result<Net> {
+        let at = |last: u8, port: u16| (Ipv4Addr::new(127, x, y, last), port);
+        let held = TcpListener::bind(at(GUARD, ports.data_plane))?;
+        // A program that listens on every address would be in the way.
+        for port in [ports.readiness, ports.control_plane, ports.provider, ports.ephemeral.0] {
+            TcpListener::bind(at(GUARD, port))?;
+        }
+        std::net::UdpSocket::bind(at(GUARD, ports.ephemeral.0))?;
+        std::net::UdpSocket::bind(at(GUARD, ports.ephemeral.0 + 1))?;
+        Ok(Net { x, y, ports, _held: held })
+    }
+
+    fn at(&self, last: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.x, self.y, last)
+    }
+
+    pub fn edge(&self, n: usize) -> Ipv4Addr {
+        self.at(EDGES + (n % 40) as u8)
+    }
+
+    pub fn core(&self, n: usize) -> Ipv4Addr {
+        self.at(CORES + (n % 40) as u8)
+    }
+
+    pub fn host(&self, n: usize) -> Ipv4Addr {
+        self.at(HOSTS + (n % 100) as u8)
+    }
+
+    pub fn provider(&self) -> SocketAddr {
+        (self.at(PROVIDER), self.ports.provider).into()
+    }
+}
