--- a/crates/house/src/archive.rs
+++ b/crates/house/src/archive.rs
@@ -27,6 +27,8 @@
 const HEARING: Duration = Duration::from_millis(450);
 /// The list of instances is read this often, the worker machines half as often; slower where the platform allows less.
 const LIST: f64 = 0.5;
+/// While nobody holds the duty the list is read for pages at most this often by each archive.
+const FIRST: Duration = Duration::from_millis(400);
 /// After SIGTERM it stays at least so long, for those who are to hear of it, and at most so long for operators' calls.
 const STAYS: Duration = Duration::from_millis(150);
 const STAYS_MOST: Duration = Duration::from_secs(1);
@@ -51,6 +53,7 @@
     Begun(u64, u64, stacks::Begun),
     Stopped(u64, u64, bool),
     List(u64, Result<Vec<stacks::Listed>, Failed>),
+    FirstList(Option<Vec<stacks::Listed>>),
     Hosts(u64, Result<Vec<stacks::Host>, Failed>),
     Leave,
 }
@@ -127,6 +130,8 @@
     said: Said,
     duty: Option<Duty>,
     holder: Option<(SocketAddr, u64)>,
+    reading_first: bool,
+    first_due: Duration,
     start: Instant,
 }
 
@@ -227,6 +232,8 @@
         vault,
         duty: None,
         holder: None,
+        reading_first: false,
+        first_due: Duration::ZERO,
         start,
         settings,
     };
@@ -365,6 +372,12 @@
                     duty.scaler.stopped(now, token, ok);
                 }
             }
+            Event::FirstList(listed) => {
+                self.reading_first = false;
+                if let (Some(listed), None) = (listed, self.holder) {
+                    self.show_first(now, listed);
+                }
+            }
             Event::List(number, listed) => {
                 if let Some(duty) = self.duty.as_mut().filter(|d| d.number == number) {
                     duty.listing = false;
@@ -425,6 +438,7 @@
                 let news = self.news(now, ip);
                 self.post.send(from, &news);
                 self.send_word(now, Some(ip));
+                self.read_first(now);
             }
             Note::Leaving { ip } => {
                 self.readers.remove(&ip);
@@ -499,6 +513,50 @@
         }
     }
 
+    /// While nobody holds the duty, as after a loss of everything, a page that asks is shown what the platform lists: service
+    /// does not wait for a vote. One reading serves all who ask meanwhile.
+    fn read_first(&mut self, now: Duration) {
+        let Some(platform) = self.platform.clone().filter(|_| self.holder.is_none()) else { return };
+        if self.reading_first || now < self.first_due {
+            return;
+        }
+        (self.reading_first, self.first_due) = (true, now + FIRST);
+        let events = self.events.clone();
+        tokio::task::spawn_local(async move {
+            let list = read_list(&platform).await.ok();
+            let _ = events.send(Event::FirstList(list)).await;
+        });
+    }
+
+    fn show_first(&mut self, now: Duration, listed: Vec<stacks::Listed>) {
+        let entries = listed.into_iter().map(|i| Listed {
+            instance: i.instance,
+            service: i.service,
+            at: i.address,
+            zone: i.zone,
+            host: i.host,
+            age: 0,
+            ready: true,
+            lends: !i.draining,
+        });
+        let note = Note::Stacks {
+            number: 0,
+            from: 0,
+            whole: false,
+            version: 0,
+            entries: entries.collect(),
+            ended: Vec::new(),
+            tag: 0,
+            numbers: Vec::new(),
+        };
+        let bytes = crate::post::frame(&note);
+        let port = self.settings.peer().port();
+        let readers = self.readers.iter().filter(|(_, r)| now < r.seen + PAGE_KEPT && r.follows.is_none());
+        for (&ip, _) in readers {
+            self.post.send_frame(SocketAddr::new(ip, port), bytes.clone());
+        }
+    }
+
     /// What changed in the stacks, to those who follow them.
     fn show_stacks(&mut self, to: Option<IpAddr>) {
         let now = self.now();
--- a/crates/house/src/cli.rs
+++ b/crates/house/src/cli.rs
@@ -11,16 +11,38 @@
     commands().iter().any(|command| command.get_name() == word)
 }
 
+/// What a program writes to its log at once; the rest stays in the ring.
+fn level() -> Arg {
+    Arg::new("log-level")
+        .long("log-level")
+        .value_name("LEVEL")
+        .value_parser(["error", "warn", "info", "debug"])
+        .default_value("warn")
+        .help("The least that is written at once; the rest is kept in a ring until something goes wrong")
+}
+
+fn least(matches: &ArgMatches) -> spdlog::Level {
+    match matches.get_one::<String>("log-level").map(String::as_str) {
+        Some("error") => spdlog::Level::Error,
+        Some("info") => spdlog::Level::Info,
+        Some("debug") => spdlog::Level::Debug,
+        _ => spdlog::Level::Warn,
+    }
+}
+
 pub fn commands() -> Vec<Command> {
     let told = "Settings come from the TOML file that TINDOCK_BOOT names";
     vec![
         Command::new("desk")
+            .arg(level())
             .about("Serve clients on an edge machine: requests in, workers' answers out")
             .after_help(told),
         Command::new("page")
+            .arg(level())
             .about("Run the agent beside a desk: the link to the control plane")
             .after_help(told),
         Command::new("archive")
+            .arg(level())
             .about("Run the control plane's part on a core machine with a disk")
             .after_help(told),
         Command::new("check-boot")
@@ -36,9 +58,9 @@
 pub fn run(name: &str, matches: &ArgMatches) -> Result<String, String> {
     let file = || matches.get_one::<String>("FILE").cloned().unwrap_or_default();
     match name {
-        "desk" => on_one_thread(desk::run).map(|()| String::new()),
-        "page" => on_one_thread(page::run).map(|()| String::new()),
-        "archive" => on_one_thread(archive::run).map(|()| String::new()),
+        "desk" => on_one_thread(least(matches), desk::run).map(|()| String::new()),
+        "page" => on_one_thread(least(matches), page::run).map(|()| String::new()),
+        "archive" => on_one_thread(least(matches), archive::run).map(|()| String::new()),
         "check-boot" => {
             let settings = Settings::from_file(Path::new(&file())).map_err(|fault| fault.to_string())?;
             Ok(format!("{}: {} in {}, fine\n", file(), settings.node_name, settings.zone))
--- a/crates/house/src/lib.rs
+++ b/crates/house/src/lib.rs
@@ -17,12 +17,13 @@
 use settings::Settings;
 use std::future::Future;
 
-/// Runs a program on one thread until it ends.
+/// Runs a program on one thread until it ends; records from the level `least` up are written at once.
 pub fn on_one_thread<F: Future<Output = Result<(), String>>>(
+    least: spdlog::Level,
     program: impl FnOnce(Settings) -> F,
 ) -> Result<(), String> {
     let settings = Settings::from_environment().map_err(|fault| fault.to_string())?;
-    ring::install(&settings.node_name);
+    ring::install(&settings.node_name, least);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/house/src/page.rs
+++ b/crates/house/src/page.rs
@@ -18,6 +18,8 @@
 const PULL: Duration = Duration::from_millis(700);
 /// One that has said nothing for so long is left for another.
 const SILENT: Duration = Duration::from_millis(1500);
+/// The same for a page that knows nothing yet: after a loss of everything each tenth of a second counts.
+const EAGER: Duration = Duration::from_millis(80);
 /// The holder is told this often how far the stacks are known here.
 const FOLLOW: Duration = Duration::from_millis(1000);
 /// One follow in so many asks for other pages.
@@ -56,6 +58,7 @@
     holder: Option<(SocketAddr, u64)>,
     number: u64,
     version: u64,
+    stacked: bool,
     tag: u64,
     numbers: BTreeMap<String, u32>,
     stacks: BTreeMap<String, (Listed, Duration)>,
@@ -151,6 +154,7 @@
         holder: None,
         number: 0,
         version: 0,
+        stacked: false,
         tag: 0,
         numbers: BTreeMap::new(),
         stacks: BTreeMap::new(),
@@ -253,7 +257,10 @@
     }
 
     fn tick(&mut self, now: Duration) {
-        if now >= self.heard + SILENT && now >= self.pulled + PULL.min(Duration::from_millis(300)) {
+        // A page that has just started knows nothing: it asks one after the other until one answers.
+        let new = self.heard == Duration::ZERO || !self.stacked;
+        let silent = if new { EAGER } else { SILENT };
+        if now >= self.heard + silent && now >= self.pulled + silent.min(Duration::from_millis(300)) {
             // Silent, or not in touch with the others: the next one, and the seeds again once in a while.
             let left = self.archive_now();
             self.archive = self.archive.wrapping_add(1);
@@ -336,7 +343,7 @@
                 }
                 self.tell(&Told::Desks(self.desks.clone()));
                 let entries = self.known(now);
-                if self.number != 0 {
+                if self.stacked {
                     self.tell(&Told::Stacks { entries, ended: Vec::new() });
                 }
                 self.tell(&Told::Fresh(self.fresh));
@@ -446,6 +453,7 @@
                     ended.extend(self.stacks.keys().filter(|id| !named(id)).cloned());
                 }
                 (self.number, self.version, self.tag) = (number, version, tag);
+                self.stacked = true;
                 for id in &ended {
                     self.stacks.remove(id);
                 }
--- a/crates/house/src/post.rs
+++ b/crates/house/src/post.rs
@@ -18,7 +18,7 @@
 /// What was sent and not acknowledged for so long ends the stream.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1500);
 /// After a failure a destination is let alone for so long.
-const PAUSE: Duration = Duration::from_millis(150);
+const PAUSE: Duration = Duration::from_millis(50);
 
 /// The first frame of a stream: who speaks.
 #[derive(Debug, Serialize, Deserialize)]
--- a/crates/house/src/ring.rs
+++ b/crates/house/src/ring.rs
@@ -30,6 +30,8 @@
 /// What is kept and what is due to be written. No I/O, no clock.
 struct Book {
     node: String,
+    /// What is written at once: this level and up.
+    least: Level,
     lines: VecDeque<Line>,
     /// Records that went from the ring unwritten since it was last written out.
     passed: u64,
@@ -60,7 +62,15 @@
 impl Book {
     fn new(node: &str) -> Book {
         let lines = VecDeque::with_capacity(KEPT);
-        Book { node: node.to_string(), lines, passed: 0, spilled: None, owed: None, lately: (0, 0) }
+        Book {
+            node: node.to_string(),
+            least: Level::Warn,
+            lines,
+            passed: 0,
+            spilled: None,
+            owed: None,
+            lately: (0, 0),
+        }
     }
 
     fn write(&self, out: &mut String, at: Duration, level: &str, text: &str) {
@@ -90,13 +100,13 @@
             self.lately = (now.as_secs(), 0);
         }
         self.lately.1 += 1;
-        self.lately.1 <= LINES
+        self.lately.1 <= if self.least == Level::Warn { LINES } else { LINES * 50 }
     }
 
     /// A record, and what is to be written for it: mostly nothing.
     fn take(&mut self, now: Duration, level: Level, text: &str) -> String {
         let mut out = String::new();
-        if LevelFilter::MoreSevereEqual(Level::Warn).test(level) && self.room(now) {
+        if LevelFilter::MoreSevereEqual(self.least).test(level) && self.room(now) {
             self.write(&mut out, now, word(level), text);
         } else {
             self.keep(now, level, text);
@@ -142,8 +152,9 @@
 }
 
 impl Ring {
-    fn new(node: &str, out: fn(&str)) -> Ring {
-        Ring { prop: SinkProp::default(), start: Instant::now(), book: Mutex::new(Book::new(node)), out }
+    fn new(node: &str, least: Level, out: fn(&str)) -> Ring {
+        let book = Mutex::new(Book { least, ..Book::new(node) });
+        Ring { prop: SinkProp::default(), start: Instant::now(), book, out }
     }
 
     fn take(&self, level: Level, text: &str) {
@@ -205,10 +216,10 @@
 /// The exit code after a panic.
 const BROKEN: i32 = 101;
 
-/// Puts the ring behind the macros, under this node's name, and has a panic write it out and end the process.
+/// Puts the ring behind the macros, under this node's name, with what is written at once from the level `least` up, and has a panic write it out and end the process.
 /// For programs only, since tests unwind. Once a process; before it the macros write as the library does by itself.
-pub fn install(node: &str) {
-    let ring = Arc::new(Ring::new(node, to_stdout));
+pub fn install(node: &str, least: Level) {
+    let ring = Arc::new(Ring::new(node, least, to_stdout));
     if RING.set(ring.clone()).is_err() {
         return;
     }
@@ -304,7 +315,7 @@
     #[rstest]
     fn the_last_words_wait_for_no_pause() {
         static SEEN: Mutex<String> = Mutex::new(String::new());
-        let ring = Ring::new("n", |text| SEEN.lock().expect("one thread").push_str(text));
+        let ring = Ring::new("n", Level::Warn, |text| SEEN.lock().expect("one thread").push_str(text));
         ring.take(Level::Error, "first");
         SEEN.lock().expect("one thread").clear();
         ring.spill("held back");
@@ -333,7 +344,9 @@
     #[rstest]
     fn the_macros_reach_the_ring() {
         static SEEN: Mutex<String> = Mutex::new(String::new());
-        let ring = Arc::new(Ring::new("edge-2", |text| SEEN.lock().expect("one thread").push_str(text)));
+        let ring = Arc::new(Ring::new("edge-2", Level::Warn, |text| {
+            SEEN.lock().expect("one thread").push_str(text)
+        }));
         let logger = Logger::builder()
             .sink(ring.clone())
             .level_filter(LevelFilter::MoreSevereEqual(Level::Debug))
--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -26,7 +26,7 @@
 /// For so long.
 pub const PASSED_OVER: Duration = Duration::from_secs(3);
 /// A new lender of an instance that others may have lent waits so long for what is told of it.
-const HEARING: Duration = Duration::from_millis(400);
+const HEARING: Duration = Duration::from_millis(200);
 /// What a lender said of its room is believed so long.
 const ROOM: Duration = Duration::from_millis(400);
 /// An ask is sent on at most so often before it stays where it is.
--- /dev/null
+++ b/crates/rehearsal/src/archive.rs
@@ -0,0 +1,436 @@
+//! The archive's carrying, as in `house::archive`: the vault's orders, news to pages, and the scaler while it holds the duty.
+
+use crate::notes::{hash, Listed, Note, Stacks, PEER_PORT};
+use crate::planted::Planted;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tindock_catalogue::Catalogue;
+use tindock_stacks as stacks;
+use tindock_stacks::Scaler;
+use tindock_vault::{Kept, Order, Outcome, Setup, Stored, Vault};
+
+const PAGE_KEPT: Duration = Duration::from_secs(4);
+const SAMPLE: usize = 6;
+const HEARING: Duration = Duration::from_millis(450);
+const LIST: f64 = 0.5;
+
+/// A call to the platform.
+#[derive(Clone, Debug)]
+pub enum Call {
+    List,
+    Hosts,
+    Begin { token: u64, service: String, host: String, nonce: String },
+    Stop { token: u64, instance: String },
+}
+
+/// How it was answered; `Unclear` also for lists that did not come.
+#[derive(Clone, Debug)]
+pub enum Answer {
+    List(Vec<stacks::Listed>),
+    Hosts(Vec<stacks::Host>),
+    Begun(stacks::Begun),
+    Stopped(bool),
+    Unclear,
+}
+
+/// What the operator hears.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Taken,
+    Later,
+    Nothing,
+    Word(Vec<u8>),
+    Elsewhere(IpAddr),
+    Invalid,
+}
+
+pub enum Out {
+    Note { to: SocketAddr, note: Note },
+    Store { token: u64, what: Stored },
+    Platform { number: u64, call: Call },
+    Reply { call: u64, reply: Reply },
+}
+
+struct Reader {
+    revision: u64,
+    seen: Duration,
+    follows: Option<(u64, u64)>,
+}
+
+struct Duty {
+    number: u64,
+    since: Duration,
+    scaler: Scaler,
+    inherited: bool,
+    lists: bool,
+    hosts: bool,
+    list_due: Duration,
+    hosts_due: Duration,
+    listing: bool,
+    hosting: bool,
+    shown: u64,
+}
+
+pub struct Terms {
+    pub name: String,
+    pub setup: Setup,
+    pub stacks: stacks::Terms,
+    pub list_rate: f64,
+    pub planted: Option<Planted>,
+}
+
+pub struct Archive {
+    terms: Terms,
+    pub vault: Vault,
+    catalogue: Option<Rc<Catalogue>>,
+    readers: BTreeMap<IpAddr, Reader>,
+    duty: Option<Duty>,
+    holder: Option<(SocketAddr, u64)>,
+    pub out: Vec<Out>,
+}
+
+impl Archive {
+    pub fn new(terms: Terms, kept: Kept) -> Archive {
+        let vault = Vault::new(terms.setup.clone(), kept, Duration::ZERO);
+        Archive {
+            terms,
+            vault,
+            catalogue: None,
+            readers: BTreeMap::new(),
+            duty: None,
+            holder: None,
+            out: Vec::new(),
+        }
+    }
+
+    pub fn duty_number(&self) -> Option<u64> {
+        self.duty.as_ref().map(|duty| duty.number)
+    }
+
+    pub fn next_due(&self) -> Duration {
+        let mut due = self.vault.next_due();
+        if let Some(duty) = &self.duty {
+            due = due.min(duty.scaler.next_due()).min(duty.list_due).min(duty.hosts_due);
+        }
+        due
+    }
+
+    fn send(&mut self, to: SocketAddr, note: Note) {
+        self.out.push(Out::Note { to, note });
+    }
+
+    pub fn replace(&mut self, now: Duration, call: u64, text: &[u8]) {
+        match Catalogue::read(text) {
+            Ok(catalogue) => {
+                if self.terms.planted == Some(Planted::AckBeforeMajority) {
+                    self.out.push(Out::Reply { call, reply: Reply::Taken });
+                }
+                self.vault.replace(now, call, catalogue.revision, text.to_vec());
+            }
+            Err(_) => self.out.push(Out::Reply { call, reply: Reply::Invalid }),
+        }
+    }
+
+    pub fn show(&mut self, now: Duration, call: u64) {
+        self.vault.show(now, call);
+    }
+
+    /// The platform's answer to a call made under this number.
+    pub fn answered(&mut self, now: Duration, number: u64, call: &Call, answer: Answer) {
+        let Some(duty) = self.duty.as_mut().filter(|duty| duty.number == number) else { return };
+        match call {
+            Call::List => {
+                duty.listing = false;
+                if let Answer::List(mut listed) = answer {
+                    if self.terms.planted == Some(Planted::DrainIgnored) {
+                        listed.iter_mut().for_each(|listed| listed.draining = false);
+                    }
+                    duty.lists = true;
+                    duty.scaler.listed(now, &listed);
+                }
+            }
+            Call::Hosts => {
+                duty.hosting = false;
+                if let Answer::Hosts(mut hosts) = answer {
+                    if self.terms.planted == Some(Planted::DrainIgnored) {
+                        hosts.iter_mut().for_each(|host| host.up = true);
+                    }
+                    duty.hosts = true;
+                    duty.scaler.hosts(now, &hosts);
+                }
+            }
+            Call::Begin { token, .. } => {
+                let begun = if let Answer::Begun(begun) = answer { begun } else { stacks::Begun::Unclear };
+                duty.scaler.begun(now, *token, begun);
+            }
+            Call::Stop { token, .. } => {
+                duty.scaler.stopped(now, *token, matches!(answer, Answer::Stopped(true)));
+            }
+        }
+    }
+
+    pub fn note(&mut self, now: Duration, from: SocketAddr, note: Note) {
+        match note {
+            Note::Vault(say) => self.vault.hear(now, from, say),
+            Note::Pull { ip, revision } => {
+                let reader = self.readers.entry(ip).or_insert(Reader { revision, seen: now, follows: None });
+                (reader.revision, reader.seen) = (revision, now);
+                let news = self.news(now, ip);
+                self.send(from, news);
+                self.send_word(now, Some(ip));
+            }
+            Note::Follow { number, version } => {
+                let reader =
+                    self.readers.entry(from.ip()).or_insert(Reader { revision: 0, seen: now, follows: None });
+                reader.seen = now;
+                reader.follows = Some((number, version));
+                self.show_stacks(now, Some(from.ip()));
+            }
+            Note::Demand(demands) => {
+                let Some(duty) = self.duty.as_mut() else { return };
+                for demand in demands {
+                    duty.scaler.demand(now, demand);
+                }
+            }
+            Note::Gone(instance) => {
+                if let Some(duty) = self.duty.as_mut() {
+                    duty.scaler.gone(now, &instance);
+                }
+            }
+            Note::Ready(instance) => {
+                if let Some(duty) = self.duty.as_mut() {
+                    duty.scaler.ready(now, &instance);
+                }
+            }
+            Note::Inherit { entries, tag, numbers } => {
+                let Some(duty) = self.duty.as_mut().filter(|_| tag != 0) else { return };
+                duty.inherited = true;
+                let entries: Vec<stacks::Entry> =
+                    entries.into_iter().map(|listed| entry(now, listed)).collect();
+                duty.scaler.inherit(now, &entries, &numbers, tag);
+            }
+            Note::News { .. } | Note::Word(_) | Note::Stacks(_) => {}
+        }
+    }
+
+    fn news(&self, now: Duration, to: IpAddr) -> Note {
+        let pages =
+            self.readers.iter().filter(|(ip, r)| **ip != to && now < r.seen + PAGE_KEPT).map(|(ip, _)| *ip);
+        Note::News {
+            holder: self.holder,
+            revision: self.vault.committed().map_or(0, |word| word.revision),
+            touch: self.vault.in_touch(now) && self.vault.ready(),
+            archives: self.vault.members(),
+            pages: pages.take(SAMPLE).collect(),
+        }
+    }
+
+    fn send_word(&mut self, now: Duration, to: Option<IpAddr>) {
+        let Some(catalogue) = self.catalogue.clone() else { return };
+        let mut ips = Vec::new();
+        for (&ip, reader) in &mut self.readers {
+            if to.is_some_and(|to| to != ip)
+                || reader.revision >= catalogue.revision
+                || now > reader.seen + PAGE_KEPT
+            {
+                continue;
+            }
+            reader.revision = catalogue.revision;
+            ips.push(ip);
+        }
+        for ip in ips {
+            self.send(SocketAddr::new(ip, PEER_PORT), Note::Word(catalogue.clone()));
+        }
+    }
+
+    fn show_stacks(&mut self, now: Duration, to: Option<IpAddr>) {
+        let Some(duty) = self.duty.as_mut().filter(|d| d.lists && d.hosts && d.inherited) else { return };
+        let (number, version) = (duty.number, duty.scaler.version());
+        duty.shown = version;
+        for (&ip, reader) in &mut self.readers {
+            if to.is_some_and(|to| to != ip) || now > reader.seen + PAGE_KEPT {
+                continue;
+            }
+            let Some((_, at)) = reader.follows else { continue };
+            if at >= version {
+                continue;
+            }
+            let news = duty.scaler.since(at);
+            let (mut numbers, tag) = duty.scaler.numbers();
+            if !news.whole {
+                numbers.retain(|(service, _)| news.entries.iter().any(|entry| entry.service == *service));
+            }
+            let stacks = Stacks {
+                number,
+                from: at,
+                whole: news.whole,
+                version: news.version,
+                entries: news.entries.iter().map(|entry| listed(now, entry)).collect(),
+                ended: news.ended.into_iter().map(|(id, _)| id).collect(),
+                tag,
+                numbers,
+            };
+            reader.follows = Some((number, version));
+            let note = Note::Stacks(Rc::new(stacks));
+            self.out.push(Out::Note { to: SocketAddr::new(ip, PEER_PORT), note });
+        }
+    }
+
+    /// Everything the deciders want done.
+    pub fn carry(&mut self, now: Duration) {
+        while let Some(order) = self.vault.next() {
+            match order {
+                Order::Send { to, say } => self.out.push(Out::Note { to, note: Note::Vault(say) }),
+                Order::Store { token, what } => self.out.push(Out::Store { token, what }),
+                Order::Answer { call, outcome } => {
+                    let reply = match outcome {
+                        Outcome::Taken => Reply::Taken,
+                        Outcome::Later { .. } => Reply::Later,
+                        Outcome::Nothing => Reply::Nothing,
+                        Outcome::Word(word) => Reply::Word(word.text.to_vec()),
+                        Outcome::Elsewhere(at) => Reply::Elsewhere(at.ip()),
+                    };
+                    self.out.push(Out::Reply { call, reply });
+                }
+            }
+        }
+        let revision = self.catalogue.as_ref().map_or(0, |c| c.revision);
+        let word = self.vault.committed().filter(|w| w.revision > revision || self.catalogue.is_none());
+        if let Some(catalogue) = word.and_then(|word| Catalogue::read(&word.text).ok()) {
+            if let Some(duty) = &mut self.duty {
+                duty.scaler.services(now, &services(&catalogue));
+            }
+            self.catalogue = Some(Rc::new(catalogue));
+            self.send_word(now, None);
+        }
+        self.do_duty(now);
+        let holder = self.vault.holder();
+        if holder != self.holder {
+            self.holder = holder;
+            let readers: Vec<IpAddr> =
+                self.readers.iter().filter(|(_, r)| now < r.seen + PAGE_KEPT).map(|(ip, _)| *ip).collect();
+            for ip in readers {
+                let news = self.news(now, ip);
+                self.send(SocketAddr::new(ip, PEER_PORT), news);
+            }
+        }
+    }
+
+    fn do_duty(&mut self, now: Duration) {
+        let held = self.vault.duty(now);
+        let clings = self.terms.planted == Some(Planted::DutyPastTerm) && held.is_none();
+        if !clings && self.duty.as_ref().map(|d| d.number) != held {
+            self.duty = held.map(|number| self.take_up(now, number));
+        }
+        let Some(duty) = self.duty.as_mut() else { return };
+        let number = duty.number;
+        let pause = Duration::from_secs_f64(LIST.max(4.0 / self.terms.list_rate.max(0.01)));
+        if now >= duty.list_due && !duty.listing {
+            duty.list_due = now + pause;
+            duty.listing = true;
+            self.out.push(Out::Platform { number, call: Call::List });
+        }
+        if now >= duty.hosts_due && !duty.hosting {
+            duty.hosts_due = now + pause * 2;
+            duty.hosting = true;
+            self.out.push(Out::Platform { number, call: Call::Hosts });
+        }
+        if !duty.inherited && now >= duty.since + HEARING {
+            duty.inherited = true;
+            duty.scaler.inherit(now, &[], &[], number);
+        }
+        if !(duty.lists && duty.hosts && duty.inherited) {
+            return;
+        }
+        while let Some(order) = duty.scaler.next(now) {
+            let call = match order {
+                stacks::Order::Begin { token, service, host, nonce } => {
+                    Call::Begin { token, service, host, nonce }
+                }
+                stacks::Order::Stop { token, instance } => Call::Stop { token, instance },
+            };
+            self.out.push(Out::Platform { number, call });
+        }
+        if duty.scaler.version() != duty.shown {
+            self.show_stacks(now, None);
+        }
+    }
+
+    fn take_up(&self, now: Duration, number: u64) -> Duty {
+        let seed = number ^ hash(&self.terms.name);
+        let mut scaler = Scaler::new(self.terms.stacks.clone(), number, seed, now);
+        if let Some(catalogue) = &self.catalogue {
+            scaler.services(now, &services(catalogue));
+        }
+        Duty {
+            number,
+            since: now,
+            scaler,
+            inherited: false,
+            lists: false,
+            hosts: false,
+            list_due: now,
+            hosts_due: now,
+            listing: false,
+            hosting: false,
+            shown: 0,
+        }
+    }
+}
+
+fn services(catalogue: &Catalogue) -> Vec<stacks::Service> {
+    let mut services: Vec<stacks::Service> = catalogue
+        .services
+        .iter()
+        .map(|s| stacks::Service {
+            name: s.name.clone(),
+            memory_mb: s.memory_mb,
+            boot_ms: s.boot_ms,
+            max_inflight: s.max_inflight,
+            target_ms: u32::MAX,
+            priority: u8::MAX,
+            routed: false,
+        })
+        .collect();
+    for route in &catalogue.routes {
+        for share in route.shares.iter().filter(|share| share.weight > 0) {
+            let Some(service) = services.get_mut(share.service as usize) else { continue };
+            service.target_ms = service.target_ms.min(route.target_latency_ms);
+            service.priority = service.priority.min(route.priority);
+            service.routed = true;
+        }
+    }
+    services
+}
+
+fn listed(now: Duration, entry: &stacks::Entry) -> Listed {
+    Listed {
+        instance: entry.instance.clone(),
+        service: entry.service.clone(),
+        at: entry.address,
+        zone: entry.zone.clone(),
+        host: entry.host.clone(),
+        age: u32::try_from((now.as_millis() as u64).saturating_sub(entry.since_ms)).unwrap_or(u32::MAX),
+        ready: !matches!(entry.standing, stacks::Standing::Starting),
+        lends: matches!(entry.standing, stacks::Standing::Starting | stacks::Standing::Ready),
+    }
+}
+
+fn entry(now: Duration, listed: Listed) -> stacks::Entry {
+    stacks::Entry {
+        instance: listed.instance,
+        service: listed.service,
+        address: listed.at,
+        zone: listed.zone,
+        host: listed.host,
+        since_ms: (now.as_millis() as u64).saturating_sub(listed.age.into()),
+        standing: match (listed.ready, listed.lends) {
+            (false, _) => stacks::Standing::Starting,
+            (true, true) => stacks::Standing::Ready,
+            (true, false) => stacks::Standing::Draining,
+        },
+        version: 0,
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/desk.rs
@@ -0,0 +1,607 @@
+//! The desk's carrying, as in `house::desk`: a call from its route to its one answer, over slots that `lending` gives.
+
+use crate::notes::{Listed, LEND_PORT};
+use crate::planted::Planted;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tindock_catalogue::{Catalogue, Finder, RouteKind};
+use tindock_lending::words::{kind, Ended, Kind};
+use tindock_lending::{Entry, Function, Lending, Member, Order, Told};
+use tindock_stacks::Demand;
+
+const TICK: Duration = Duration::from_millis(25);
+const REST: Duration = Duration::from_millis(100);
+const TELL: Duration = Duration::from_millis(250);
+const MARGIN: Duration = Duration::from_millis(60);
+const ROUNDS: usize = 6;
+const KEPT: Duration = Duration::from_secs(3);
+
+/// What comes back for a try.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// A worker's own: the service that ran it.
+    Done,
+    /// A worker's failure, or none that could be handed on: nothing is promised.
+    MayHaveRun,
+    /// 503: it has not run and never will.
+    NotRun(Duration),
+    NotFound,
+    /// The connection broke after the request had been read.
+    Broken,
+    /// It broke, or did not come up, before.
+    Unread,
+}
+
+/// How a request to one worker ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Answer,
+    Unsent { refused: bool },
+    NotExecuted,
+    Misdirected,
+    Lost { late: bool },
+}
+
+impl Outcome {
+    fn ended(self) -> Ended {
+        match self {
+            Outcome::Answer => Ended::Done,
+            Outcome::Unsent { refused: true } | Outcome::Misdirected => Ended::Gone,
+            Outcome::Unsent { refused: false } | Outcome::Lost { late: true } => Ended::Silent,
+            Outcome::NotExecuted => Ended::Full,
+            Outcome::Lost { late: false } => Ended::Idle,
+        }
+    }
+}
+
+/// To be done by the world.
+pub enum Out {
+    Lend {
+        to: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    Connect {
+        hand: u64,
+        token: u64,
+        instance: String,
+        at: SocketAddr,
+    },
+    Send {
+        hand: u64,
+        token: u64,
+        attempt: usize,
+        instance: String,
+        at: SocketAddr,
+    },
+    Dial {
+        instance: String,
+        at: SocketAddr,
+    },
+    Demand(Vec<Demand>),
+    Gone(String),
+    Ready(String),
+    Answer {
+        attempt: usize,
+        answer: Answer,
+    },
+    /// The connection to the worker is closed with its client's or its time's end.
+    Hangup {
+        attempt: usize,
+        at: SocketAddr,
+    },
+    /// Wake the hand at this time (own clock).
+    Due {
+        hand: u64,
+        token: u64,
+        at: Duration,
+    },
+}
+
+/// A request as a client sent it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub attempt: usize,
+    pub path: String,
+    pub deadline_ms: u32,
+}
+
+enum Stage {
+    Waits,
+    Connects,
+    Sent,
+}
+
+struct Hand {
+    request: Request,
+    kind: Kind,
+    priority: u8,
+    aim: Duration,
+    end: Duration,
+    repeatable: bool,
+    retries: usize,
+    sent: bool,
+    arrivals: usize,
+    rounds: usize,
+    avoid: String,
+    pause: Duration,
+    seq: u32,
+    token: u64,
+    instance: String,
+    at: Option<SocketAddr>,
+    stage: Stage,
+}
+
+pub struct Desk {
+    pub lending: Lending,
+    regions: Vec<(String, String)>,
+    zone: String,
+    catalogue: Option<Rc<(Rc<Catalogue>, Finder)>>,
+    hands: BTreeMap<u64, Hand>,
+    by_seq: BTreeMap<u32, u64>,
+    next: u64,
+    kept: BTreeMap<String, Vec<Duration>>,
+    budget: Budget,
+    fresh: bool,
+    stacked: bool,
+    pub leaving: bool,
+    desks: usize,
+    told: Duration,
+    due: Duration,
+    chance: oorandom::Rand32,
+    planted: Option<Planted>,
+    me: SocketAddr,
+    pub out: VecDeque<Out>,
+}
+
+impl Desk {
+    pub fn new(
+        ip: IpAddr,
+        zone: &str,
+        regions: &[(String, String)],
+        life: u32,
+        seed: u64,
+        budget: Budget,
+        planted: Option<Planted>,
+    ) -> Desk {
+        let me = SocketAddr::new(ip, LEND_PORT);
+        Desk {
+            lending: Lending::new(me, zone.to_string(), life, seed, Duration::ZERO),
+            regions: regions.to_vec(),
+            zone: zone.to_string(),
+            catalogue: None,
+            hands: BTreeMap::new(),
+            by_seq: BTreeMap::new(),
+            next: 1,
+            kept: BTreeMap::new(),
+            budget,
+            fresh: false,
+            stacked: false,
+            leaving: false,
+            desks: 1,
+            told: Duration::ZERO,
+            due: Duration::ZERO,
+            chance: oorandom::Rand32::new(seed),
+            planted,
+            me,
+            out: VecDeque::new(),
+        }
+    }
+
+    pub fn ready(&self) -> bool {
+        !self.leaving && self.catalogue.is_some() && self.stacked
+    }
+
+    pub fn idle(&self) -> bool {
+        self.hands.is_empty()
+    }
+
+    /// Tries in hand.
+    pub fn attempts(&self) -> Vec<usize> {
+        self.hands.values().map(|hand| hand.request.attempt).collect()
+    }
+
+    pub fn word(&mut self, now: Duration, catalogue: Rc<Catalogue>) {
+        if self.catalogue.as_ref().is_some_and(|own| own.0.revision >= catalogue.revision) {
+            return;
+        }
+        let times = if self.planted == Some(Planted::SlotsIgnored) { 4 } else { 1 };
+        let functions = catalogue.services.iter().map(|s| Function {
+            kind: kind(&s.name),
+            name: s.name.clone(),
+            slots: if s.max_inflight == 0 { 1024 } else { s.max_inflight as usize * times },
+            boot: Duration::from_millis(s.boot_ms.into()),
+        });
+        self.lending.functions(now, functions.collect());
+        let finder = Finder::new(&catalogue);
+        self.catalogue = Some(Rc::new((catalogue, finder)));
+        self.pump(now);
+    }
+
+    pub fn desks(&mut self, now: Duration, desks: &[(IpAddr, String, u32)]) {
+        self.desks = desks.len().max(1);
+        let region = |zone: &str| {
+            self.regions
+                .iter()
+                .find(|(name, _)| name == zone)
+                .map(|(_, region)| region.clone())
+                .unwrap_or_default()
+        };
+        let mut members: Vec<Member> = desks
+            .iter()
+            .map(|(ip, zone, life)| Member {
+                at: SocketAddr::new(*ip, LEND_PORT),
+                zone: zone.clone(),
+                region: region(zone),
+                life: *life,
+            })
+            .collect();
+        if self.planted == Some(Planted::LendersDoubled) {
+            members.retain(|member| member.at == self.me);
+        }
+        self.lending.members(now, members);
+        self.pump(now);
+    }
+
+    pub fn stacks(&mut self, now: Duration, entries: &[Listed], ended: &[String]) {
+        self.stacked = true;
+        let entries = entries.iter().map(|listed| Entry {
+            kind: kind(&listed.service),
+            instance: listed.instance.clone(),
+            at: listed.at,
+            zone: listed.zone.clone(),
+            ready: listed.ready,
+            lends: listed.lends,
+            since: now.saturating_sub(Duration::from_millis(listed.age.into())),
+        });
+        self.lending.stacks(now, entries.collect(), ended);
+        for id in ended {
+            self.kept.remove(id);
+        }
+        self.pump(now);
+    }
+
+    pub fn fresh(&mut self, fresh: bool) {
+        self.fresh = fresh;
+    }
+
+    fn demand(&self, told: Told) -> Option<Demand> {
+        Some(Demand {
+            service: self.lending.name(told.kind)?.to_string(),
+            zone: self.zone.clone(),
+            rate: told.rate as f32,
+            busy: told.busy as f32,
+            peak: u16::try_from(told.peak).unwrap_or(u16::MAX),
+            waiting: u16::try_from(told.waiting).unwrap_or(u16::MAX),
+            run_ms: told.run.as_secs_f32() * 1000.0,
+            idle_ms: u32::try_from(told.idle.as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Carries out what lending wants, until there is nothing more.
+    fn pump(&mut self, now: Duration) {
+        while let Some(order) = self.lending.next() {
+            match order {
+                Order::Send { to, bytes } => self.out.push_back(Out::Lend { to, bytes }),
+                Order::Go { call, instance, at } => match self.by_seq.remove(&call) {
+                    Some(id) => self.go(now, id, instance, at),
+                    None => self.lending.settle(now, call, Ended::Idle),
+                },
+                Order::No { call, after } => {
+                    if let Some(id) = self.by_seq.remove(&call) {
+                        let late = self.hands.get(&id).is_some_and(|hand| now >= hand.end);
+                        self.give_up(id, after, late);
+                    }
+                }
+                Order::Dial { instance, at } => self.out.push_back(Out::Dial { instance, at }),
+                Order::Gone { instance } => {
+                    self.kept.remove(&instance);
+                    self.out.push_back(Out::Gone(instance));
+                }
+                Order::Ready { instance } => self.out.push_back(Out::Ready(instance)),
+                Order::Wanted(told) => {
+                    let demand = self.demand(told);
+                    self.out.extend(demand.map(|demand| Out::Demand(vec![demand])));
+                }
+            }
+        }
+    }
+
+    pub fn hear(&mut self, now: Duration, from: SocketAddr, bytes: &[u8]) {
+        self.lending.hear(now, from, bytes);
+        self.pump(now);
+    }
+
+    pub fn next_due(&self) -> Duration {
+        self.due
+    }
+
+    pub fn tick(&mut self, now: Duration) {
+        if now < self.due {
+            return;
+        }
+        self.lending.tick(now);
+        if now >= self.told + TELL {
+            self.told = now;
+            let told = self.lending.told(now, TELL);
+            let demand: Vec<Demand> = told.into_iter().filter_map(|told| self.demand(told)).collect();
+            if !demand.is_empty() {
+                self.out.push_back(Out::Demand(demand));
+            }
+            self.kept.retain(|_, kept| {
+                kept.retain(|until| *until > now);
+                !kept.is_empty()
+            });
+        }
+        self.pump(now);
+        self.due = now + if self.lending.busy() { TICK } else { REST };
+    }
+
+    /// A request, read whole.
+    pub fn request(&mut self, now: Duration, request: Request) {
+        let attempt = request.attempt;
+        let Some(held) = self.catalogue.clone() else {
+            let answer = Answer::NotRun(Duration::from_millis(500));
+            return self.out.push_back(Out::Answer { attempt, answer });
+        };
+        let Some(route) = held.1.find(crate::HOST, &request.path) else {
+            let answer = match self.fresh {
+                true => Answer::NotFound,
+                false => Answer::NotRun(Duration::from_millis(300)),
+            };
+            return self.out.push_back(Out::Answer { attempt, answer });
+        };
+        let route = &held.0.routes[route];
+        let chance = self.chance.rand_u32();
+        let Some(service) = held.0.services.get(route.choose(chance) as usize) else {
+            return self.out.push_back(Out::Answer { attempt, answer: Answer::NotFound });
+        };
+        let kind = kind(&service.name);
+        self.budget.request(now, kind);
+        let allowed = Duration::from_millis(u64::from(request.deadline_ms.min(route.timeout_ms)));
+        let hand = Hand {
+            kind,
+            priority: route.priority,
+            aim: now + Duration::from_millis(route.target_latency_ms.into()),
+            end: now + allowed.saturating_sub(MARGIN.min(allowed / 4)),
+            repeatable: route.kind == RouteKind::Idempotent,
+            retries: usize::from(route.max_retries.max(1)),
+            sent: false,
+            arrivals: 0,
+            rounds: 0,
+            avoid: String::new(),
+            pause: Duration::from_millis(100),
+            seq: 0,
+            token: 0,
+            instance: String::new(),
+            at: None,
+            stage: Stage::Waits,
+            request,
+        };
+        let id = self.next;
+        self.next += 1;
+        self.hands.insert(id, hand);
+        self.round(now, id);
+        self.pump(now);
+    }
+
+    fn round(&mut self, now: Duration, id: u64) {
+        let Some(hand) = self.hands.get_mut(&id) else { return };
+        let (pause, late) = (hand.pause, now >= hand.end);
+        if late || hand.rounds >= ROUNDS {
+            return self.give_up(id, pause, late);
+        }
+        hand.rounds += 1;
+        if hand.arrivals > 0
+            && (hand.arrivals >= hand.retries || !self.budget.repeat(now, hand.kind, self.desks))
+        {
+            return self.give_up(id, pause, false);
+        }
+        hand.stage = Stage::Waits;
+        let seq = self.lending.want(now, hand.kind, hand.priority, hand.aim, hand.end, &hand.avoid);
+        hand.seq = seq;
+        self.by_seq.insert(seq, id);
+        self.due = self.due.min(now + Duration::from_millis(1));
+    }
+
+    fn go(&mut self, now: Duration, id: u64, instance: String, at: SocketAddr) {
+        let Some(hand) = self.hands.get_mut(&id) else { return };
+        hand.token += 1;
+        hand.instance = instance.clone();
+        hand.at = Some(at);
+        let token = hand.token;
+        let mut open = false;
+        if let Some(kept) = self.kept.get_mut(&instance) {
+            while let Some(until) = kept.pop() {
+                if now < until {
+                    open = true;
+                    break;
+                }
+            }
+        }
+        if open {
+            return self.send(now, id);
+        }
+        hand.stage = Stage::Connects;
+        let within = Duration::from_millis(700).min(hand.end.saturating_sub(now));
+        self.out.push_back(Out::Connect { hand: id, token, instance, at });
+        self.out.push_back(Out::Due { hand: id, token, at: now + within });
+    }
+
+    fn send(&mut self, now: Duration, id: u64) {
+        let Some(hand) = self.hands.get_mut(&id) else { return };
+        let (token, attempt, instance) = (hand.token, hand.request.attempt, hand.instance.clone());
+        let Some(at) = hand.at else { return };
+        if hand.end.saturating_sub(now) < Duration::from_millis(5) {
+            return self.outcome(now, id, token, Outcome::Unsent { refused: false });
+        }
+        hand.stage = Stage::Sent;
+        let again = self.planted == Some(Planted::GrantsDoubled);
+        if again {
+            self.out.push_back(Out::Send { hand: id, token: 0, attempt, instance: instance.clone(), at });
+        }
+        self.out.push_back(Out::Send { hand: id, token, attempt, instance, at });
+        self.out.push_back(Out::Due { hand: id, token, at: hand.end });
+    }
+
+    /// The connection for a hand, or for a look at a starting instance (`hand` 0), came up or was refused.
+    pub fn connected(&mut self, now: Duration, id: u64, token: u64, instance: &str, taken: bool) {
+        if id == 0 {
+            if taken {
+                self.kept.entry(instance.to_string()).or_default().push(now + Duration::from_secs(2));
+                self.lending.dialled(now, instance, true);
+            }
+            return self.pump(now);
+        }
+        let Some(hand) = self.hands.get(&id) else { return };
+        if hand.token != token || !matches!(hand.stage, Stage::Connects) {
+            return;
+        }
+        if taken {
+            self.send(now, id);
+        } else {
+            self.outcome(now, id, token, Outcome::Unsent { refused: true });
+        }
+        self.pump(now);
+    }
+
+    /// The time that a connection or an answer had is over.
+    pub fn over(&mut self, now: Duration, id: u64, token: u64) {
+        let Some(hand) = self.hands.get(&id).filter(|hand| hand.token == token) else { return };
+        match hand.stage {
+            Stage::Connects => self.outcome(now, id, token, Outcome::Unsent { refused: false }),
+            Stage::Sent if now >= hand.end => {
+                if let Some(at) = hand.at {
+                    self.out.push_back(Out::Hangup { attempt: hand.request.attempt, at });
+                }
+                self.outcome(now, id, token, Outcome::Lost { late: true });
+            }
+            _ => {}
+        }
+        self.pump(now);
+    }
+
+    /// A worker has answered, or its connection broke.
+    pub fn answered(&mut self, now: Duration, id: u64, token: u64, outcome: Outcome) {
+        let Some(hand) = self.hands.get(&id).filter(|hand| hand.token == token) else { return };
+        if !matches!(hand.stage, Stage::Sent) {
+            return;
+        }
+        if matches!(outcome, Outcome::Answer | Outcome::NotExecuted) {
+            self.kept.entry(hand.instance.clone()).or_default().push(now + KEPT);
+        }
+        self.outcome(now, id, token, outcome);
+        self.pump(now);
+    }
+
+    fn outcome(&mut self, now: Duration, id: u64, token: u64, outcome: Outcome) {
+        let Some(hand) = self.hands.get_mut(&id).filter(|hand| hand.token == token) else { return };
+        hand.token += 1;
+        let (seq, pause, repeatable) = (hand.seq, hand.pause, hand.repeatable);
+        hand.avoid = std::mem::take(&mut hand.instance);
+        self.lending.settle(now, seq, outcome.ended());
+        match outcome {
+            Outcome::Answer => return self.finish(id, Answer::Done),
+            Outcome::Unsent { .. } => {}
+            Outcome::NotExecuted => {
+                hand.arrivals += 1;
+                hand.pause = Duration::from_millis(60);
+            }
+            Outcome::Misdirected => hand.arrivals += 1,
+            Outcome::Lost { late } => {
+                hand.sent = self.planted != Some(Planted::PromiseAfterLoss);
+                if !repeatable || late {
+                    return self.give_up(id, pause, late);
+                }
+                hand.arrivals += 1;
+            }
+        }
+        self.round(now, id);
+    }
+
+    fn give_up(&mut self, id: u64, after: Duration, _late: bool) {
+        let Some(hand) = self.hands.get(&id) else { return };
+        let after = after.clamp(Duration::from_millis(20), Duration::from_secs(10));
+        let answer = if hand.sent { Answer::MayHaveRun } else { Answer::NotRun(after) };
+        self.finish(id, answer);
+    }
+
+    fn finish(&mut self, id: u64, answer: Answer) {
+        if let Some(hand) = self.hands.remove(&id) {
+            self.out.push_back(Out::Answer { attempt: hand.request.attempt, answer });
+        }
+    }
+
+    /// The client has hung up.
+    pub fn left(&mut self, now: Duration, attempt: usize) {
+        let Some(id) = self.hands.iter().find(|(_, hand)| hand.request.attempt == attempt).map(|(id, _)| *id)
+        else {
+            return;
+        };
+        let Some(hand) = self.hands.remove(&id) else { return };
+        self.by_seq.remove(&hand.seq);
+        let ended = match hand.stage {
+            Stage::Waits => Ended::Idle,
+            _ => Ended::Silent,
+        };
+        if let (Stage::Sent, Some(at)) = (&hand.stage, hand.at) {
+            self.out.push_back(Out::Hangup { attempt, at });
+        }
+        self.lending.settle(now, hand.seq, ended);
+        self.pump(now);
+    }
+
+    /// A worker closed the connections that stood idle.
+    pub fn closed(&mut self, instance: &str) {
+        self.kept.remove(instance);
+    }
+}
+
+/// `house::budget`: further tries within what all desks share.
+pub struct Budget {
+    ratio: f64,
+    slack: f64,
+    part: u128,
+    windows: BTreeMap<Kind, VecDeque<(u128, u32, u32)>>,
+}
+
+const PARTS: u128 = 10;
+
+impl Budget {
+    pub fn new(ratio: f64, slack: f64, window_s: f64) -> Budget {
+        let part = ((window_s * 1000.0) as u128 / PARTS).max(10);
+        Budget { ratio, slack, part, windows: BTreeMap::new() }
+    }
+
+    fn at(&mut self, now: Duration, kind: Kind) -> &mut VecDeque<(u128, u32, u32)> {
+        let number = now.as_millis() / self.part;
+        let parts = self.windows.entry(kind).or_default();
+        while parts.front().is_some_and(|(n, ..)| *n + PARTS < number) {
+            parts.pop_front();
+        }
+        if parts.back().is_none_or(|(n, ..)| *n != number) {
+            parts.push_back((number, 0, 0));
+        }
+        parts
+    }
+
+    fn request(&mut self, now: Duration, kind: Kind) {
+        if let Some(last) = self.at(now, kind).back_mut() {
+            last.1 += 1;
+        }
+    }
+
+    fn repeat(&mut self, now: Duration, kind: Kind, desks: usize) -> bool {
+        let (ratio, slack) = (self.ratio, self.slack / (desks as f64 + 1.0));
+        let parts = self.at(now, kind);
+        let number = parts.back().map_or(0, |part| part.0);
+        let requests: u32 = parts.iter().filter(|(n, ..)| *n + PARTS > number).map(|part| part.1).sum();
+        let repeats: u32 = parts.iter().map(|part| part.2).sum();
+        let allowed = f64::from(repeats) + 1.0 <= ratio * f64::from(requests) + slack;
+        if let (true, Some(last)) = (allowed, parts.back_mut()) {
+            last.2 += 1;
+        }
+        allowed
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,37 @@
+//! Rehearsals: the deciders of the whole system together, on simulated time.
+//!
+//! Edge machines (`gazette`, `lending`) and core machines (`vault`, `stacks`) are put together as `house` puts them, with
+//! its carrying mirrored here in small ([`page`], [`desk`], [`archive`]); around them are a platform with workers, clients,
+//! operators and links, all written from the published protocol. What happens and what must hold comes from a scenario, a
+//! small text file. One seeded chance decides everything that is drawn, so a run can be played again.
+//!
+//! [`play`] runs a scenario; its [`Report`] has a table by second and what the judge found. The judge knows only what
+//! clients, workers, operators and the platform see. Defects that can be [`Planted`] show that it finds what it looks for.
+
+pub mod archive;
+mod chance;
+pub mod desk;
+mod judge;
+mod net;
+mod notes;
+mod operator;
+pub mod page;
+mod planted;
+mod platform;
+mod report;
+mod scenario;
+mod world;
+
+pub use judge::{Finding, Rule};
+pub use planted::Planted;
+pub use report::{Report, Row};
+pub use scenario::{Fault, Scenario, Wrong};
+
+/// The one host of all routes.
+pub(crate) const HOST: &str = "site.example";
+
+/// Plays a scenario with this seed.
+pub fn play(text: &str, seed: u64, planted: Option<Planted>) -> Result<Report, Fault> {
+    let scenario = Scenario::read(text)?;
+    Ok(world::World::new(scenario, seed, planted).run())
+}
--- /dev/null
+++ b/crates/rehearsal/src/notes.rs
@@ -0,0 +1,69 @@
+//! What pages, archives and desks say to each other: `house::notes`, as far as it decides anything.
+
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use tindock_catalogue::Catalogue;
+use tindock_stacks as stacks;
+use tindock_vault::Say;
+
+pub const PEER_PORT: u16 = 7300;
+pub const LEND_PORT: u16 = 7301;
+
+#[derive(Clone)]
+pub enum Note {
+    Vault(Say),
+    Pull {
+        ip: IpAddr,
+        revision: u64,
+    },
+    News {
+        holder: Option<(SocketAddr, u64)>,
+        revision: u64,
+        touch: bool,
+        archives: Vec<SocketAddr>,
+        pages: Vec<IpAddr>,
+    },
+    Word(Rc<Catalogue>),
+    Follow {
+        number: u64,
+        version: u64,
+    },
+    Stacks(Rc<Stacks>),
+    Demand(Vec<stacks::Demand>),
+    Gone(String),
+    Ready(String),
+    Inherit {
+        entries: Vec<Listed>,
+        tag: u64,
+        numbers: Vec<(String, u32)>,
+    },
+}
+
+pub struct Stacks {
+    pub number: u64,
+    pub from: u64,
+    pub whole: bool,
+    pub version: u64,
+    pub entries: Vec<Listed>,
+    pub ended: Vec<String>,
+    pub tag: u64,
+    pub numbers: Vec<(String, u32)>,
+}
+
+/// An instance between processes: `age` in ms, as clocks differ.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub instance: String,
+    pub service: String,
+    pub at: SocketAddr,
+    pub zone: String,
+    pub host: String,
+    pub age: u32,
+    pub ready: bool,
+    pub lends: bool,
+}
+
+/// FNV-1a, 64 bits.
+pub fn hash(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
--- /dev/null
+++ b/crates/rehearsal/src/page.rs
@@ -0,0 +1,273 @@
+//! The page's carrying, as in `house::page`: what it pulls, follows, hears and tells the desk beside it.
+
+use crate::notes::{Listed, Note};
+use crate::planted::Planted;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tindock_catalogue::Catalogue;
+use tindock_gazette::{Letter, Views};
+
+const PULL: Duration = Duration::from_millis(700);
+const SILENT: Duration = Duration::from_millis(1500);
+const FOLLOW: Duration = Duration::from_millis(1000);
+const FRESH: f64 = 0.5;
+
+/// To the desk beside it.
+pub enum Told {
+    Word(Rc<Catalogue>),
+    Desks(Vec<(IpAddr, String, u32)>),
+    Stacks { entries: Vec<Listed>, ended: Vec<String> },
+    Fresh(bool),
+}
+
+pub enum Out {
+    Note { to: SocketAddr, note: Note },
+    Letter { to: IpAddr, letter: Letter },
+    Told(Told),
+}
+
+pub struct Page {
+    ip: IpAddr,
+    places: Vec<(String, String)>,
+    seeds: Vec<SocketAddr>,
+    convergence: Duration,
+    pub views: Views,
+    catalogue: Option<Rc<Catalogue>>,
+    archives: Vec<SocketAddr>,
+    archive: usize,
+    heard: Duration,
+    pulled: Duration,
+    followed: Duration,
+    confirmed: Option<Duration>,
+    fresh: bool,
+    holder: Option<(SocketAddr, u64)>,
+    number: u64,
+    version: u64,
+    tag: u64,
+    numbers: BTreeMap<String, u32>,
+    stacks: BTreeMap<String, (Listed, Duration)>,
+    desks: Vec<(IpAddr, String, u32)>,
+    planted: Option<Planted>,
+    pub out: Vec<Out>,
+}
+
+pub struct Terms {
+    pub ip: IpAddr,
+    pub zone: String,
+    pub places: Vec<(String, String)>,
+    pub seeds: Vec<SocketAddr>,
+    pub convergence: Duration,
+    /// When the process began, ms by the machine's own date.
+    pub since: u64,
+    pub seed: u64,
+    pub planted: Option<Planted>,
+}
+
+impl Page {
+    pub fn new(terms: Terms) -> Page {
+        let place = terms.places.iter().position(|(zone, _)| *zone == terms.zone).unwrap_or(0) as u8;
+        let mut page = Page {
+            views: Views::new(terms.ip, place, terms.since, terms.seed, Duration::ZERO),
+            ip: terms.ip,
+            places: terms.places,
+            archives: terms.seeds.clone(),
+            seeds: terms.seeds,
+            convergence: terms.convergence,
+            catalogue: None,
+            archive: terms.seed as usize,
+            heard: Duration::ZERO,
+            pulled: Duration::ZERO,
+            followed: Duration::ZERO,
+            confirmed: None,
+            fresh: false,
+            holder: None,
+            number: 0,
+            version: 0,
+            tag: 0,
+            numbers: BTreeMap::new(),
+            stacks: BTreeMap::new(),
+            desks: Vec::new(),
+            planted: terms.planted,
+            out: Vec::new(),
+        };
+        page.pull(Duration::ZERO);
+        page
+    }
+
+    fn send(&mut self, to: SocketAddr, note: Note) {
+        self.out.push(Out::Note { to, note });
+    }
+
+    fn tell(&mut self, told: Told) {
+        self.out.push(Out::Told(told));
+    }
+
+    fn pull(&mut self, now: Duration) {
+        self.pulled = now;
+        if self.archives.is_empty() {
+            self.archives = self.seeds.clone();
+        }
+        if self.archives.is_empty() {
+            return;
+        }
+        let to = self.archives[self.archive % self.archives.len()];
+        let revision = self.catalogue.as_ref().map_or(0, |c| c.revision);
+        self.send(to, Note::Pull { ip: self.ip, revision });
+    }
+
+    pub fn next_due(&self) -> Duration {
+        self.views.next_due().min(self.pulled + PULL)
+    }
+
+    pub fn tick(&mut self, now: Duration) {
+        for (to, letter) in self.views.tick(now) {
+            self.out.push(Out::Letter { to, letter });
+        }
+        if now >= self.heard + SILENT && now >= self.pulled + PULL.min(Duration::from_millis(300)) {
+            self.archive = self.archive.wrapping_add(1);
+            if self.archive.is_multiple_of(8) {
+                for seed in self.seeds.clone() {
+                    if !self.archives.contains(&seed) {
+                        self.archives.push(seed);
+                    }
+                }
+            }
+            self.pull(now);
+        } else if now >= self.pulled + PULL {
+            self.pull(now);
+        }
+        if let Some((holder, _)) = self.holder {
+            if now >= self.followed + FOLLOW {
+                self.followed = now;
+                self.send(holder, Note::Follow { number: self.number, version: self.version });
+            }
+        }
+        let newest = self.convergence.mul_f64(FRESH);
+        let fresh = self.confirmed.is_some_and(|at| now < at + newest);
+        if fresh != self.fresh {
+            self.fresh = fresh;
+            self.tell(Told::Fresh(fresh));
+        }
+        let desks: Vec<(IpAddr, String, u32)> = self
+            .views
+            .there(now)
+            .into_iter()
+            .filter(|heard| heard.life != 0)
+            .filter_map(|heard| {
+                let zone = self.places.get(usize::from(heard.place))?.0.clone();
+                Some((heard.ip, zone, heard.life))
+            })
+            .collect();
+        if desks != self.desks {
+            self.desks = desks.clone();
+            self.tell(Told::Desks(desks));
+        }
+    }
+
+    /// A letter of another page; the answer, if it wants one.
+    pub fn letter(&mut self, now: Duration, from: IpAddr, letter: &Letter) {
+        if let Some(answer) = self.views.hear(now, letter) {
+            self.out.push(Out::Letter { to: from, letter: answer });
+        }
+    }
+
+    /// What the desk tells, carried to whoever holds the duty.
+    pub fn carry(&mut self, note: Note) {
+        let Some((holder, _)) = self.holder else { return };
+        match &note {
+            Note::Gone(instance) => {
+                self.stacks.remove(instance);
+            }
+            Note::Ready(instance) => {
+                if let Some((listed, _)) = self.stacks.get_mut(instance) {
+                    listed.ready = true;
+                }
+            }
+            _ => {}
+        }
+        self.send(holder, note);
+    }
+
+    fn known(&self, now: Duration) -> Vec<Listed> {
+        let aged = |(listed, at): &(Listed, Duration)| Listed {
+            age: listed
+                .age
+                .saturating_add(u32::try_from(now.saturating_sub(*at).as_millis()).unwrap_or(u32::MAX)),
+            ..listed.clone()
+        };
+        self.stacks.values().map(aged).collect()
+    }
+
+    pub fn note(&mut self, now: Duration, from: SocketAddr, note: Note) {
+        match note {
+            Note::News { holder, revision, touch, archives, pages } => {
+                if !archives.is_empty() && archives != self.archives {
+                    let current = self.archives.get(self.archive % self.archives.len().max(1)).copied();
+                    self.archives = archives;
+                    self.archive =
+                        self.archives.iter().position(|a| Some(*a) == current).unwrap_or(self.archive);
+                }
+                self.views.greet(pages);
+                let own = self.catalogue.as_ref().map_or(0, |c| c.revision);
+                if touch {
+                    self.heard = now;
+                    if revision <= own && own > 0 {
+                        self.confirmed = Some(now);
+                    }
+                }
+                self.hear_holder(now, holder);
+            }
+            Note::Word(catalogue) => {
+                let stays = self.planted == Some(Planted::OldWordStays) && self.catalogue.is_some();
+                if !stays && self.catalogue.as_ref().is_none_or(|own| own.revision < catalogue.revision) {
+                    self.tell(Told::Word(catalogue.clone()));
+                    self.confirmed = Some(now);
+                    self.catalogue = Some(catalogue);
+                }
+            }
+            Note::Stacks(news) => {
+                if news.number < self.number {
+                    return;
+                }
+                if !news.whole && news.from > self.version {
+                    let (number, version) = (self.number, self.version);
+                    return self.send(from, Note::Follow { number, version });
+                }
+                let mut ended = news.ended.clone();
+                if news.whole {
+                    let named = |id: &String| news.entries.iter().any(|e| e.instance == *id);
+                    ended.extend(self.stacks.keys().filter(|id| !named(id)).cloned());
+                }
+                (self.number, self.version, self.tag) = (news.number, news.version, news.tag);
+                for id in &ended {
+                    self.stacks.remove(id);
+                }
+                for entry in &news.entries {
+                    self.stacks.insert(entry.instance.clone(), (entry.clone(), now));
+                }
+                self.numbers.extend(news.numbers.iter().cloned());
+                self.tell(Told::Stacks { entries: news.entries.clone(), ended });
+            }
+            _ => {}
+        }
+    }
+
+    /// The holder with the highest number is the one there is.
+    fn hear_holder(&mut self, now: Duration, holder: Option<(SocketAddr, u64)>) {
+        let Some((at, number)) = holder else { return };
+        let newer = |(old, known): (SocketAddr, u64)| number > known || (number == known && at != old);
+        if !self.holder.is_none_or(newer) {
+            return;
+        }
+        self.holder = Some((at, number));
+        self.followed = now;
+        if number != self.number {
+            let numbers = self.numbers.iter().map(|(s, n)| (s.clone(), *n)).collect();
+            let inherit = Note::Inherit { entries: self.known(now), tag: self.tag, numbers };
+            self.send(at, inherit);
+        }
+        self.send(at, Note::Follow { number: self.number, version: self.version });
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/tests/planted.rs
@@ -0,0 +1,49 @@
+//! Defects put into the runner on purpose: the judge must find each by the rule it breaks.
+
+use rstest::rstest;
+use tindock_rehearsal::{play, Planted, Rule};
+
+const PLACE: &str = "
+    zones a:west b:west
+    edge a 2
+    edge b 2
+    core a 1
+    core b 2
+    hosts a 2 memory 4096
+    hosts b 2 memory 4096
+    service dock slots 2 memory 512 boot 900
+    service log slots 2 memory 192 boot 900
+    route check on dock rate 60 aim 400 work 80
+    route book on dock once rate 30 aim 600 work 120 priority 1
+    route batch on log rate 20 aim 1500 deadline 8000 work 80
+    length 14
+";
+
+#[rstest]
+#[case(Planted::SlotsIgnored, Rule::Limit, "")]
+#[case(Planted::LendersDoubled, Rule::Limit, "at 4 burst all x2 for 6")]
+#[case(Planted::GrantsDoubled, Rule::Twice, "")]
+#[case(Planted::DrainIgnored, Rule::Drain, "at 4 drain host-a-1\nat 4 drain host-b-1")]
+#[case(
+    Planted::AckBeforeMajority,
+    Rule::Config,
+    "at 4 cut core-a-1 rest for 3\nat 5 config touch to core-a-1 wipe 2"
+)]
+#[case(Planted::PromiseAfterLoss, Rule::Refused, "at 4 lose answers 0.2 for 4")]
+#[case(Planted::DutyPastTerm, Rule::Fence, "at 4 freeze holder for 4\nat 8 burst all x3 for 4")]
+#[case(Planted::OldWordStays, Rule::Config, "at 4 config move batch dock")]
+#[case(
+    Planted::NoTarget,
+    Rule::Route,
+    "timers reuse 0.3\nplatform addresses 7\nat 4 cut edge-a* core* for 8\nat 4.5 crash host-a-1,host-a-2 for 0.5 silent\nat 5 burst batch x6 for 5"
+)]
+fn is_found(#[case] planted: Planted, #[case] rule: Rule, #[case] happens: &str) {
+    let text = format!("{PLACE}{happens}\n");
+    let (mut found, mut told) = (false, String::new());
+    for seed in 1..=4 {
+        let report = play(&text, seed, Some(planted)).unwrap();
+        found |= report.findings.iter().any(|finding| finding.rule == rule);
+        told.push_str(&report.to_string());
+    }
+    assert!(found, "{planted:?} was not found by {rule:?}\n{told}");
+}
--- a/crates/standins/src/demo.rs
+++ b/crates/standins/src/demo.rs
@@ -13,6 +13,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 
 /// The configuration is sent, and a first request tried, for so long.
@@ -276,20 +277,30 @@
     async fn first(&self) -> Result<(), Fault> {
         let until = Instant::now() + COMING_UP;
         let clients = self.clients(self.zones.len(), 0xf157);
+        let mut open = JoinSet::new();
         let mut number = 0;
         for class in classes() {
             for user in 0..self.zones.len() {
-                loop {
-                    number += 1;
-                    let (outcome, ..) = clients.request(&class, number, user, false).await;
-                    if matches!(outcome, Outcome::InAim | Outcome::Late) {
-                        break;
+                number += 1000;
+                let (clients, class) = (clients.clone(), class.clone());
+                open.spawn(async move {
+                    for turn in 0.. {
+                        let (outcome, ..) = clients.request(&class, number + turn, user, false).await;
+                        if matches!(outcome, Outcome::InAim | Outcome::Late) {
+                            return true;
+                        }
+                        if Instant::now() > until {
+                            return false;
+                        }
+                        sleep(Duration::from_millis(100)).await;
                     }
-                    if Instant::now() > until {
-                        return Err(Fault::NotServed(self.fleet.last_words()));
-                    }
-                    sleep(Duration::from_millis(100)).await;
-                }
+                    false
+                });
+            }
+        }
+        while let Some(done) = open.join_next().await {
+            if !matches!(done, Ok(true)) {
+                return Err(Fault::NotServed(self.fleet.last_words()));
             }
         }
         Ok(())
@@ -474,7 +485,7 @@
         let done = match name.as_str() {
             "kill-desk" => stage.fleet.kill(&desk, Role::Desk),
             "kill-archive" => {
-                stage.fleet.holder().is_some_and(|holder| stage.fleet.kill(&holder, Role::Archive))
+                stage.platform.holder().is_some_and(|holder| stage.fleet.kill(&holder, Role::Archive))
             }
             "crash-host" => stage.platform.trouble(Trouble::CrashHost(busiest, few)),
             "drain-host" => stage.platform.trouble(Trouble::DrainHost(busiest, few * 2)),
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -210,23 +210,6 @@
         fs::read(path).map(|bytes| String::from_utf8_lossy(&bytes).into_owned()).unwrap_or_default()
     }
 
-    /// The core machine that took up the duty last, as the archives' own words tell.
-    pub fn holder(&self) -> Option<String> {
-        let number = |machine: &String| {
-            let log = self.log(machine, Role::Archive);
-            let taken =
-                log.lines().filter_map(|line| line.strip_prefix("duty ")?.split(' ').next()?.parse().ok());
-            taken.max().unwrap_or(0u64)
-        };
-        let archives = self.machines(Role::Archive);
-        archives
-            .into_iter()
-            .map(|machine| (number(&machine), machine))
-            .filter(|(n, _)| *n > 0)
-            .max()
-            .map(|m| m.1)
-    }
-
     /// What became of processes, with the times.
     pub fn happened(&self) -> Vec<(Instant, String)> {
         self.inner().happened.clone()
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -216,7 +216,8 @@
     list: Bucket,
     duty: Bucket,
     late: Option<(Duration, Instant)>,
-    fence: u64,
+    /// The highest `Fence-Token` seen, and who came with it.
+    fence: (u64, Option<String>),
     counts: Counts,
     chance: oorandom::Rand64,
 }
@@ -325,7 +326,7 @@
             list: Bucket::new(options.rate_per_s),
             duty: Bucket::new(options.duty_rate_s),
             late: None,
-            fence: 0,
+            fence: (0, None),
             counts: Counts::default(),
             chance: oorandom::Rand64::new(options.seed.into()),
             options,
@@ -343,6 +344,11 @@
         self.shared.counts()
     }
 
+    /// Who started or stopped a worker last, by its own word.
+    pub fn holder(&self) -> Option<String> {
+        self.shared.state().fence.1.clone()
+    }
+
     pub fn instances(&self) -> Vec<Seen> {
         let state = self.shared.state();
         let seen = |i: &Instance| Seen {
@@ -669,8 +675,11 @@
             return Some(said(429, "too many starts and stops"));
         }
         let fence = request.headers.number("fence-token").unwrap_or(0.0) as u64;
-        self.counts.stale += usize::from(fence < self.fence);
-        self.fence = self.fence.max(fence);
+        if fence < self.fence.0 {
+            self.counts.stale += 1;
+        } else {
+            self.fence = (fence, request.headers.get("duty-holder").map(String::from));
+        }
         None
     }
 
--- a/crates/vault/src/lease.rs
+++ b/crates/vault/src/lease.rs
@@ -12,8 +12,8 @@
 use crate::seats::{Seats, Tables};
 use crate::{Stored, Vault, What};
 
-pub const TERM: Duration = Duration::from_millis(1200);
-const RENEW: Duration = Duration::from_millis(400);
+pub const TERM: Duration = Duration::from_millis(900);
+const RENEW: Duration = Duration::from_millis(300);
 /// A round that has no majority by then has failed.
 const ROUND: Duration = Duration::from_millis(300);
 /// Numbers stay far from the end, and exact in a double.
