Late calls go behind those in time; rare functions let go sooner; zones own what pays

Counts by service each second (debug line of the holder) showed two one-slot instances for one call: the need of 1.24 slots was rounded up, and a waiting call was counted though a starting instance would serve it in time.

Change: lenders estimate when slots come free (runs by priority, starts under way), put calls that are late anyway behind, and tell as waiting only what would not end within 0.6 of its aim; shortage is told at once. The scaler: services that may sleep by utilisation, short window where calls are known to be rare, one instance for a zone whose calls across zones would cost more than its memory, no doubled floor at the start.

--- a/crates/house/src/archive.rs
+++ b/crates/house/src/archive.rs
@@ -392,6 +392,7 @@
                 if let Some(duty) = self.duty.as_mut().filter(|d| d.number == number) {
                     duty.hosting = false;
                     let hosts = duty.read(now, hosts, false);
+                    spdlog::debug!("stacks: {}", duty.count());
                     if let Some(hosts) = hosts {
                         duty.hosts = true;
                         duty.scaler.hosts(now, &hosts);
@@ -840,6 +841,19 @@
     }
 }
 
+impl Duty {
+    /// Instances by service, for the log: services with more than one, and the number of the others.
+    fn count(&self) -> String {
+        let mut by: std::collections::BTreeMap<&str, u32> = Default::default();
+        for entry in self.scaler.entries() {
+            *by.entry(entry.service.as_str()).or_default() += 1;
+        }
+        let ones = by.values().filter(|n| **n == 1).count();
+        let more: Vec<String> = by.iter().filter(|(_, n)| **n > 1).map(|(s, n)| format!("{s} {n}")).collect();
+        format!("{} services with one, {}", ones, more.join(", "))
+    }
+}
+
 /// The whole list, page by page, or why a page failed. A list without end is none.
 async fn read_list(platform: &Platform) -> Result<Vec<stacks::Listed>, Failed> {
     let (mut all, mut token) = (Vec::new(), None);
--- a/crates/lending/src/lender.rs
+++ b/crates/lending/src/lender.rs
@@ -1,6 +1,7 @@
 //! The lender's books: slots of the instances in its care, who has them, who waits.
 
 use crate::words::{Ended, Kind};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tindock::rules::whittle;
@@ -16,6 +17,12 @@
 const RUN_STEP: f64 = 0.05;
 /// The source has no index where delta < mu: there delta counts as this many times mu, the limit from its valid side.
 const VALID: f64 = 1.05;
+/// Seconds a slot is held, before any was.
+const FIRST_RUN: f64 = 0.1;
+/// A call that ends after this share of its aim is not served well: another instance is wanted.
+const SHORT: f64 = 0.6;
+/// A call that is late anyway waits at most this share of the time it has left: its client can then still try again.
+const LATE: f64 = 0.5;
 /// Calls that may wait for one function; more are turned away at once.
 const WAITING: usize = 512;
 
@@ -49,6 +56,7 @@
     pub seq: u32,
     since: Duration,
     until: Duration,
+    priority: u8,
 }
 
 #[derive(Debug)]
@@ -70,6 +78,15 @@
     pub aim: Duration,
     pub end: Duration,
     pub avoid: u32,
+    /// It cannot be in time for its full worth any more.
+    pub late: bool,
+}
+
+impl Wish {
+    /// The order of service: those in time, then by rank, then by who must be served first.
+    fn key(&self) -> (bool, u8, Duration) {
+        (self.late, self.priority, self.aim)
+    }
 }
 
 /// What a lender tells the scaler of a function.
@@ -84,19 +101,27 @@
     pub idle: Duration,
 }
 
+/// Run times of one priority: seconds, and its share of the late runs.
+#[derive(Debug, Default)]
+struct Run {
+    mean: f64,
+    share: f64,
+    count: u64,
+}
+
 /// One function at one lender.
 #[derive(Debug)]
 pub struct Shelf {
     pub function: Function,
     pub books: Vec<Book>,
     pub queue: Vec<Wish>,
-    run: f64, // seconds a slot is held
-    runs: usize,
+    runs: BTreeMap<u8, Run>, // by priority: a function may serve short calls and long ones
     rate: f64,
     busy: f64,
     smoothed: Duration,
     came: usize,
     peak: usize,
+    turned: usize, // away since the last telling
     last: Duration,
     told: Duration,
     quiet: Duration,
@@ -116,13 +141,13 @@
             function,
             books: Vec::new(),
             queue: Vec::new(),
-            run: 0.1,
-            runs: 0,
+            runs: BTreeMap::new(),
             rate: 0.0,
             busy: 0.0,
             smoothed: now,
             came: 0,
             peak: 0,
+            turned: 0,
             last: now,
             told: Duration::ZERO,
             quiet: Duration::ZERO,
@@ -130,8 +155,29 @@
         }
     }
 
+    /// The mean time a slot is held, over all calls.
     pub fn run(&self) -> Duration {
-        Duration::from_secs_f64(self.run)
+        let (sum, weight) =
+            self.runs.values().fold((0.0, 0.0), |(s, w), run| (s + run.mean * run.share, w + run.share));
+        Duration::from_secs_f64(if weight > 0.0 { sum / weight } else { FIRST_RUN })
+    }
+
+    /// The same for calls of one priority.
+    fn run_of(&self, priority: u8) -> f64 {
+        self.runs.get(&priority).map_or_else(|| self.run().as_secs_f64(), |run| run.mean)
+    }
+
+    fn ran(&mut self, priority: u8, held: f64) {
+        for run in self.runs.values_mut() {
+            run.share *= 1.0 - RUN_STEP;
+        }
+        if self.runs.len() >= 16 && !self.runs.contains_key(&priority) {
+            return;
+        }
+        let run = self.runs.entry(priority).or_default();
+        run.count += 1;
+        run.share += RUN_STEP;
+        run.mean += RUN_STEP.max(1.0 / run.count as f64) * (held.clamp(0.002, 60.0) - run.mean);
     }
 
     pub fn lent(&self) -> usize {
@@ -178,7 +224,7 @@
     /// All of a function's instances share mu; `far` is the addend of an instance the call wants to avoid.
     fn lowest(&self, now: Duration, avoid: u32, chance: &mut dyn FnMut(usize) -> usize) -> Option<usize> {
         let slots = self.slots();
-        let mu = slots as f64 / self.run.max(1e-3);
+        let mu = slots as f64 / self.run().as_secs_f64().max(1e-3);
         let delta = (1.0 / self.function.boot.as_secs_f64().max(1e-3)).max(VALID * mu);
         let lambda = self.rate.max(0.05);
         let (mut best, mut lowest, mut ties) = (None, f64::INFINITY, 0);
@@ -203,52 +249,119 @@
         best
     }
 
-    /// When the next slot can be had by a call that would be the `place`-th to wait (0 first).
-    pub fn estimate(&self, now: Duration, place: usize) -> Duration {
-        let ready =
-            self.books.iter().filter(|book| book.entry.lends && book.entry.ready).count() * self.slots();
-        let soonest = self.books.iter().filter(|book| book.entry.lends && !book.entry.ready);
-        let boot = self.function.boot;
-        let started = soonest.map(|book| (book.entry.since + boot).saturating_sub(now)).min();
-        if ready > 0 {
-            let wait = (place + 1) as f64 * self.run / ready as f64;
-            return Duration::from_secs_f64(wait);
+    /// When slots come free, soonest first: those of instances that start, and those lent, by what such calls take.
+    fn slots_free(&self, now: Duration) -> Vec<f64> {
+        let mut free = Vec::new();
+        for book in self.books.iter().filter(|book| book.entry.lends) {
+            let up = (book.entry.since + self.function.boot).saturating_sub(now).as_secs_f64();
+            let from = match book.entry.ready {
+                true => book.rests.saturating_sub(now).as_secs_f64(),
+                false => up.max(0.05),
+            };
+            for loan in &book.loans {
+                let run = self.run_of(loan.priority);
+                let held = now.saturating_sub(loan.since).as_secs_f64();
+                // One that runs longer than usual may go on as long again.
+                free.push((run - held).max(0.3 * run).max(from));
+            }
+            free.extend(std::iter::repeat_n(from, self.slots().saturating_sub(book.loans.len()).min(64)));
+        }
+        if free.is_empty() {
+            let boot = self.function.boot.as_secs_f64() + 0.06;
+            free.extend(std::iter::repeat_n(boot, self.slots().min(64)));
+        }
+        free.sort_by(f64::total_cmp);
+        free
+    }
+
+    /// The start of a call's run if it takes the soonest slot, which is then taken for `run` seconds.
+    fn place(free: &mut [f64], run: f64) -> f64 {
+        let Some(first) = free.first_mut() else { return f64::INFINITY };
+        let start = *first;
+        *first += run;
+        let mut i = 0;
+        while i + 1 < free.len() && free[i] > free[i + 1] {
+            free.swap(i, i + 1);
+            i += 1;
+        }
+        start
+    }
+
+    /// When this call's run would start, behind those that go before it.
+    fn estimate(&self, now: Duration, wish: &Wish) -> Duration {
+        let mut free = self.slots_free(now);
+        for other in self.queue.iter().filter(|other| other.key() <= wish.key()) {
+            Self::place(&mut free, self.run_of(other.priority));
+        }
+        Duration::try_from_secs_f64(Self::place(&mut free, 0.0)).unwrap_or(Duration::from_secs(60))
+    }
+
+    /// Waiting calls that the slots there are, and those that start, do not serve well before their aim.
+    fn short(&self, now: Duration) -> usize {
+        if self.queue.is_empty() {
+            return 0;
         }
-        let boot =
-            started.map_or(boot + Duration::from_millis(60), |left| left.max(Duration::from_millis(30)));
-        boot + Duration::from_secs_f64(place as f64 * self.run / self.slots() as f64)
+        if !self.lends() {
+            return self.queue.len();
+        }
+        let mut free = self.slots_free(now);
+        let late = |wish: &&Wish| {
+            let run = self.run_of(wish.priority);
+            let ends = Self::place(&mut free, run) + run;
+            ends > wish.aim.saturating_sub(wish.came).as_secs_f64() * SHORT
+                - now.saturating_sub(wish.came).as_secs_f64()
+        };
+        self.queue.iter().filter(late).count()
+    }
+
+    pub fn is_short(&self, now: Duration) -> bool {
+        self.turned > 0 || self.short(now) > 0
     }
 
     /// An ask: a slot at once, a place in the queue, or no.
-    pub fn ask(&mut self, now: Duration, wish: Wish, chance: &mut dyn FnMut(usize) -> usize) -> Verdict {
+    pub fn ask(&mut self, now: Duration, mut wish: Wish, chance: &mut dyn FnMut(usize) -> usize) -> Verdict {
         if self.queue.is_empty() {
             if let Some(i) = self.lowest(now, wish.avoid, chance) {
                 self.lend(now, i, &wish);
                 return Verdict::Granted(i);
             }
         }
-        let place = self.queue.iter().filter(|other| other.priority <= wish.priority).count();
-        let wait = self.estimate(now, place);
-        let (aim, left) = (wish.aim.saturating_sub(now), wish.end.saturating_sub(now));
-        // What cannot be in time is told so at once, while its client can still try again elsewhere.
-        let allowed = aim.mul_f64(0.9).max(left.mul_f64(0.45)).saturating_sub(self.run());
-        if wait > allowed || self.queue.len() >= WAITING {
+        let run = Duration::from_secs_f64(self.run_of(wish.priority));
+        let left = wish.end.saturating_sub(now);
+        let wait = self.estimate(now, &wish);
+        // What cannot be in time waits behind all that can, as long as that leaves its client another try; else it is told
+        // so at once.
+        if now + wait + run > wish.aim {
+            wish.late = true;
+            let wait = self.estimate(now, &wish);
+            if wait + run > left.mul_f64(LATE) || self.queue.len() >= WAITING {
+                self.turned += 1;
+                return Verdict::Later(wait);
+            }
+        } else if self.queue.len() >= WAITING {
             return Verdict::Later(wait);
         }
-        let at = self.queue.partition_point(|other| (other.priority, other.aim) <= (wish.priority, wish.aim));
+        let at = self.queue.partition_point(|other| other.key() <= wish.key());
         self.queue.insert(at, wish);
         self.peak = self.peak.max(self.lent() + self.queue.len());
         Verdict::Waits
     }
 
     pub fn lend(&mut self, now: Duration, i: usize, wish: &Wish) {
-        let loan = Loan { to: wish.from, seq: wish.seq, since: now, until: wish.end + GRACE };
+        let loan = Loan {
+            to: wish.from,
+            seq: wish.seq,
+            since: now,
+            until: wish.end + GRACE,
+            priority: wish.priority,
+        };
         self.books[i].loans.push(loan);
         self.peak = self.peak.max(self.lent() + self.queue.len());
     }
 
     /// The next waiting call that can have a slot, with the book it is lent from.
     pub fn serve(&mut self, now: Duration, chance: &mut dyn FnMut(usize) -> usize) -> Option<(usize, Wish)> {
+        self.fall_behind(now);
         let avoid = self.queue.first()?.avoid;
         let i = self.lowest(now, avoid, chance)?;
         let wish = self.queue.remove(0);
@@ -256,6 +369,22 @@
         Some((i, wish))
     }
 
+    /// Calls in front that have waited too long to be in time let the others go first: serving them all late would leave
+    /// none in time.
+    fn fall_behind(&mut self, now: Duration) {
+        for _ in 0..self.queue.len() {
+            let Some(first) = self.queue.first().filter(|w| !w.late) else { return };
+            let run = Duration::from_secs_f64(self.run_of(first.priority));
+            if now + run.mul_f64(0.7) <= first.aim {
+                return;
+            }
+            let mut wish = self.queue.remove(0);
+            wish.late = true;
+            let at = self.queue.partition_point(|other| other.key() <= wish.key());
+            self.queue.insert(at, wish);
+        }
+    }
+
     /// Calls that can no longer end in time: out of the queue.
     pub fn hopeless(&mut self, now: Duration) -> Vec<Wish> {
         let run = self.run();
@@ -274,10 +403,8 @@
         let held = now.saturating_sub(loan.since).as_secs_f64();
         match ended {
             Ended::Done => {
-                self.runs += 1;
-                let step = RUN_STEP.max(1.0 / self.runs as f64);
-                self.run += step * (held.clamp(0.002, 60.0) - self.run);
                 book.silent = 0;
+                self.ran(loan.priority, held);
             }
             Ended::Idle => {}
             Ended::Full => book.rests = now + FULL_REST,
@@ -303,7 +430,7 @@
     pub fn holds(&mut self, now: Duration, from: SocketAddr, seq: u32, instance: &str, left: Duration) {
         let Some(book) = self.books.iter_mut().find(|book| book.entry.instance == instance) else { return };
         if !book.loans.iter().any(|loan| loan.to == from && loan.seq == seq) && book.loans.len() < 4096 {
-            book.loans.push(Loan { to: from, seq, since: now, until: now + left + GRACE });
+            book.loans.push(Loan { to: from, seq, since: now, until: now + left + GRACE, priority: 0 });
         }
     }
 
@@ -335,7 +462,7 @@
             rate: self.rate,
             busy: self.busy,
             peak,
-            waiting: self.queue.len(),
+            waiting: self.short(now) + std::mem::take(&mut self.turned),
             run: self.run(),
             idle: now.saturating_sub(self.last),
         })
--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -36,6 +36,8 @@
 /// Calls in hand; more are turned away at once.
 const CALLS: usize = 20_000;
 /// A starting instance is tried this often once half of its usual start has passed.
+/// A shortage is told this often.
+const SHORTAGE: Duration = Duration::from_millis(80);
 const DIAL: Duration = Duration::from_millis(50);
 
 /// A scheduler that lends and borrows.
@@ -476,6 +478,7 @@
                     aim: now + Duration::from_millis(aim.into()),
                     end: now + Duration::from_millis(left.into()),
                     avoid,
+                    late: false,
                 };
                 self.asked(kind, wish, hops);
             }
@@ -630,7 +633,9 @@
             None => return,
         };
         let mut draw = |n: usize| chance.rand_range(0..n.max(1) as u32) as usize;
-        match shelf.ask(now, wish, &mut draw) {
+        let verdict = shelf.ask(now, wish, &mut draw);
+        let granted = matches!(verdict, Verdict::Granted(_));
+        match verdict {
             Verdict::Granted(i) => {
                 let (free, waiting) = room(shelf, now);
                 let (instance, at) = (shelf.books[i].entry.instance.clone(), shelf.books[i].entry.at);
@@ -639,8 +644,14 @@
             Verdict::Waits => {}
             Verdict::Later(after) => self.say(from, Line::Later { seq, after: ms(after) }),
         }
-        if !lends {
-            let told = self.shelves.get_mut(&kind).and_then(|s| s.tell(now, Duration::from_millis(40)));
+        // A start takes a second: what lacks slots is told now, not with the next round.
+        if !granted {
+            let pause = if lends { SHORTAGE } else { SHORTAGE / 2 };
+            let told = self
+                .shelves
+                .get_mut(&kind)
+                .filter(|s| !lends || s.is_short(now))
+                .and_then(|s| s.tell(now, pause));
             self.orders.extend(told.map(Order::Wanted));
         }
     }
--- a/crates/stacks/src/scaler.rs
+++ b/crates/stacks/src/scaler.rs
@@ -23,6 +23,7 @@
     demand: Demand,
     at: Duration,
     slow: f64,
+    steady: f64,
     /// Rates of the last second.
     rates: VecDeque<(Duration, f64)>,
 }
@@ -340,10 +341,12 @@
             demand: d.clone(),
             at: now,
             slow: busy,
+            steady: 0.0,
             rates: VecDeque::new(),
         });
         let gap = now.saturating_sub(told.at);
         told.slow += (busy - told.slow) * (1.0 - (-gap.as_secs_f64() / 4.0).exp());
+        told.steady += (f64::from(d.rate) - told.steady) * (1.0 - (-gap.as_secs_f64() / 8.0).exp());
         if gap > self.habits.told_lasts {
             told.rates.clear();
         }
@@ -615,6 +618,7 @@
                 rise: (rate - then - 1.5 * (then + 0.5).sqrt()).max(0.0),
                 busy: f64::from(d.busy),
                 slow: t.slow,
+                steady: t.steady,
                 peak: f64::from(d.peak),
                 waiting: f64::from(d.waiting),
                 run_ms: f64::from(d.run_ms),
@@ -673,7 +677,7 @@
         let mut idle = false;
         if floor == 0 && waiting == 0 {
             let last = svc.last_call.unwrap_or_default().max(last_ready);
-            idle = now > last + self.habits.window(&spec) && !self.habits.keeps(&spec, rate);
+            idle = now > last + self.habits.window(&spec, rate) && !self.habits.keeps(&spec, rate);
             if there == 0 && (svc.last_call.is_none_or(|c| c + self.habits.pass < now) || sleeps) || idle {
                 want = Wanted::default();
             } else if want.total == 0 {
--- a/crates/stacks/src/want.rs
+++ b/crates/stacks/src/want.rs
@@ -13,6 +13,8 @@
     /// Slots lent, over about 0.5 s and over about 4 s.
     pub busy: f64,
     pub slow: f64,
+    /// Arrivals a second, over about 8 s.
+    pub steady: f64,
     pub peak: f64,
     pub waiting: f64,
     /// Mean time a slot is held, ms; 0 while unknown.
@@ -70,28 +72,35 @@
         1.0
     };
     let spare = tight * busy.sqrt();
-    let mut need = busy + extra + habits.spare * spare;
-    need = need.max((habits.peak_share * peak).min(busy + waits + 2.0 * spare));
-    // A quarter above what was ever wanted at once is enough.
-    need = need.min((1.25 * peak).max(busy) + extra);
+    let need = if habits.sleeps(s) {
+        // Calls that can wait for a start can wait for a slot: no spare, and one call is no reason for a second instance.
+        (busy / habits.used).max(peak.min(1.0)) + waits
+    } else {
+        let need = busy + extra + habits.spare * spare;
+        let need = need.max((habits.peak_share * peak).min(busy + waits + 2.0 * spare));
+        // A quarter above what was ever wanted at once is enough.
+        need.min((1.25 * peak).max(busy) + extra)
+    };
+    // Where calls come so often that crossing costs more than memory, a zone has its own.
+    let near = |p: &Pull| habits.crossing_cost * p.steady > habits.memory_a_second(s);
+    let own = |p: &Pull, busy: f64| {
+        (busy / slots + 1.0 - habits.own_zone).floor().clamp(0.0, MOST).max(f64::from(u8::from(near(p))))
+    };
     let total = (need / slots).min(MOST).ceil().max(f64::from(floor)) as u32;
+    let owned: f64 = pulls.iter().zip(&shares).map(|(p, b)| own(p, *b)).sum();
+    let total = total.max(owned as u32);
     if total == 0 {
         return Wanted::default();
     }
     let mut out = Wanted { total, zones: Vec::new(), own: Vec::new() };
-    out.own = pulls
-        .iter()
-        .map(|p| (p.zone.clone(), (p.slow / slots + 1.0 - habits.own_zone).floor().clamp(0.0, MOST) as u32))
-        .filter(|z| z.1 > 0)
-        .collect();
+    out.own = pulls.iter().map(|p| (p.zone.clone(), own(p, p.slow) as u32)).filter(|z| z.1 > 0).collect();
     let sum: f64 = shares.iter().sum();
     if sum <= 0.0 {
         out.zones = homes_of(total, homes);
         return out;
     }
     // Each zone its own, then what is left where most is lacking.
-    let mut given: Vec<f64> =
-        shares.iter().map(|b| (b / slots + 1.0 - habits.own_zone).floor().max(0.0)).collect();
+    let mut given: Vec<f64> = pulls.iter().zip(&shares).map(|(p, b)| own(p, *b)).collect();
     let fair: Vec<f64> = shares.iter().map(|b| f64::from(total) * b / sum).collect();
     let lack = |given: &[f64], i: usize| fair[i] - given[i];
     let mut left = f64::from(total) - given.iter().sum::<f64>();
--- a/crates/stacks/src/words.rs
+++ b/crates/stacks/src/words.rs
@@ -162,6 +162,10 @@
     pub catch_up_most: f64,
     /// A zone has an instance of its own if it keeps this share of the slots busy.
     pub own_zone: f64,
+    /// Share of its slots that a service which may sleep keeps busy.
+    pub used: f64,
+    /// Price of a call that crosses zones, in the worth of a call.
+    pub crossing_cost: f64,
     /// Worth of a start.
     pub start_cost: f64,
     /// Worth lost, on average, by the call that waits for a start.
@@ -205,19 +209,21 @@
             sleep_factor: 1.3,
             sleep_margin_ms: 100.0,
             floor: 1,
-            early_floor: 2,
+            early_floor: 1,
             early: ms(6000),
-            spare: 1.5,
+            spare: 1.0,
             spare_runs: 5.0,
             spare_least: 0.3,
             peak_share: 0.8,
             catch_up: 0.25,
             catch_up_most: 0.5,
             own_zone: 0.45,
+            used: 0.7,
+            crossing_cost: 0.08,
             start_cost: 0.19,
             late_risk_cost: 0.15,
             memory_gb_s: 1.1,
-            window_min: ms(1500),
+            window_min: ms(700),
             window_max: ms(20_000),
             lower_after: ms(3000),
             lower_after_sleeper: ms(2000),
@@ -241,12 +247,14 @@
         f64::from(s.target_ms) >= self.sleep_factor * f64::from(s.boot_ms) + self.sleep_margin_ms
     }
 
-    /// How long an idle instance is kept: until its memory has cost what a new start would.
-    pub fn window(&self, s: &Service) -> Duration {
+    /// How long an idle instance is kept, with this smoothed rate of calls (a second): until its memory has cost what a
+    /// new start would; shorter where calls are known to be rare, since the next one is then far.
+    pub fn window(&self, s: &Service, rate: f64) -> Duration {
         let a_second = self.memory_a_second(s);
         let boot = a_second * f64::from(s.boot_ms) / 1e3;
         let secs = (self.start_cost + self.late_risk_cost + boot) / a_second;
         let (low, high) = (self.window_min.as_secs_f64(), self.window_max.as_secs_f64());
+        let secs = if self.keeps(s, 2.0 * rate) { secs } else { low };
         Duration::from_secs_f64(secs.max(low).min(high.max(low)))
     }
 
@@ -255,7 +263,7 @@
         rate * (self.start_cost + self.late_risk_cost) > self.memory_a_second(s)
     }
 
-    fn memory_a_second(&self, s: &Service) -> f64 {
+    pub(crate) fn memory_a_second(&self, s: &Service) -> f64 {
         (f64::from(s.memory_mb) / 1024.0 * self.memory_gb_s).max(1e-6)
     }
 }
