--- a/crates/house/src/page.rs
+++ b/crates/house/src/page.rs
@@ -40,6 +40,8 @@
     Desk(mpsc::Sender<Vec<u8>>),
     Tells(Tells),
     DeskGone,
+    /// The settings file has changed.
+    Settings,
     Leave,
 }
 
@@ -136,7 +138,17 @@
             let _ = into.send(Event::Leave).await;
         }
     });
-    let _hangup = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup());
+    let into = events.clone();
+    tokio::task::spawn_local(async move {
+        let Ok(mut hangup) = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup()) else {
+            return;
+        };
+        while hangup.recv().await.is_some() {
+            if into.send(Event::Settings).await.is_err() {
+                return;
+            }
+        }
+    });
 
     let life = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
     let seed = life.as_nanos() as u64 ^ crate::archive::hash(&settings.node_name);
@@ -232,6 +244,20 @@
 }
 
 impl Page {
+    /// The seeds of the settings file as it is now; one that cannot be read changes nothing. Only seeds change in a
+    /// process's life: its addresses and bounds are those it started with.
+    fn reread(&mut self) {
+        match Settings::from_environment() {
+            Ok(settings) => {
+                if settings.seed_peers != self.settings.seed_peers {
+                    info!("seeds changed: {:?}", settings.seed_peers);
+                    self.settings.seed_peers = settings.seed_peers;
+                }
+            }
+            Err(fault) => warn!("settings not read again: {fault}"),
+        }
+    }
+
     fn tell(&mut self, told: &Told) {
         if let Some(desk) = &self.desk {
             // A desk that does not read is told everything again when it comes back.
@@ -279,6 +305,8 @@
             let left = self.archive_now();
             self.archive = self.archive.wrapping_add(1);
             if self.archive.is_multiple_of(8) {
+                // The file may have changed without a signal.
+                self.reread();
                 for seed in self.settings.seed_peers() {
                     if !self.archives.contains(&seed) {
                         self.archives.push(seed);
@@ -388,6 +416,7 @@
                 };
                 self.post.send(holder, &note);
             }
+            Event::Settings => self.reread(),
             Event::Letter(..) | Event::Leave => {}
         }
     }
--- a/crates/lending/src/lender.rs
+++ b/crates/lending/src/lender.rs
@@ -1,10 +1,11 @@
 //! The lender's books: slots of the instances in its care, who has them, who waits.
 
-use crate::words::{Ended, Kind};
+use crate::planted::{planted, Defect};
+use crate::words::{kind as hash, Ended, Kind};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tindock::rules::whittle;
+use tindock::index::whittle;
 use tindock::terms::Energy;
 
 /// A loan outlives its call's end by this much: the answer's way, and a clock that runs slow.
@@ -23,6 +24,9 @@
 const SHORT: f64 = 0.6;
 /// A call that is late anyway waits at most this share of the time it has left: its client can then still try again.
 const LATE: f64 = 0.5;
+/// A borrower is asked after a loan that is out so long, or so many times as long as usual, whichever is more.
+const LONG: Duration = Duration::from_millis(1000);
+const LONG_RUNS: f64 = 8.0;
 /// Calls that may wait for one function; more are turned away at once.
 const WAITING: usize = 512;
 
@@ -53,10 +57,21 @@
 #[derive(Debug, Clone)]
 pub struct Loan {
     pub to: SocketAddr,
+    /// Of the borrower's process: one that begins anew has not got it, but its call may still run.
+    pub life: u32,
     pub seq: u32,
-    since: Duration,
-    until: Duration,
+    pub since: Duration,
+    pub until: Duration,
     priority: u8,
+    /// The borrower is asked then whether it has it still, and how often it has been.
+    doubt: Duration,
+    asked: u32,
+}
+
+impl Loan {
+    fn is(&self, from: SocketAddr, life: u32, seq: u32) -> bool {
+        self.to == from && self.seq == seq && self.life == life
+    }
 }
 
 #[derive(Debug)]
@@ -72,6 +87,7 @@
 #[derive(Debug, Clone)]
 pub struct Wish {
     pub from: SocketAddr,
+    pub life: u32,
     pub seq: u32,
     pub priority: u8,
     pub came: Duration,
@@ -229,7 +245,7 @@
         let lambda = self.rate.max(0.05);
         let (mut best, mut lowest, mut ties) = (None, f64::INFINITY, 0);
         for (i, book) in self.books.iter().enumerate() {
-            if !book.open(now) || book.loans.len() >= slots {
+            if !book.open(now) || book.loans.len() >= slots + usize::from(planted(Defect::OneTooMany)) {
                 continue;
             }
             let mut index = whittle(book.loans.len() as f64, Energy::Busy, lambda, mu, delta);
@@ -341,19 +357,26 @@
         } else if self.queue.len() >= WAITING {
             return Verdict::Later(wait);
         }
-        let at = self.queue.partition_point(|other| other.key() <= wish.key());
+        let at = match planted(Defect::ByArrival) {
+            true => self.queue.len(),
+            false => self.queue.partition_point(|other| other.key() <= wish.key()),
+        };
         self.queue.insert(at, wish);
         self.peak = self.peak.max(self.lent() + self.queue.len());
         Verdict::Waits
     }
 
     pub fn lend(&mut self, now: Duration, i: usize, wish: &Wish) {
+        let usual = Duration::from_secs_f64(self.run_of(wish.priority) * LONG_RUNS);
         let loan = Loan {
             to: wish.from,
+            life: wish.life,
             seq: wish.seq,
             since: now,
             until: wish.end + GRACE,
             priority: wish.priority,
+            doubt: now + usual.max(LONG),
+            asked: 0,
         };
         self.books[i].loans.push(loan);
         self.peak = self.peak.max(self.lent() + self.queue.len());
@@ -365,7 +388,9 @@
         let avoid = self.queue.first()?.avoid;
         let i = self.lowest(now, avoid, chance)?;
         let wish = self.queue.remove(0);
-        self.lend(now, i, &wish);
+        if !planted(Defect::GrantsUnwritten) {
+            self.lend(now, i, &wish);
+        }
         Some((i, wish))
     }
 
@@ -387,19 +412,33 @@
 
     /// Calls that can no longer end in time: out of the queue.
     pub fn hopeless(&mut self, now: Duration) -> Vec<Wish> {
-        let run = self.run();
-        let (gone, kept) = self.queue.drain(..).partition(|wish| wish.end <= now + run);
+        let runs: Vec<f64> = self.queue.iter().map(|wish| self.run_of(wish.priority)).collect();
+        let mut runs = runs.into_iter();
+        let (gone, kept) = self
+            .queue
+            .drain(..)
+            .partition(|wish| wish.end <= now + Duration::from_secs_f64(runs.next().unwrap_or_default()));
         self.queue = kept;
         gone
     }
 
-    /// A slot comes back. True if the instance is to be told of as gone.
-    pub fn back(&mut self, now: Duration, from: SocketAddr, seq: u32, ended: Ended) -> Option<String> {
+    /// A slot comes back. The book of an instance that is to be told of as gone is closed.
+    pub fn back(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        life: u32,
+        seq: u32,
+        ended: Ended,
+    ) -> Option<Book> {
         self.queue.retain(|wish| (wish.from, wish.seq) != (from, seq));
-        let same = |loan: &Loan| loan.to == from && loan.seq == seq;
+        let same = |loan: &Loan| loan.is(from, life, seq);
         let i = self.books.iter().position(|book| book.loans.iter().any(same))?;
         let book = &mut self.books[i];
         let loan = book.loans.iter().position(same).map(|at| book.loans.swap_remove(at))?;
+        if planted(Defect::FreedTwice) {
+            book.loans.pop();
+        }
         let held = now.saturating_sub(loan.since).as_secs_f64();
         match ended {
             Ended::Done => {
@@ -421,26 +460,66 @@
         None
     }
 
-    fn drop_book(&mut self, i: usize) -> String {
+    fn drop_book(&mut self, i: usize) -> Book {
         self.news = true;
-        self.books.swap_remove(i).entry.instance
+        self.books.swap_remove(i)
     }
 
-    /// A loan that a former lender gave: counted as out until it comes back or its call must be over.
-    pub fn holds(&mut self, now: Duration, from: SocketAddr, seq: u32, instance: &str, left: Duration) {
-        let Some(book) = self.books.iter_mut().find(|book| book.entry.instance == instance) else { return };
-        if !book.loans.iter().any(|loan| loan.to == from && loan.seq == seq) && book.loans.len() < 4096 {
-            book.loans.push(Loan { to: from, seq, since: now, until: now + left + GRACE, priority: 0 });
+    /// A loan that a former lender gave, or one asked after: counted as out until it comes back or its call must be over.
+    /// False if the instance is not in this one's care.
+    pub fn holds(&mut self, now: Duration, loan: Loan, instance: &str) -> bool {
+        let Some(book) = self.books.iter_mut().find(|book| book.entry.instance == instance) else {
+            return false;
+        };
+        let room = book.loans.len() < 4096;
+        match book.loans.iter_mut().find(|old| old.is(loan.to, loan.life, loan.seq)) {
+            Some(old) => old.doubted(now),
+            None if room => book.loans.push(loan),
+            None => return false,
+        }
+        true
+    }
+
+    /// A grant that nobody waits for any more, or (instance 0) a place in the queue.
+    pub fn unwanted(&mut self, from: SocketAddr, life: u32, seq: u32, instance: u32) {
+        if instance == 0 {
+            self.queue.retain(|wish| (wish.from, wish.seq) != (from, seq));
         }
+        for book in self.books.iter_mut().filter(|book| hash(&book.entry.instance) == instance) {
+            if let Some(at) = book.loans.iter().position(|loan| loan.is(from, life, seq)) {
+                book.loans.swap_remove(at);
+                self.news = true;
+            }
+        }
+    }
+
+    /// A process that begins anew waits for nothing that the one before asked for.
+    pub fn forget_asks(&mut self, from: SocketAddr, life: u32) {
+        self.queue.retain(|wish| wish.from != from || wish.life == life);
     }
 
     /// Loans whose call must be over, and whose borrower never said so.
     pub fn expire(&mut self, now: Duration) {
+        if planted(Defect::NoTerm) {
+            return;
+        }
         for book in &mut self.books {
             book.loans.retain(|loan| loan.until > now);
         }
     }
 
+    /// Loans to be asked after now: the borrower, its life, the call and the instance.
+    pub fn doubts(&mut self, now: Duration) -> Vec<(SocketAddr, u32, u32, u32)> {
+        let mut all = Vec::new();
+        for book in &mut self.books {
+            for loan in book.loans.iter_mut().filter(|loan| now >= loan.doubt) {
+                loan.doubted(now);
+                all.push((loan.to, loan.life, loan.seq, hash(&book.entry.instance)));
+            }
+        }
+        all
+    }
+
     /// What the scaler is to hear, if anything; said again at growing pauses once nothing happens.
     pub fn tell(&mut self, now: Duration, at_least: Duration) -> Option<Told> {
         self.smooth(now);
@@ -469,13 +548,32 @@
     }
 }
 
+impl Loan {
+    /// Told by a borrower that it has it.
+    pub fn told(now: Duration, to: SocketAddr, life: u32, seq: u32, left: Duration) -> Loan {
+        let (doubt, until) = (now + LONG, now + left + GRACE);
+        Loan { to, life, seq, since: now, until, priority: 0, doubt, asked: 0 }
+    }
+
+    /// It is asked after again in a while, each time later.
+    fn doubted(&mut self, now: Duration) {
+        self.doubt = now + LONG / 4 * (1 << self.asked.min(4));
+        self.asked += 1;
+    }
+}
+
 impl Book {
-    pub fn new(entry: Entry, rests: Duration) -> Self {
-        Book { entry, loans: Vec::new(), rests, silent: 0, dialled: Duration::ZERO }
+    pub fn new(entry: Entry, rests: Duration, loans: Vec<Loan>) -> Self {
+        let mut book = Book { entry, loans, rests, silent: 0, dialled: Duration::ZERO };
+        // What was kept from a time as lender may have come back to another since.
+        for loan in &mut book.loans {
+            loan.doubt = Duration::ZERO;
+        }
+        book
     }
 
     /// It lends now.
     pub fn open(&self, now: Duration) -> bool {
-        self.entry.lends && self.entry.ready && now >= self.rests
+        (self.entry.lends || planted(Defect::DrainLent)) && self.entry.ready && now >= self.rests
     }
 }
--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -7,22 +7,26 @@
 //! from the borrowers what is out, and waits for that before it lends.
 
 pub mod lender;
+pub mod planted;
 pub mod words;
 
-use lender::{Book, Shelf, Verdict, Wish};
+use lender::{Book, Loan, Shelf, Verdict, Wish};
 pub use lender::{Entry, Function, Told};
 use oorandom::Rand32;
+use planted::{planted, Defect};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use words::{kind as hash, Ended, Kind, Letter, Line, LINES};
 
 /// An ask or a return is said again after this, and then after twice as long each time: a few round trips across regions.
-const AGAIN: Duration = Duration::from_millis(90);
+const AGAIN: Duration = Duration::from_millis(60);
 /// The same for an ask that is known to wait.
 const AGAIN_WAITING: Duration = Duration::from_millis(400);
 /// Tries without any word before a lender is passed over.
-const TRIES: u32 = 4;
+const TRIES: u32 = 3;
+/// Who has been heard so lately is not passed over.
+const SPEAKS: Duration = Duration::from_millis(250);
 /// For so long.
 pub const PASSED_OVER: Duration = Duration::from_secs(3);
 /// A new lender of an instance that others may have lent waits so long for what is told of it.
@@ -89,9 +93,28 @@
 
 #[derive(Debug, Clone)]
 enum Stage {
-    Asking { to: SocketAddr, sent: Duration, tries: u32, waits: bool, hops: u8 },
-    Holding { lender: SocketAddr, instance: String, since: Duration },
-    Returning { lender: SocketAddr, ended: Ended, ms: u32, sent: Duration, tries: u32, began: Duration },
+    Asking {
+        to: SocketAddr,
+        sent: Duration,
+        tries: u32,
+        waits: bool,
+        hops: u8,
+    },
+    /// `told`: a new lender has been told of it, and has not said yet that it heard; when and how often.
+    Holding {
+        lender: SocketAddr,
+        instance: String,
+        since: Duration,
+        told: Option<(Duration, u32)>,
+    },
+    Returning {
+        lender: SocketAddr,
+        ended: Ended,
+        ms: u32,
+        sent: Duration,
+        tries: u32,
+        began: Duration,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -104,6 +127,18 @@
     stage: Stage,
 }
 
+/// A slot that came though nobody waited for it: given back until the lender has heard.
+#[derive(Debug, Clone)]
+struct Stray {
+    to: SocketAddr,
+    seq: u32,
+    kind: Kind,
+    instance: u32,
+    sent: Duration,
+    tries: u32,
+    began: Duration,
+}
+
 pub struct Lending {
     me: SocketAddr,
     zone: String,
@@ -116,15 +151,23 @@
     by_kind: HashMap<Kind, Vec<String>>,
     shelves: BTreeMap<Kind, Shelf>,
     calls: BTreeMap<u32, Call>,
+    /// Numbers of calls: each life has its own, so that no letter for the one before it fits a call of this one.
+    first: u32,
     next: u32,
+    strays: Vec<Stray>,
+    /// Loans of instances that another lends now: it may come back.
+    parked: HashMap<String, Vec<Loan>>,
     rooms: HashMap<(Kind, String), (Duration, u8, u8)>,
-    lives: HashMap<SocketAddr, u32>,
+    /// Who has been heard: the life it had, and when it was last.
+    lives: HashMap<SocketAddr, (u32, Duration)>,
     out: BTreeMap<SocketAddr, Vec<Line>>,
     own: VecDeque<Line>,
     orders: VecDeque<Order>,
     now: Duration,
     swept: Duration,
     began: Duration,
+    /// When the members last changed.
+    changed: Duration,
 }
 
 fn weight(kind: Kind, at: &SocketAddr) -> u64 {
@@ -145,6 +188,10 @@
 
 impl Lending {
     pub fn new(me: SocketAddr, zone: String, life: u32, seed: u64, now: Duration) -> Self {
+        let first = match planted(Defect::NumbersAgain) {
+            true => 1,
+            false => life.wrapping_mul(0x9e37_79b9).max(1),
+        };
         Lending {
             me,
             zone,
@@ -157,7 +204,10 @@
             by_kind: HashMap::new(),
             shelves: BTreeMap::new(),
             calls: BTreeMap::new(),
-            next: 1,
+            first,
+            next: first,
+            strays: Vec::new(),
+            parked: HashMap::new(),
             rooms: HashMap::new(),
             lives: HashMap::new(),
             out: BTreeMap::new(),
@@ -166,6 +216,7 @@
             now,
             swept: now,
             began: now,
+            changed: now,
         }
     }
 
@@ -196,6 +247,7 @@
             .map(|m| m.at)
             .collect();
         self.members = members;
+        self.changed = now;
         self.arrange(true);
         self.tell_new_lenders(&fresh);
         let lost: Vec<u32> = self
@@ -226,13 +278,37 @@
             }
         }
         for (seq, new, instance, kind, left) in told {
-            if let Some(Call { stage: Stage::Holding { lender, .. }, .. }) = self.calls.get_mut(&seq) {
-                *lender = new;
-            }
-            self.say(new, Line::Holds { seq, kind, instance, left });
+            self.tell_holds(seq, new, kind, instance, left);
         }
     }
 
+    /// Said until the new lender has heard: it may not know the instance yet.
+    fn tell_holds(&mut self, seq: u32, new: SocketAddr, kind: Kind, instance: String, left: u32) {
+        let now = self.now;
+        if let Some(Call { stage: Stage::Holding { lender, told, .. }, .. }) = self.calls.get_mut(&seq) {
+            *lender = new;
+            *told = Some((now, 1));
+        }
+        let id = hash(&instance);
+        self.strays.retain(|stray| (stray.to, stray.seq, stray.instance) != (new, seq, id));
+        self.say(new, Line::Holds { seq, kind, instance, left });
+    }
+
+    /// A slot that nobody waits for, or (instance 0) a place in a queue that is not wanted any more.
+    fn stray(&mut self, to: SocketAddr, seq: u32, kind: Kind, instance: u32) {
+        let now = self.now;
+        if planted(Defect::StraysKept) {
+            return;
+        }
+        if !self.strays.iter().any(|s| (s.to, s.seq, s.instance) == (to, seq, instance))
+            && self.strays.len() < 4096
+            && to != self.me
+        {
+            self.strays.push(Stray { to, seq, kind, instance, sent: now, tries: 1, began: now });
+        }
+        self.say(to, Line::Unwanted { seq, kind, instance });
+    }
+
     /// Instances that are new or have changed, and ids that have ended.
     pub fn stacks(&mut self, now: Duration, changed: Vec<Entry>, ended: &[String]) {
         self.now = now;
@@ -311,19 +387,30 @@
                 continue;
             };
             let shelf = self.shelves.entry(kind).or_insert_with(|| Shelf::new(function, now));
-            shelf.books.retain(|book| mine.contains_key(&book.entry.instance));
+            let (kept, dropped): (Vec<Book>, Vec<Book>) =
+                shelf.books.drain(..).partition(|book| mine.contains_key(&book.entry.instance));
+            shelf.books = kept;
+            // Loans are kept for their terms: views of who lends may change back.
+            for book in dropped {
+                if !book.loans.is_empty() && !planted(Defect::BooksForgotten) {
+                    self.parked.entry(book.entry.instance).or_default().extend(book.loans);
+                }
+            }
             for book in &mut shelf.books {
                 if let Some(entry) = mine.remove(&book.entry.instance) {
                     book.entry = entry;
                 }
             }
             for (_, entry) in mine {
-                // One that still starts has been lent by nobody. One that comes over with a change of members, or is
-                // first heard of soon after this process began, may be in use by those who had it from another.
-                let fresh = !entry.ready;
-                let old = handed_over || now < self.began + Duration::from_secs(2);
-                let rests = if fresh || !old { Duration::ZERO } else { now + HEARING };
-                shelf.books.push(Book::new(entry, rests));
+                // One that has just begun has been lent by nobody. One that comes over with a change of members, or is
+                // first heard of soon after that or after this process began, may be in use by those who had it from
+                // another, who may have found it ready before the list showed it.
+                let fresh = !entry.ready && now < entry.since + shelf.function.boot.mul_f64(0.5);
+                let old = handed_over || now < self.began.max(self.changed) + Duration::from_secs(2);
+                let at_once = fresh || !old || planted(Defect::LendsAtOnce);
+                let rests = if at_once { Duration::ZERO } else { now + HEARING };
+                let loans = self.parked.remove(&entry.instance).unwrap_or_default();
+                shelf.books.push(Book::new(entry, rests, loans));
             }
         }
     }
@@ -409,15 +496,22 @@
     pub fn settle(&mut self, now: Duration, seq: u32, ended: Ended) {
         self.now = now;
         let Some(call) = self.calls.get_mut(&seq) else { return };
-        let (lender, held) = match &call.stage {
-            Stage::Asking { to, .. } => (*to, Duration::ZERO),
-            Stage::Holding { lender, since, .. } => (*lender, now.saturating_sub(*since)),
+        let (lender, held, gave) = match &call.stage {
+            Stage::Asking { to, .. } => (*to, Duration::ZERO, None),
+            Stage::Holding { lender, since, gave, instance, .. } => {
+                let other = (gave != lender).then(|| (*gave, hash(instance)));
+                (*lender, now.saturating_sub(*since), other)
+            }
             Stage::Returning { .. } => return,
         };
         let ended = if matches!(call.stage, Stage::Asking { .. }) { Ended::Idle } else { ended };
         let line = Line::Return { seq, kind: call.kind, ended, ms: ms(held) };
         call.stage = Stage::Returning { lender, ended, ms: ms(held), sent: now, tries: 1, began: now };
+        let kind = call.kind;
         self.say(lender, line);
+        if let Some((gave, instance)) = gave {
+            self.stray(gave, seq, kind, instance);
+        }
         self.pump();
     }
 
@@ -448,12 +542,12 @@
         self.passed_over.remove(&from);
         // A process that lives anew has forgotten what it lent.
         if self.lives.len() < 4096
-            && self.lives.insert(from, letter.life).is_some_and(|old| old != letter.life)
+            && self.lives.insert(from, (letter.life, now)).is_some_and(|old| old.0 != letter.life)
         {
             self.tell_new_lenders(&HashSet::from([from]));
         }
         for line in letter.lines {
-            self.line(from, line);
+            self.line(from, letter.life, line);
         }
         self.pump();
         true
@@ -470,16 +564,17 @@
     /// What this one says to itself, until nothing is left.
     fn pump(&mut self) {
         while let Some(line) = self.own.pop_front() {
-            self.line(self.me, line);
+            self.line(self.me, self.life, line);
         }
     }
 
-    fn line(&mut self, from: SocketAddr, line: Line) {
+    fn line(&mut self, from: SocketAddr, life: u32, line: Line) {
         let now = self.now;
         match line {
             Line::Ask { seq, kind, priority, aim, left, avoid, hops } => {
                 let wish = Wish {
                     from,
+                    life,
                     seq,
                     priority,
                     came: now,
@@ -500,24 +595,76 @@
                 for k in kinds {
                     let Some(shelf) = self.shelves.get_mut(&k) else { continue };
                     let had = shelf.lent() + shelf.queue.len();
-                    gone = shelf.back(now, from, seq, ended);
+                    gone = shelf.back(now, from, life, seq, ended);
                     if gone.is_some() || shelf.lent() + shelf.queue.len() != had {
                         kind = Some(k);
                         break;
                     }
                 }
-                if let Some(instance) = gone {
-                    self.forget(&instance);
+                if kind.is_none() && !self.parked.is_empty() {
+                    let same = |loan: &Loan| (loan.to, loan.life, loan.seq) == (from, life, seq);
+                    self.parked.values_mut().for_each(|loans| loans.retain(|loan| !same(loan)));
+                }
+                if let Some(book) = gone {
+                    self.forget(&book.entry.instance);
+                    let instance = book.entry.instance;
+                    // The list may show it again while others still have calls there.
+                    if !book.loans.is_empty() {
+                        self.parked.insert(instance.clone(), book.loans);
+                    }
                     self.orders.push_back(Order::Gone { instance });
                 }
                 self.say(from, Line::Noted { seq });
-                if let Some(kind) = kind {
+                if let Some(kind) = kind.filter(|_| !planted(Defect::QueueForgotten)) {
                     self.serve(kind);
                 }
             }
             Line::Holds { seq, kind, instance, left } => {
+                if planted(Defect::HoldsUnheard) {
+                    return;
+                }
+                if let Some(shelf) = self.shelves.get_mut(&kind) {
+                    let loan = Loan::told(now, from, life, seq, Duration::from_millis(left.into()));
+                    if shelf.holds(now, loan, &instance) {
+                        self.say(from, Line::Heard { seq, kind, instance: hash(&instance) });
+                    }
+                }
+            }
+            Line::Heard { seq, kind, instance } => match self.calls.get_mut(&seq) {
+                Some(Call { stage: Stage::Holding { lender, told, .. }, .. }) => {
+                    if *lender == from {
+                        *told = None;
+                    }
+                }
+                // It came back before it was heard of.
+                _ => self.stray(from, seq, kind, instance),
+            },
+            Line::Unwanted { seq, kind, instance } => {
                 if let Some(shelf) = self.shelves.get_mut(&kind) {
-                    shelf.holds(now, from, seq, &instance, Duration::from_millis(left.into()));
+                    shelf.unwanted(from, life, seq, instance);
+                }
+                let parked = self.parked.iter_mut().filter(|(id, _)| hash(id) == instance);
+                parked.for_each(|(_, loans)| loans.retain(|l| (l.to, l.life, l.seq) != (from, life, seq)));
+                self.say(from, Line::Dropped { seq, instance });
+                self.serve(kind);
+            }
+            Line::Dropped { seq, instance } => {
+                self.strays.retain(|s| (s.to, s.seq, s.instance) != (from, seq, instance));
+            }
+            Line::Still { seq, kind, instance, life } => {
+                if life != self.life {
+                    return;
+                }
+                match self.calls.get(&seq) {
+                    Some(Call { end, stage: Stage::Holding { instance: held, .. }, .. })
+                        if hash(held) == instance =>
+                    {
+                        let (instance, left) = (held.clone(), ms(end.saturating_sub(now)));
+                        self.say(from, Line::Holds { seq, kind, instance, left });
+                    }
+                    // The grant is on its way, or the return.
+                    Some(Call { stage: Stage::Asking { .. }, .. }) => {}
+                    _ => self.say(from, Line::Unwanted { seq, kind, instance }),
                 }
             }
             Line::Grant { seq, instance, at, free, waiting } => {
@@ -583,30 +730,47 @@
         waiting: u8,
     ) {
         let now = self.now;
+        // For a process that was here before: the lender holds it back until its call must be over.
+        if seq.wrapping_sub(self.first) >= self.next.wrapping_sub(self.first)
+            && !planted(Defect::NumbersAgain)
+        {
+            return;
+        }
+        let id = hash(&instance);
+        let fits = |kind| self.entries.get(&instance).is_none_or(|entry| entry.kind == kind);
         match self.calls.get_mut(&seq) {
-            Some(call) if matches!(call.stage, Stage::Asking { .. }) => {
+            Some(call) if matches!(call.stage, Stage::Asking { .. }) && fits(call.kind) => {
                 let kind = call.kind;
-                call.stage = Stage::Holding { lender: from, instance: instance.clone(), since: now };
+                let asked = match call.stage {
+                    Stage::Asking { to, .. } => to,
+                    _ => from,
+                };
+                let instance = instance.clone();
+                call.stage = Stage::Holding { lender: from, gave: from, instance, since: now, told: None };
                 let left = ms(call.end.saturating_sub(now));
+                // Another was quicker than the one asked now.
+                if asked != from {
+                    self.stray(asked, seq, kind, 0);
+                }
                 self.note_room(kind, from, free, waiting);
                 // From one that lends it no more: who does now counts it as out until it comes back or its call is over.
                 let zone = self.entries.get(&instance).map(|entry| entry.zone.clone());
                 if let Some(present) = zone.and_then(|zone| self.lender(kind, &zone)).filter(|at| *at != from)
                 {
-                    self.say(present, Line::Holds { seq, kind, instance: instance.clone(), left });
-                    if let Some(Call { stage: Stage::Holding { lender, .. }, .. }) = self.calls.get_mut(&seq)
-                    {
-                        *lender = present;
-                    }
+                    self.tell_holds(seq, present, kind, instance.clone(), left);
                 }
                 self.orders.push_back(Order::Go { call: seq, instance, at });
             }
             // The same grant again: the answer to an ask that was said twice.
-            Some(Call { stage: Stage::Holding { lender, instance: held, .. }, .. })
-                if *lender == from && *held == instance => {}
-            Some(Call { stage: Stage::Returning { lender, .. }, .. }) if *lender == from => {}
+            Some(Call { stage: Stage::Holding { instance: held, .. }, .. }) if *held == instance => {}
             // Nobody wants it any more, or another lender was quicker.
-            _ => self.say(from, Line::Return { seq, kind: 0, ended: Ended::Idle, ms: 0 }),
+            other => {
+                let kind = other.map(|call| call.kind);
+                let kind = kind.or_else(|| self.entries.get(&instance).map(|entry| entry.kind));
+                if let Some(kind) = kind {
+                    self.stray(from, seq, kind, id);
+                }
+            }
         }
     }
 
@@ -706,7 +870,16 @@
         for kind in kinds {
             self.sweep(kind);
         }
+        let over = self.passed_over.len();
         self.passed_over.retain(|_, until| *until > now);
+        if self.passed_over.len() != over {
+            self.arrange(true);
+            self.tell_new_lenders(&HashSet::new());
+        }
+        if !self.parked.is_empty() {
+            self.parked.values_mut().for_each(|loans| loans.retain(|loan| loan.until > now));
+            self.parked.retain(|_, loans| !loans.is_empty());
+        }
         self.pump();
     }
 
@@ -714,6 +887,7 @@
         let now = self.now;
         let Some(shelf) = self.shelves.get_mut(&kind) else { return };
         shelf.expire(now);
+        let doubts = shelf.doubts(now);
         let mut dials = Vec::new();
         let boot = shelf.function.boot;
         for book in &mut shelf.books {
@@ -726,6 +900,9 @@
         let hopeless = shelf.hopeless(now);
         let moved = if !shelf.queue.is_empty() && !shelf.lends() { self.elsewhere(kind) } else { None };
         self.orders.extend(dials);
+        for (to, life, seq, instance) in doubts {
+            self.say(to, Line::Still { seq, kind, instance, life });
+        }
         for wish in hopeless {
             self.say(wish.from, Line::Later { seq: wish.seq, after: 250 });
         }
@@ -741,16 +918,24 @@
     fn again(&mut self) {
         let now = self.now;
         let (mut lines, mut silent, mut over, mut ended) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        let mut holds = Vec::new();
         for (&seq, call) in &mut self.calls {
             match &mut call.stage {
                 Stage::Asking { to, sent, tries, waits, hops } => {
-                    if call.end <= now {
+                    if call.end <= now && !planted(Defect::EndUnseen) {
                         over.push(seq);
                         continue;
                     }
-                    let pause = if *waits { AGAIN_WAITING } else { AGAIN * (1 << (*tries - 1).min(3)) };
+                    // What is known to wait is asked after now and then; once that is not answered, as often as any.
+                    let known = *waits && *tries == 1;
+                    let pause = if known { AGAIN_WAITING } else { AGAIN * (1 << (*tries - 1).min(3)) };
                     if *to != self.me && now >= *sent + pause {
-                        if *tries >= TRIES {
+                        // One that was heard since speaks, and has only missed this: it is asked again.
+                        let speaks = self.lives.get(to).is_some_and(|(_, heard)| *heard + SPEAKS > now);
+                        if *tries >= TRIES && speaks {
+                            (*sent, *tries) = (now, 1);
+                            lines.push((*to, seq, *hops));
+                        } else if *tries >= TRIES {
                             silent.push((seq, *to));
                         } else {
                             (*sent, *tries) = (now, *tries + 1);
@@ -758,9 +943,17 @@
                         }
                     }
                 }
+                Stage::Holding { lender, instance, told: Some((sent, tries)), .. } => {
+                    if now >= *sent + AGAIN * (1 << (*tries - 1).min(4)) {
+                        (*sent, *tries) = (now, *tries + 1);
+                        let left = ms(call.end.saturating_sub(now));
+                        let line = Line::Holds { seq, kind: call.kind, instance: instance.clone(), left };
+                        holds.push((*lender, line));
+                    }
+                }
                 Stage::Holding { .. } => {}
                 Stage::Returning { lender, ended: how, ms, sent, tries, began } => {
-                    if now > *began + RETURNING {
+                    if now > *began + RETURNING || planted(Defect::ReturnsOnce) {
                         ended.push(seq);
                     } else if now >= *sent + AGAIN * (1 << (*tries - 1).min(4)) {
                         (*sent, *tries) = (now, *tries + 1);
@@ -770,6 +963,17 @@
                 }
             }
         }
+        for (to, line) in holds {
+            self.say(to, line);
+        }
+        self.strays.retain(|stray| now <= stray.began + RETURNING);
+        for stray in &mut self.strays {
+            if now >= stray.sent + AGAIN * (1 << (stray.tries - 1).min(4)) {
+                (stray.sent, stray.tries) = (now, stray.tries + 1);
+                let line = Line::Unwanted { seq: stray.seq, kind: stray.kind, instance: stray.instance };
+                self.out.entry(stray.to).or_default().push(line);
+            }
+        }
         for (to, seq, hops) in lines {
             if let Some(line) = self.calls.get(&seq).map(|call| self.ask_line(seq, call, hops)) {
                 self.say(to, line);
@@ -779,11 +983,9 @@
             self.calls.remove(&seq);
         }
         for seq in over {
-            if let Some(Call { stage: Stage::Asking { to, .. }, .. }) = self.calls.get(&seq) {
-                let to = *to;
-                self.say(to, Line::Return { seq, kind: 0, ended: Ended::Idle, ms: 0 });
+            if let Some(Call { kind, stage: Stage::Asking { to, .. }, .. }) = self.calls.remove(&seq) {
+                self.stray(to, seq, kind, 0);
             }
-            self.calls.remove(&seq);
             self.orders.push_back(Order::No { call: seq, after: Duration::from_millis(200) });
         }
         if !silent.is_empty() {
@@ -795,7 +997,12 @@
             }
             self.arrange(true);
             self.tell_new_lenders(&HashSet::new());
-            for (seq, _) in silent {
+            // All that was asked of them is asked elsewhere, not each after its own wait.
+            let gone: HashSet<SocketAddr> = silent.into_iter().map(|(_, to)| to).collect();
+            let asks = |call: &Call| matches!(call.stage, Stage::Asking { to, .. } if gone.contains(&to));
+            let lost: Vec<u32> =
+                self.calls.iter().filter(|(_, call)| asks(call)).map(|(seq, _)| *seq).collect();
+            for seq in lost {
                 self.ask(seq, 0);
             }
         }
@@ -807,6 +1014,16 @@
         self.shelves.values_mut().filter_map(|shelf| shelf.tell(now, at_least)).collect()
     }
 
+    /// The functions in this one's care, with what is lent and who waits.
+    pub fn shelves(&self) -> impl Iterator<Item = &Shelf> {
+        self.shelves.values()
+    }
+
+    /// Asks, slots in hand and returns that this one has under way.
+    pub fn calls(&self) -> usize {
+        self.calls.len()
+    }
+
     /// The name of a function told of.
     pub fn name(&self, kind: Kind) -> Option<&str> {
         self.functions.get(&kind).map(|f| f.name.as_str())
@@ -815,6 +1032,7 @@
     /// Whether `tick` has anything to do soon.
     pub fn busy(&self) -> bool {
         !self.calls.is_empty()
+            || !self.strays.is_empty()
             || self
                 .shelves
                 .values()
--- /dev/null
+++ b/crates/lending/src/planted.rs
@@ -0,0 +1,48 @@
+//! Defects that tests plant, to show that the harness finds them. In the programs there are none.
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    /// An instance lends one slot more than it has.
+    OneTooMany,
+    /// A waiting call is granted a slot that is not written down.
+    GrantsUnwritten,
+    /// A new lender lends before it has heard what is out.
+    LendsAtOnce,
+    /// What borrowers tell of loans by a former lender is not written down.
+    HoldsUnheard,
+    /// Loans whose borrower vanished are never taken back.
+    NoTerm,
+    /// Returns are said once.
+    ReturnsOnce,
+    /// Grants that nobody waits for any more are kept.
+    StraysKept,
+    /// Calls that nobody answers are forgotten.
+    EndUnseen,
+    /// Calls are served in the order in which they came.
+    ByArrival,
+    /// Slots that come back wait for the next ask.
+    QueueForgotten,
+    /// What drains is still lent.
+    DrainLent,
+    /// A new life numbers its calls like the one before.
+    NumbersAgain,
+    /// Loans are forgotten when their instance goes to another lender for a while.
+    BooksForgotten,
+    /// A slot that comes back is freed twice.
+    FreedTwice,
+}
+
+#[cfg(feature = "planted")]
+thread_local! {
+    pub static PLANTED: std::cell::Cell<Option<Defect>> = const { std::cell::Cell::new(None) };
+}
+
+#[cfg(feature = "planted")]
+pub fn planted(defect: Defect) -> bool {
+    PLANTED.get() == Some(defect)
+}
+
+#[cfg(not(feature = "planted"))]
+pub const fn planted(_: Defect) -> bool {
+    false
+}
--- a/crates/lending/src/words.rs
+++ b/crates/lending/src/words.rs
@@ -46,6 +46,14 @@
     Noted { seq: u32 },
     /// Told to a new lender: this slot is out, for so many ms yet.
     Holds { seq: u32, kind: Kind, instance: String, left: u32 },
+    /// That was written down. Instances are named by their hash here and below.
+    Heard { seq: u32, kind: Kind, instance: u32 },
+    /// A slot nobody waits for any more; 0 for a place in the queue.
+    Unwanted { seq: u32, kind: Kind, instance: u32 },
+    /// It was struck out.
+    Dropped { seq: u32, instance: u32 },
+    /// Asked of a borrower, of a loan that is out for long or was forgotten for a while: does it have it still?
+    Still { seq: u32, kind: Kind, instance: u32, life: u32 },
 }
 
 /// A datagram: who says it (the life of its process) and its lines.
--- /dev/null
+++ b/crates/lending/tests/harness/mod.rs
@@ -0,0 +1,962 @@
+//! Schedulers that lend and borrow, on simulated time: one seed decides everything that is drawn. Around the deciders are
+//! workers that count what runs on them, a network of datagrams, views that come late, crashes and freezes.
+
+use oorandom::Rand64;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use tindock_lending::words::{kind, Ended, Kind};
+use tindock_lending::{Entry, Function, Lending, Member, Order};
+
+const MS: Duration = Duration::from_millis(1);
+/// A loan outlives its call by the lender's grace and a sweep; clocks are 1% apart.
+const TERM_SLACK: Duration = Duration::from_millis(600);
+/// Returns are said for three seconds.
+const RETURNED: Duration = Duration::from_millis(3300);
+/// What nobody lends any more may be granted so much later: a datagram was under way.
+const UNDERWAY: Duration = Duration::from_millis(2000);
+/// A free slot beside a waiting call: a sweep, twice.
+const IDLE_SLOT: Duration = Duration::from_millis(90);
+
+/// What a run is made of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// Nothing goes wrong, and there is room for all.
+    Quiet,
+    /// Members and instances come and go, datagrams arrive in order, and all learn of it within 40 ms.
+    Tidy,
+    /// Loss, doubled and late datagrams, crashes, freezes, cuts, views that differ for a while.
+    Rough,
+}
+
+#[derive(Clone, Debug)]
+pub struct Broken {
+    pub rule: Rule,
+    pub at: Duration,
+    pub what: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// More runs on an instance than it has slots.
+    Slots,
+    /// The bound for a time in which views differ.
+    Bound,
+    /// A call was not answered by its end.
+    Answer,
+    /// A call was answered twice, or sent to another function's instance.
+    Once,
+    /// A loan outlived its term.
+    Term,
+    /// A loan outlived its call.
+    Returned,
+    /// Not the order of service.
+    Order,
+    /// A free slot beside a waiting call, or a call past its aim though there was room.
+    Starved,
+    /// A slot lent on an instance that lends no more.
+    Drain,
+}
+
+#[derive(Debug, Default)]
+pub struct Outcome {
+    pub broken: Vec<Broken>,
+    pub calls: usize,
+    pub went: usize,
+    pub in_aim: usize,
+    pub refused: usize,
+    /// Most that ran on one instance at once, in slots it has.
+    pub worst: f64,
+    /// For so long some instance had more on it than its slots.
+    pub over: Duration,
+    pub bytes: usize,
+    pub letters: usize,
+    pub slowest: Duration,
+}
+
+#[derive(Debug)]
+enum Event {
+    Tick { who: usize, life: u32 },
+    Letter { to: usize, life: u32, from: SocketAddr, bytes: Vec<u8> },
+    Arrival { who: usize },
+    Ran { call: usize },
+    Told { call: usize, life: u32 },
+    Due { call: usize, life: u32 },
+    View { who: usize, life: u32, version: usize },
+    Stacks { who: usize, life: u32, version: usize },
+    Dialled { who: usize, life: u32, instance: String, taken: bool },
+    Act,
+    Start { who: usize },
+    Thaw { who: usize },
+    Mend { a: usize, b: usize },
+}
+
+struct Host {
+    at: SocketAddr,
+    zone: String,
+    region: String,
+    life: u32,
+    lives: u32,
+    born: Duration,
+    /// Its clock runs this much faster.
+    fast: f64,
+    lending: Option<Lending>,
+    frozen: Option<Vec<Event>>,
+    view: usize,
+    stacks: usize,
+    sees: BTreeSet<(SocketAddr, u32)>,
+    /// Number of a call at this one, to that of the world.
+    calls: HashMap<u32, usize>,
+}
+
+struct Call {
+    who: usize,
+    life: u32,
+    seq: u32,
+    kind: usize,
+    came: Duration,
+    aim: Duration,
+    end: Duration,
+    work: Duration,
+    went: Option<Duration>,
+    refused: bool,
+    /// The borrower has given the slot back, or never had one.
+    over: Option<Duration>,
+    instance: Option<usize>,
+}
+
+struct Instance {
+    id: String,
+    kind: usize,
+    zone: String,
+    at: SocketAddr,
+    since: Duration,
+    up: Duration,
+    drains: Option<Duration>,
+    ended: Option<Duration>,
+    runs: BTreeSet<usize>,
+}
+
+pub struct World {
+    class: Class,
+    chance: Rand64,
+    now: Duration,
+    end: Duration,
+    queue: BTreeMap<(Duration, u64), Event>,
+    events: u64,
+    hosts: Vec<Host>,
+    by_at: HashMap<SocketAddr, usize>,
+    kinds: Vec<(String, usize, f64)>,
+    instances: Vec<Instance>,
+    by_id: HashMap<String, usize>,
+    calls: Vec<Call>,
+    /// Members by version, and instances by version with those that have ended.
+    views: Vec<Vec<Member>>,
+    stacks: Vec<Vec<Entry>>,
+    gone: Vec<String>,
+    cuts: BTreeSet<(usize, usize)>,
+    loss: f64,
+    doubled: f64,
+    late: f64,
+    skew: Duration,
+    longest: Duration,
+    /// The last time at which views of lenders differed.
+    differed: Duration,
+    /// Lenders that instances had lately.
+    lenders: HashMap<usize, BTreeMap<(usize, u32), Duration>>,
+    loans: HashMap<(usize, u32, usize, SocketAddr, u32), Duration>,
+    idle: HashMap<(usize, Kind), Duration>,
+    looked: Duration,
+    over_since: Option<Duration>,
+    trace: bool,
+    pub out: Outcome,
+}
+
+fn port(n: usize) -> SocketAddr {
+    SocketAddr::new(Ipv4Addr::new(10, 1, 0, n as u8 + 1).into(), 7301)
+}
+
+impl World {
+    pub fn new(class: Class, seed: u64) -> World {
+        let chance = Rand64::new(u128::from(seed) << 20 | class as u128);
+        let mut world = World {
+            class,
+            chance,
+            now: Duration::ZERO,
+            end: Duration::from_millis(6000),
+            queue: BTreeMap::new(),
+            events: 0,
+            hosts: Vec::new(),
+            by_at: HashMap::new(),
+            kinds: Vec::new(),
+            instances: Vec::new(),
+            by_id: HashMap::new(),
+            calls: Vec::new(),
+            views: vec![Vec::new()],
+            stacks: vec![Vec::new()],
+            gone: Vec::new(),
+            cuts: BTreeSet::new(),
+            loss: 0.0,
+            doubled: 0.0,
+            late: 0.0,
+            skew: Duration::from_millis(40),
+            longest: Duration::ZERO,
+            differed: Duration::ZERO,
+            lenders: HashMap::new(),
+            loans: HashMap::new(),
+            idle: HashMap::new(),
+            looked: Duration::ZERO,
+            over_since: None,
+            trace: std::env::var_os("LENDING_TRACE").is_some(),
+            out: Outcome::default(),
+        };
+        world.found();
+        world
+    }
+
+    fn below(&mut self, n: usize) -> usize {
+        self.chance.rand_range(0..n.max(1) as u64) as usize
+    }
+
+    fn share(&mut self) -> f64 {
+        self.chance.rand_float()
+    }
+
+    fn span(&mut self, from: Duration, to: Duration) -> Duration {
+        let share = self.share();
+        from + to.saturating_sub(from).mul_f64(share)
+    }
+
+    fn later(&mut self, pause: Duration, event: Event) {
+        self.events += 1;
+        self.queue.insert((self.now + pause, self.events), event);
+    }
+
+    fn tell(&self, what: impl FnOnce() -> String) {
+        if self.trace {
+            println!("{:?} {}", self.now, what());
+        }
+    }
+
+    fn find(&mut self, rule: Rule, what: String) {
+        if self.out.broken.len() < 20 {
+            self.out.broken.push(Broken { rule, at: self.now, what });
+        }
+    }
+
+    fn found(&mut self) {
+        if self.class == Class::Rough {
+            self.loss = [0.0, 0.01, 0.05][self.below(3)];
+            self.doubled = [0.0, 0.02, 0.1][self.below(3)];
+            self.late = [0.0, 0.01, 0.05][self.below(3)];
+            self.skew = Duration::from_millis([40, 300, 900][self.below(3)]);
+        }
+        let zones = 1 + self.below(3);
+        let hosts = 2 + self.below(4);
+        for n in 0..hosts {
+            let zone = n % zones;
+            self.hosts.push(Host {
+                at: port(n),
+                zone: format!("z{zone}"),
+                region: format!("r{}", zone / 2),
+                life: 0,
+                lives: 0,
+                born: Duration::ZERO,
+                fast: 0.0,
+                lending: None,
+                frozen: None,
+                view: 0,
+                stacks: 0,
+                sees: BTreeSet::new(),
+                calls: HashMap::new(),
+            });
+            self.by_at.insert(port(n), n);
+        }
+        let spare = usize::from(self.class != Class::Quiet && hosts > 2);
+        for n in 0..hosts - spare {
+            self.start(n);
+        }
+        for n in 0..1 + self.below(2) {
+            let slots = 1 + self.below(3);
+            let work = [15.0, 60.0, 150.0][self.below(3)];
+            let work = if self.class == Class::Quiet { 15.0 } else { work };
+            self.kinds.push((format!("function-{n}"), slots, work));
+            for _ in 0..1 + self.below(3) {
+                self.begin(n, true);
+            }
+        }
+        self.views_change();
+        self.stacks_change();
+        for who in 0..hosts {
+            self.later(400 * MS, Event::Arrival { who });
+        }
+        if self.class != Class::Quiet {
+            self.later(600 * MS, Event::Act);
+        }
+    }
+
+    fn begin(&mut self, kind: usize, ready: bool) {
+        let n = self.instances.len();
+        let zone = format!("z{}", self.below(self.hosts.len()) % 3);
+        let zone = if self.hosts.iter().any(|h| h.zone == zone) { zone } else { "z0".into() };
+        let id = format!("i{n}");
+        self.by_id.insert(id.clone(), n);
+        let up = if ready { self.now } else { self.now + 300 * MS };
+        self.instances.push(Instance {
+            id,
+            kind,
+            zone,
+            at: SocketAddr::new(Ipv4Addr::new(10, 2, 0, n as u8 + 1).into(), 80),
+            since: self.now,
+            up,
+            drains: None,
+            ended: None,
+            runs: BTreeSet::new(),
+        });
+    }
+
+    fn start(&mut self, who: usize) {
+        let seed = self.chance.rand_u64();
+        let fast = (self.share() - 0.5) * 0.02;
+        let host = &mut self.hosts[who];
+        host.lives += 1;
+        host.life = (seed as u32) | 1;
+        host.born = self.now;
+        host.fast = fast;
+        host.frozen = None;
+        host.calls.clear();
+        (host.view, host.stacks) = (0, 0);
+        host.sees.clear();
+        host.lending = Some(Lending::new(host.at, host.zone.clone(), host.life, seed, Duration::ZERO));
+        let life = host.life;
+        self.later(MS, Event::Tick { who, life });
+    }
+
+    fn local(&self, who: usize) -> Duration {
+        let host = &self.hosts[who];
+        self.now.saturating_sub(host.born).mul_f64(1.0 + host.fast)
+    }
+
+    /// All who live hear of the members there are, each in its own time.
+    fn views_change(&mut self) {
+        let there = self.hosts.iter().filter(|h| h.lending.is_some());
+        let view =
+            there.map(|h| Member { at: h.at, zone: h.zone.clone(), region: h.region.clone(), life: h.life });
+        let view: Vec<Member> = view.collect();
+        self.views.push(view);
+        let version = self.views.len() - 1;
+        for who in 0..self.hosts.len() {
+            let (life, skew) = (self.hosts[who].life, self.skew);
+            let pause = self.span(Duration::ZERO, skew);
+            self.later(pause, Event::View { who, life, version });
+        }
+    }
+
+    fn entries(&self) -> Vec<Entry> {
+        let there = self.instances.iter().filter(|i| i.ended.is_none());
+        let entry = |i: &Instance| Entry {
+            instance: i.id.clone(),
+            kind: kind(&self.kinds[i.kind].0),
+            at: i.at,
+            zone: i.zone.clone(),
+            ready: self.now >= i.up,
+            lends: i.drains.is_none(),
+            since: Duration::ZERO,
+        };
+        there.map(entry).collect()
+    }
+
+    fn stacks_change(&mut self) {
+        let entries = self.entries();
+        self.stacks.push(entries);
+        let version = self.stacks.len() - 1;
+        for who in 0..self.hosts.len() {
+            let (life, skew) = (self.hosts[who].life, self.skew);
+            let pause = self.span(Duration::ZERO, skew);
+            self.later(pause, Event::Stacks { who, life, version });
+        }
+    }
+
+    pub fn run(mut self) -> Outcome {
+        // Long enough after the last call that all loans are over.
+        let stop = self.end + self.longest.max(Duration::from_secs(9)) + RETURNED;
+        while let Some(((at, _), event)) = self.queue.pop_first() {
+            if at > stop {
+                break;
+            }
+            // Nothing is left to happen but ticks.
+            if at > self.end + RETURNED && self.at_rest() {
+                break;
+            }
+            self.now = at;
+            self.happen(event);
+            self.look();
+        }
+        self.close();
+        self.out.calls = self.calls.len();
+        self.out
+    }
+
+    fn at_rest(&self) -> bool {
+        self.calls.iter().rev().take(400).all(|call| call.over.is_some())
+            && self
+                .hosts
+                .iter()
+                .filter_map(|h| h.lending.as_ref())
+                .all(|l| l.calls() == 0 && l.shelves().all(|s| s.queue.is_empty() && s.lent() == 0))
+    }
+
+    fn addressee(&self, event: &Event) -> Option<(usize, u32)> {
+        match event {
+            Event::Tick { who, life }
+            | Event::View { who, life, .. }
+            | Event::Stacks { who, life, .. }
+            | Event::Dialled { who, life, .. } => Some((*who, *life)),
+            Event::Letter { to, life, .. } => Some((*to, *life)),
+            Event::Told { call, life } | Event::Due { call, life } => Some((self.calls[*call].who, *life)),
+            _ => None,
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        if let Some((who, life)) = self.addressee(&event) {
+            let host = &mut self.hosts[who];
+            // Views and letters are for an address, the rest for a process.
+            let any = matches!(event, Event::View { .. } | Event::Stacks { .. } | Event::Letter { .. });
+            if host.lending.is_none() || (!any && host.life != life) {
+                return;
+            }
+            if let Some(backlog) = &mut host.frozen {
+                if backlog.len() < 2000 {
+                    backlog.push(event);
+                }
+                return;
+            }
+        }
+        match event {
+            Event::Tick { who, life } => {
+                let now = self.local(who);
+                if let Some(lending) = &mut self.hosts[who].lending {
+                    lending.tick(now);
+                }
+                self.pump(who);
+                self.later(25 * MS, Event::Tick { who, life });
+            }
+            Event::Letter { to, from, bytes, .. } => {
+                let now = self.local(to);
+                if let Some(lending) = &mut self.hosts[to].lending {
+                    lending.hear(now, from, &bytes);
+                }
+                self.pump(to);
+            }
+            Event::Arrival { who } => self.arrival(who),
+            Event::Ran { call } => {
+                if let Some(n) = self.calls[call].instance {
+                    self.instances[n].runs.remove(&call);
+                }
+            }
+            Event::Told { call, .. } | Event::Due { call, .. } => self.settle(call, Ended::Done),
+            Event::View { who, version, .. } => self.view(who, version),
+            Event::Stacks { who, version, .. } => self.told_stacks(who, version),
+            Event::Dialled { who, instance, taken, .. } => {
+                let now = self.local(who);
+                if let Some(lending) = &mut self.hosts[who].lending {
+                    lending.dialled(now, &instance, taken);
+                }
+                self.pump(who);
+            }
+            Event::Act => {
+                self.act();
+                let pause = self.span(100 * MS, 1500 * MS);
+                if self.now + pause + 1500 * MS < self.end {
+                    self.later(pause, Event::Act);
+                }
+            }
+            Event::Start { who } => {
+                if self.hosts[who].lending.is_none() {
+                    self.start(who);
+                    self.views_change();
+                    self.stacks_change();
+                }
+            }
+            Event::Thaw { who } => {
+                // What it was granted before comes to light only now.
+                self.differed = self.now + UNDERWAY;
+                let backlog = self.hosts[who].frozen.take().unwrap_or_default();
+                for event in backlog {
+                    self.happen(event);
+                }
+                self.views_change();
+            }
+            Event::Mend { a, b } => {
+                self.cuts.remove(&(a, b));
+            }
+        }
+    }
+
+    fn view(&mut self, who: usize, version: usize) {
+        if self.hosts[who].view >= version {
+            return;
+        }
+        let now = self.local(who);
+        let members = self.views[version].clone();
+        let host = &mut self.hosts[who];
+        host.view = version;
+        host.sees = members.iter().map(|m| (m.at, m.life)).collect();
+        if let Some(lending) = &mut host.lending {
+            lending.members(now, members);
+        }
+        self.differed = self.differed.max(self.now);
+        self.tell(|| format!("{who} has view {version} of {:?}", self.hosts[who].sees));
+        self.pump(who);
+    }
+
+    fn told_stacks(&mut self, who: usize, version: usize) {
+        if self.hosts[who].stacks >= version {
+            return;
+        }
+        let (now, born) = (self.local(who), self.hosts[who].born);
+        let first = self.hosts[who].stacks == 0;
+        let mut entries = self.stacks[version].clone();
+        for entry in &mut entries {
+            let since = self.instances[self.by_id[&entry.instance]].since;
+            entry.since = since.saturating_sub(born);
+        }
+        let known: BTreeSet<&str> = entries.iter().map(|e| e.instance.as_str()).collect();
+        let gone: Vec<String> = self.gone.iter().filter(|id| !known.contains(id.as_str())).cloned().collect();
+        let functions = self.kinds.iter().map(|(name, slots, _)| Function {
+            kind: kind(name),
+            name: name.clone(),
+            slots: *slots,
+            boot: 300 * MS,
+        });
+        let functions: Vec<Function> = functions.collect();
+        let host = &mut self.hosts[who];
+        host.stacks = version;
+        if let Some(lending) = &mut host.lending {
+            if first {
+                lending.functions(now, functions);
+            }
+            lending.stacks(now, entries, &gone);
+        }
+        self.pump(who);
+    }
+
+    fn arrival(&mut self, who: usize) {
+        if self.now >= self.end {
+            return;
+        }
+        let kinds = self.kinds.len();
+        let n = self.below(kinds);
+        let (name, slots, work) = self.kinds[n].clone();
+        // Quiet runs use a fifth of what there is; others press now and then.
+        let there = self.instances.iter().filter(|i| i.kind == n && i.drains.is_none()).count().max(1);
+        let press = match self.class {
+            Class::Quiet => 0.1,
+            _ if (self.now.as_millis() / 1500) % 2 == 0 => 0.5,
+            _ => 1.6,
+        };
+        let rate = (there * slots) as f64 / work * 1000.0 * press / self.hosts.len() as f64 * kinds as f64;
+        let pause = -(1.0 - self.share()).ln() / rate.clamp(0.5, 60.0);
+        self.later(Duration::from_secs_f64(pause), Event::Arrival { who });
+        let priority = self.below(4) as u8;
+        let deadline = [800, 2000, 7000][self.below(3)];
+        let aim = Duration::from_millis(if self.class == Class::Quiet {
+            400
+        } else {
+            [200, 400, 600][self.below(3)]
+        });
+        let deadline = if self.class == Class::Quiet { 4000 } else { deadline };
+        let work = Duration::from_secs_f64(work / 1000.0 * (0.4 + 1.2 * self.share()));
+        let host = &self.hosts[who];
+        if host.lending.is_none() || host.frozen.is_some() || host.view == 0 || host.stacks == 0 {
+            return;
+        }
+        let now = self.local(who);
+        let end = now + Duration::from_millis(deadline);
+        self.longest = self.longest.max(Duration::from_millis(deadline));
+        let host = &mut self.hosts[who];
+        let Some(lending) = &mut host.lending else { return };
+        let seq = lending.want(now, kind(&name), priority, now + aim, end, "");
+        let call = self.calls.len();
+        host.calls.insert(seq, call);
+        self.calls.push(Call {
+            who,
+            life: host.life,
+            seq,
+            kind: n,
+            came: self.now,
+            aim: self.now + aim,
+            end,
+            work,
+            went: None,
+            refused: false,
+            over: None,
+            instance: None,
+        });
+        self.pump(who);
+    }
+
+    fn lost(&mut self, a: usize, b: usize) -> bool {
+        let pair = (a.min(b), a.max(b));
+        self.cuts.contains(&pair) || (self.loss > 0.0 && self.share() < self.loss)
+    }
+
+    fn pump(&mut self, who: usize) {
+        loop {
+            let Some(lending) = &mut self.hosts[who].lending else { return };
+            let Some(order) = lending.pull() else { return };
+            let life = self.hosts[who].life;
+            match order {
+                Order::Send { to, bytes } => self.send(who, to, bytes),
+                Order::Go { call, instance, at } => self.go(who, call, &instance, at),
+                Order::No { call, .. } => self.no(who, call),
+                Order::Dial { instance, .. } => {
+                    let n = self.by_id[&instance];
+                    let taken = self.now >= self.instances[n].up && self.instances[n].ended.is_none();
+                    self.later(MS, Event::Dialled { who, life, instance, taken });
+                }
+                Order::Gone { .. } | Order::Ready { .. } | Order::Wanted(_) => {}
+                // Until it is asked again, this one has a view of its own.
+                Order::PassedOver { .. } => {
+                    self.differed = self.differed.max(self.now + tindock_lending::PASSED_OVER)
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, who: usize, to: SocketAddr, bytes: Vec<u8>) {
+        self.tell(|| format!("  {who} to {to}: {:?}", tindock_lending::words::Letter::read(&bytes)));
+        let Some(&other) = self.by_at.get(&to) else { return };
+        self.out.bytes += bytes.len() + 28;
+        self.out.letters += 1;
+        let times = 1 + usize::from(self.doubled > 0.0 && self.share() < self.doubled);
+        for _ in 0..times {
+            if self.lost(who, other) {
+                continue;
+            }
+            let near = self.hosts[who].zone == self.hosts[other].zone;
+            let way = if near { MS / 4 } else { 8 * MS };
+            let mut pause = self.span(way, way + way / 5);
+            if self.class == Class::Tidy {
+                pause = way;
+            }
+            if self.late > 0.0 && self.share() < self.late {
+                pause = self.span(20 * MS, 1500 * MS);
+            }
+            let (from, life) = (self.hosts[who].at, self.hosts[other].life);
+            self.later(pause, Event::Letter { to: other, life, from, bytes: bytes.clone() });
+        }
+    }
+
+    fn go(&mut self, who: usize, seq: u32, instance: &str, at: SocketAddr) {
+        let now = self.local(who);
+        let Some(&call) = self.hosts[who].calls.get(&seq) else {
+            return self.find(Rule::Once, format!("a slot for call {seq} of {who}, which it does not have"));
+        };
+        let n = self.by_id[instance];
+        let (kind_of, ended, drains) = {
+            let i = &self.instances[n];
+            (i.kind, i.ended, i.drains)
+        };
+        if self.calls[call].went.is_some() || self.calls[call].refused {
+            self.find(Rule::Once, format!("call {call} was answered twice"));
+        }
+        if kind_of != self.calls[call].kind || self.instances[n].at != at {
+            self.find(Rule::Once, format!("call {call} goes to {instance} of another function"));
+        }
+        // All learn of a drain within the skew of views; a queue on it is served elsewhere.
+        let frozen = self.hosts.iter().any(|h| h.frozen.is_some());
+        if let Some(since) = drains.filter(|_| !frozen && self.differed < self.now) {
+            if self.now > since + self.skew + UNDERWAY {
+                self.find(Rule::Drain, format!("{instance} is lent {:?} after its drain", self.now - since));
+            }
+        }
+        self.tell(|| format!("call {call} of {who} ({seq}) has {instance}"));
+        self.calls[call].went = Some(self.now);
+        self.calls[call].instance = Some(n);
+        let left = self.calls[call].end.saturating_sub(now);
+        if left.is_zero() || ended.is_some() {
+            let how = if ended.is_some() { Ended::Gone } else { Ended::Idle };
+            return self.settle(call, how);
+        }
+        let life = self.hosts[who].life;
+        let work = self.calls[call].work;
+        self.instances[n].runs.insert(call);
+        self.over(n);
+        // The worker is done with it at the end of its work, or when the desk hangs up at the end of the call.
+        let runs = work.min(left);
+        self.later(runs, Event::Ran { call });
+        let event = if runs < left { Event::Told { call, life } } else { Event::Due { call, life } };
+        self.later(runs + MS / 5, event);
+    }
+
+    fn no(&mut self, who: usize, seq: u32) {
+        // A call that is turned away within `want` has no number here yet.
+        let Some(&call) = self.hosts[who].calls.get(&seq) else { return };
+        if self.calls[call].went.is_some() || self.calls[call].refused {
+            self.find(Rule::Once, format!("call {call} was answered twice"));
+        }
+        self.calls[call].refused = true;
+        self.calls[call].over = Some(self.now);
+        self.out.refused += 1;
+    }
+
+    fn settle(&mut self, call: usize, ended: Ended) {
+        let (who, seq) = (self.calls[call].who, self.calls[call].seq);
+        if self.calls[call].over.is_some() || self.hosts[who].life != self.calls[call].life {
+            return;
+        }
+        self.calls[call].over = Some(self.now);
+        self.tell(|| format!("call {call} of {who} is over"));
+        let now = self.local(who);
+        if let Some(lending) = &mut self.hosts[who].lending {
+            lending.settle(now, seq, ended);
+        }
+        self.pump(who);
+    }
+
+    fn act(&mut self) {
+        let hosts = self.hosts.len();
+        let who = self.below(hosts);
+        let up = self.hosts.iter().filter(|h| h.lending.is_some() && h.frozen.is_none()).count();
+        let draw = self.below(if self.class == Class::Rough { 8 } else { 5 });
+        self.tell(|| format!("act {draw} on {who}"));
+        match draw {
+            0 => {
+                let kinds = self.kinds.len();
+                let kind = self.below(kinds);
+                self.begin(kind, false);
+                self.stacks_change();
+            }
+            1 => {
+                let lends: Vec<usize> =
+                    (0..self.instances.len()).filter(|n| self.instances[*n].drains.is_none()).collect();
+                if lends.len() > 1 {
+                    let n = lends[self.below(lends.len())];
+                    self.instances[n].drains = Some(self.now);
+                    self.stacks_change();
+                }
+            }
+            2 => {
+                let old: Vec<usize> = (0..self.instances.len())
+                    .filter(|n| {
+                        let i = &self.instances[*n];
+                        i.ended.is_none() && i.drains.is_some_and(|at| at + 1500 * MS < self.now)
+                    })
+                    .collect();
+                for n in old {
+                    let now = self.now;
+                    let i = &mut self.instances[n];
+                    i.ended = Some(now);
+                    i.runs.clear();
+                    let id = i.id.clone();
+                    self.gone.push(id);
+                    self.stacks_change();
+                }
+            }
+            3 if self.hosts[who].lending.is_none() => self.happen(Event::Start { who }),
+            // A kill in a tidy run: its connections are reset and its runs end. Otherwise now and then the power goes.
+            3 | 4 if up > 1 && self.hosts[who].lending.is_some() => {
+                let power = self.class == Class::Rough && self.below(2) == 0;
+                self.kill(who, power);
+            }
+            5 if self.hosts[who].lending.is_some() && self.hosts[who].frozen.is_none() => {
+                self.hosts[who].frozen = Some(Vec::new());
+                let lasts = self.span(100 * MS, 4000 * MS);
+                self.later(lasts, Event::Thaw { who });
+            }
+            6 => {
+                let other = self.below(hosts);
+                if other != who {
+                    let (a, b) = (who.min(other), who.max(other));
+                    self.cuts.insert((a, b));
+                    let lasts = self.span(100 * MS, 3000 * MS);
+                    self.later(lasts, Event::Mend { a, b });
+                }
+            }
+            // A view without one that is there, and the true one soon after.
+            7 => {
+                let mut view = self.views.last().cloned().unwrap_or_default();
+                if view.len() > 1 {
+                    let n = self.below(view.len());
+                    view.remove(n);
+                    self.views.push(view);
+                    let version = self.views.len() - 1;
+                    let life = self.hosts[who].life;
+                    self.later(MS, Event::View { who, life, version });
+                    self.views_change();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn kill(&mut self, who: usize, power: bool) {
+        let life = self.hosts[who].life;
+        self.hosts[who].lending = None;
+        self.hosts[who].frozen = None;
+        let now = self.now;
+        for (n, call) in self.calls.iter_mut().enumerate() {
+            if call.who == who && call.life == life && call.over.is_none() {
+                call.over = Some(now);
+                if let Some(i) = call.instance.filter(|_| !power) {
+                    self.instances[i].runs.remove(&n);
+                }
+            }
+        }
+        self.views_change();
+        let back = self.span(50 * MS, 2500 * MS);
+        self.later(back, Event::Start { who });
+    }
+
+    /// One instance after a call came to it.
+    fn over(&mut self, n: usize) {
+        let slots = self.kinds[self.instances[n].kind].1;
+        let runs = self.instances[n].runs.len();
+        let rate = runs as f64 / slots as f64;
+        self.out.worst = self.out.worst.max(rate);
+        if runs <= slots {
+            return;
+        }
+        self.over_since.get_or_insert(self.now);
+        let id = self.instances[n].id.clone();
+        // Loans given while views differed are over after the longest term.
+        let calm = self.now > self.differed + self.longest + TERM_SLACK && self.cuts.is_empty();
+        if calm || self.class != Class::Rough {
+            self.find(Rule::Slots, format!("{id} has {runs} calls in {slots} slots"));
+        }
+        let lenders = self.lenders.get(&n).map_or(1, |l| l.len()).max(1);
+        if runs > slots * lenders {
+            let what = format!("{id} has {runs} calls in {slots} slots of {lenders} lenders lately");
+            self.find(Rule::Bound, what);
+        }
+    }
+
+    fn calm_views(&self) -> bool {
+        let newest = self.views.len() - 1;
+        let there = self.hosts.iter().filter(|h| h.lending.is_some());
+        there.clone().all(|h| h.frozen.is_none() && h.view == newest)
+            && self.cuts.is_empty()
+            && self.now > self.differed
+    }
+
+    /// What must hold after each step.
+    fn look(&mut self) {
+        if let Some(since) = self.over_since {
+            let slots = |i: &Instance| self.kinds[i.kind].1;
+            if self.instances.iter().all(|i| i.runs.len() <= slots(i)) {
+                self.out.over += self.now - since;
+                self.over_since = None;
+            }
+        }
+        // The books are read ten times more often than anything can outlive its bound by.
+        if self.now < self.looked + 5 * MS {
+            return;
+        }
+        self.looked = self.now;
+        let calm = self.calm_views();
+        let mut found = Vec::new();
+        let mut seen = Vec::new();
+        for (who, host) in self.hosts.iter().enumerate() {
+            let Some(lending) = host.lending.as_ref().filter(|_| host.frozen.is_none()) else { continue };
+            let local = self.now.saturating_sub(host.born).mul_f64(1.0 + host.fast);
+            for shelf in lending.shelves() {
+                let key = |w: &tindock_lending::lender::Wish| (w.late, w.priority, w.aim);
+                if shelf.queue.windows(2).any(|pair| key(&pair[0]) > key(&pair[1])) {
+                    found.push((Rule::Order, format!("the queue of {who} is out of order")));
+                }
+                let idle = (who, shelf.function.kind);
+                if !shelf.queue.is_empty() && shelf.free(local) > 0 {
+                    let since = *self.idle.entry(idle).or_insert(self.now);
+                    if self.now > since + IDLE_SLOT {
+                        let what = format!("{who} has {} waiting beside a free slot", shelf.queue.len());
+                        found.push((Rule::Starved, what));
+                    }
+                } else {
+                    self.idle.remove(&idle);
+                }
+                for book in &shelf.books {
+                    let n = self.by_id[&book.entry.instance];
+                    let lately = self.lenders.entry(n).or_default();
+                    lately.insert((who, host.life), self.now);
+                    for loan in &book.loans {
+                        seen.push((who, host.life, n, loan.to, loan.seq));
+                    }
+                }
+            }
+        }
+        let old = self.longest + TERM_SLACK;
+        let mut kept = HashMap::with_capacity(seen.len());
+        for key in seen {
+            let since = self.loans.get(&key).copied().unwrap_or(self.now);
+            kept.insert(key, since);
+            let (who, _, n, to, seq) = key;
+            let held = self.now - since;
+            if held > old + old.mul_f64(0.02) {
+                let what = format!("{who} has had {to} down for {} for {held:?}", self.instances[n].id);
+                found.push((Rule::Term, what));
+            }
+            if !calm {
+                continue;
+            }
+            // Whose call is over, or never was, at a borrower that lives: it has had its time to say so.
+            let Some(&other) = self.by_at.get(&to) else { continue };
+            let host = &self.hosts[other];
+            let over = match host.calls.get(&seq) {
+                Some(&call) => self.calls[call].over,
+                None => None,
+            };
+            if let Some(over) = over {
+                let quiet = over.max(since).max(self.differed);
+                if self.now > quiet + RETURNED {
+                    let id = &self.instances[n].id;
+                    found
+                        .push((Rule::Returned, format!("{who} has {to} down for {id}: over since {over:?}")));
+                }
+            }
+        }
+        self.loans = kept;
+        for lately in self.lenders.values_mut() {
+            lately.retain(|_, at| *at + old > self.now);
+        }
+        for (rule, what) in found {
+            self.find(rule, what);
+        }
+    }
+
+    fn close(&mut self) {
+        let mut found = Vec::new();
+        for (n, call) in self.calls.iter().enumerate() {
+            let host = &self.hosts[call.who];
+            if call.went.is_some() {
+                self.out.went += 1;
+                let took = call.went.map_or(Duration::ZERO, |at| at - call.came);
+                self.out.slowest = self.out.slowest.max(took);
+                if call.went.is_some_and(|at| at <= call.aim) {
+                    self.out.in_aim += 1;
+                }
+            }
+            if call.went.is_none() && !call.refused && call.over.is_none() && host.life == call.life {
+                found.push((Rule::Answer, format!("call {n} of {} was not answered", call.who)));
+            }
+            if self.class == Class::Quiet && call.went.is_none_or(|at| at > call.aim) {
+                found.push((Rule::Starved, format!("call {n} is past its aim though there is room")));
+            }
+        }
+        for (who, host) in self.hosts.iter().enumerate() {
+            let Some(lending) = &host.lending else { continue };
+            if lending.shelves().any(|s| s.lent() > 0) {
+                found.push((Rule::Term, format!("{who} has loans down after all is over")));
+            }
+        }
+        for (rule, what) in found {
+            self.find(rule, what);
+        }
+    }
+}
+
+/// Plays one seed.
+pub fn play(class: Class, seed: u64) -> Outcome {
+    World::new(class, seed).run()
+}
--- /dev/null
+++ b/crates/rebinding/src/check.rs
@@ -0,0 +1,143 @@
+//! Plays a plan and says what it breaks. Shares nothing with the planner but the words.
+
+use std::collections::HashMap;
+
+use crate::ground::Ground;
+use crate::words::{Fleet, Measure, Mode, Plan};
+
+/// What a plan breaks, with the number of the move.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The instance is not where the move takes it from, or is moved twice.
+    NotThere(usize),
+    /// The target is unknown, drains, or is the source.
+    BadTarget(usize),
+    /// Old and new together are more than the target has.
+    NoRoom(usize),
+    /// An urgent function would be stopped first, or be under its need.
+    UnderNeed(usize),
+    /// Stopped first, and the move to wait for does not follow.
+    BadOrder(usize),
+    /// More moves than allowed.
+    TooMany,
+    /// At the end more is open, exposed or together, or fewer holes are there, than before.
+    Worse,
+}
+
+/// Plays `plan` one move after the other.
+pub fn check(fleet: &Fleet, plan: &Plan, moves: usize) -> Result<(), Fault> {
+    let functions: HashMap<&str, _> = fleet.functions.iter().map(|f| (f.name.as_str(), f)).collect();
+    let hosts: HashMap<&str, _> = fleet.hosts.iter().map(|h| (h.name.as_str(), h)).collect();
+    let mut at: HashMap<&str, &str> =
+        fleet.instances.iter().map(|i| (i.id.as_str(), i.host.as_str())).collect();
+    let mut serving = HashMap::<&str, u32>::new();
+    let mut free: HashMap<&str, Measure> = hosts.iter().map(|(n, h)| (*n, h.whole)).collect();
+    for i in &fleet.instances {
+        *serving.entry(i.function.as_str()).or_default() += 1;
+        if let (Some(f), Some(m)) = (functions.get(i.function.as_str()), free.get_mut(i.host.as_str())) {
+            *m = m.less(&f.takes);
+        }
+    }
+    for (name, m) in &mut free {
+        *m = m.least(&hosts[name].free);
+    }
+    let started = serving.clone();
+    if plan.moves.len() > moves {
+        return Err(Fault::TooMany);
+    }
+    let mut moved = HashMap::<&str, usize>::new();
+    // Begins that wait for another move: after it, who, where.
+    let mut waiting: Vec<(usize, usize)> = Vec::new();
+    for (n, m) in plan.moves.iter().enumerate() {
+        let (Some(f), Some(host)) = (functions.get(m.function.as_str()), at.get(m.instance.as_str())) else {
+            return Err(Fault::NotThere(n));
+        };
+        if *host != m.from || moved.insert(&m.instance, n).is_some() {
+            return Err(Fault::NotThere(n));
+        }
+        let floor = f.need.min(started.get(f.name.as_str()).copied().unwrap_or(0));
+        let count = serving.entry(f.name.as_str()).or_default();
+        let from = free.get(m.from.as_str()).copied().unwrap_or_default().plus(&f.takes);
+        match (&m.to, m.mode) {
+            (None, _) => {
+                *count -= 1;
+                if *count < floor {
+                    return Err(Fault::UnderNeed(n));
+                }
+                free.insert(&m.from, from);
+                at.remove(m.instance.as_str());
+            }
+            (Some(to), Mode::MakeFirst) => {
+                if to == &m.from || !hosts.get(to.as_str()).is_some_and(|h| h.up) {
+                    return Err(Fault::BadTarget(n));
+                }
+                // Both run: the new one's room is there before the old one's is.
+                let room = free.get(to.as_str()).copied().unwrap_or_default();
+                if !f.takes.fits(&room) {
+                    return Err(Fault::NoRoom(n));
+                }
+                free.insert(to, room.less(&f.takes));
+                free.insert(&m.from, from);
+                at.insert(&m.instance, to);
+            }
+            (Some(_), Mode::BreakFirst { begin_after }) => {
+                if f.urgent {
+                    return Err(Fault::UnderNeed(n));
+                }
+                if begin_after <= n || begin_after >= plan.moves.len() {
+                    return Err(Fault::BadOrder(n));
+                }
+                free.insert(&m.from, from);
+                waiting.push((begin_after, n));
+            }
+        }
+        for (_, w) in waiting.extract_if_after(n) {
+            let m = &plan.moves[w];
+            let Some(to) = &m.to else { continue };
+            if !hosts.get(to.as_str()).is_some_and(|h| h.up) {
+                return Err(Fault::BadTarget(w));
+            }
+            let (room, takes) = (free.get(to.as_str()).copied().unwrap_or_default(), m.meanwhile);
+            if !takes.fits(&room) {
+                return Err(Fault::NoRoom(w));
+            }
+            free.insert(to, room.less(&takes));
+            at.insert(&m.instance, to);
+        }
+    }
+    let mut last = fleet.clone();
+    last.instances.retain(|i| at.contains_key(i.id.as_str()));
+    for i in &mut last.instances {
+        if let Some(host) = at.get(i.id.as_str()) {
+            i.host = host.to_string();
+        }
+    }
+    for h in &mut last.hosts {
+        h.free = free[h.name.as_str()];
+    }
+    let (a, b) = (Ground::new(fleet).figures(), Ground::new(&last).figures());
+    // What drains has to go somewhere, and a hole may open a host: then more may be open.
+    let forced = fleet.hosts.iter().any(|h| !h.up) || a.holes_lacking > b.holes_lacking || a.together > b.together;
+    let worse = b.exposed > a.exposed
+        || b.together > a.together
+        || b.holes_lacking > a.holes_lacking
+        || b.taken_mb > a.taken_mb
+        || b.open_mb > a.open_mb && !forced;
+    if worse {
+        return Err(Fault::Worse);
+    }
+    Ok(())
+}
+
+trait ExtractAfter {
+    fn extract_if_after(&mut self, n: usize) -> Vec<(usize, usize)>;
+}
+
+impl ExtractAfter for Vec<(usize, usize)> {
+    /// Takes out the begins that waited for move `n`.
+    fn extract_if_after(&mut self, n: usize) -> Vec<(usize, usize)> {
+        let (now, later) = self.drain(..).partition(|w| w.0 <= n);
+        *self = later;
+        now
+    }
+}
--- /dev/null
+++ b/crates/rebinding/src/judge.rs
@@ -0,0 +1,109 @@
+//! When to move: only if it pays, never in a rush.
+
+use std::time::Duration;
+
+use crate::words::Plan;
+
+/// What goes on at the moment.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Moment {
+    /// Calls waiting for a slot, of all functions.
+    pub waiting: u32,
+    /// Slots wanted over slots wanted a while ago.
+    pub growth: f64,
+    /// Hosts or instances were lost, or starts refused, in the last while.
+    pub trouble: bool,
+    /// A configuration is on its way.
+    pub configuring: bool,
+    /// The holder knows all instances, and demand is told by all lenders.
+    pub settled: bool,
+}
+
+/// Why not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum No {
+    Paused,
+    Unsettled,
+    Configuring,
+    Trouble,
+    Rush,
+    /// Calm, but not for long enough.
+    TooSoon,
+    /// What it saves does not outweigh what it costs.
+    TooLittle,
+}
+
+/// Keeps the time since the last rush and the last run.
+#[derive(Clone, Debug)]
+pub struct Judge {
+    /// Calm for so long before a run.
+    pub calm: Duration,
+    /// From one run to the next.
+    pub again: Duration,
+    /// A saving counts from this on, in the worth of a call ...
+    pub least: f64,
+    /// ... and this many times the price of the moves' double memory.
+    pub factor: f64,
+    /// Slots wanted may have grown by this much.
+    pub growth: f64,
+    pub paused: bool,
+    restless: Option<Duration>,
+    ran: Option<Duration>,
+}
+
+impl Judge {
+    pub fn new(now: Duration) -> Judge {
+        Judge {
+            calm: Duration::from_secs(10),
+            again: Duration::from_secs(60),
+            least: 5.0,
+            factor: 2.0,
+            growth: 1.25,
+            paused: false,
+            restless: Some(now),
+            ran: None,
+        }
+    }
+
+    /// To be told at every pass.
+    pub fn moment(&mut self, now: Duration, m: &Moment) -> Option<No> {
+        let no = if !m.settled {
+            Some(No::Unsettled)
+        } else if m.configuring {
+            Some(No::Configuring)
+        } else if m.trouble {
+            Some(No::Trouble)
+        } else if m.waiting > 0 || m.growth > self.growth {
+            Some(No::Rush)
+        } else {
+            None
+        };
+        if no.is_some() {
+            self.restless = Some(now);
+        }
+        no
+    }
+
+    /// Whether `plan` should be run now. `price`: of its double memory, in the worth of a call.
+    pub fn allows(&mut self, now: Duration, m: &Moment, plan: &Plan, price: f64) -> Result<(), No> {
+        let no = self.moment(now, m);
+        if self.paused {
+            return Err(No::Paused);
+        }
+        if let Some(no) = no {
+            return Err(no);
+        }
+        let since = |at: Option<Duration>, least: Duration| at.is_none_or(|at| now >= at + least);
+        if !since(self.restless, self.calm) || !since(self.ran, self.again) {
+            return Err(No::TooSoon);
+        }
+        let (a, b) = (plan.before, plan.after);
+        // Goals that come before price.
+        let forced = b.exposed < a.exposed || b.together < a.together || b.holes_lacking < a.holes_lacking;
+        if plan.moves.is_empty() || !forced && (plan.saving < self.least || plan.saving < self.factor * price) {
+            return Err(No::TooLittle);
+        }
+        self.ran = Some(now);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/rebinding/tests/planner.rs
@@ -0,0 +1,183 @@
+//! Properties of plans over seeded fleets, and planted defects of plans that `check` finds.
+
+use rstest::rstest;
+use tindock_rebinding::*;
+
+fn terms(seed: u64) -> Terms {
+    Terms {
+        host_gb_s: if seed.is_multiple_of(3) { 0.0 } else { 1.1 },
+        moves: [4, 12, 60][(seed % 3) as usize],
+        probes: 60_000,
+        ..Terms::default()
+    }
+}
+
+/// A fleet with drains, hosts that others use too or that report too much, more wanted, larger expected.
+fn fleet(seed: u64) -> Fleet {
+    let mut f = sample(seed, 20 + (seed % 30) as usize, 0.45 + 0.5 * ((seed % 11) as f64 / 11.0));
+    let hosts = f.hosts.len();
+    match seed % 5 {
+        1 => f.hosts[(seed as usize / 5) % hosts].up = false,
+        2 => f.hosts[0].free = Measure::mb(f.hosts[0].free.memory_mb / 2),
+        3 => f.hosts[0].free.memory_mb *= 3,
+        4 => f.functions.iter_mut().filter(|f| !f.urgent).for_each(|f| (f.need, f.wanted) = (0, 1)),
+        _ => {}
+    }
+    f.expected.push(Measure::mb(512 + 512 * (seed % 12) as u32));
+    f
+}
+
+#[rstest]
+#[case(Way::FirstFit, 10_000)]
+#[case(Way::Cheapest, 10_000)]
+#[case(Way::Search, 1_500)]
+fn plans_hold_what_they_promise(#[case] way: Way, #[case] seeds: u64) {
+    let (mut moves, mut breaks, mut holes, mut exposed) = (0, 0, 0, 0);
+    for seed in 0..seeds {
+        let (fleet, terms) = (fleet(seed), terms(seed));
+        let plan = plan_by(&fleet, &terms, way, seed);
+        assert_eq!(check(&fleet, &plan, terms.moves), Ok(()), "seed {seed}: {plan:#?}");
+        moves += plan.moves.len();
+        breaks += plan.moves.iter().filter(|m| matches!(m.mode, Mode::BreakFirst { .. })).count();
+        holes += plan.before.holes_lacking - plan.after.holes_lacking;
+        exposed += plan.before.exposed - plan.after.exposed;
+    }
+    // The fleets give each part of the planner something to do.
+    assert!(moves > 1000 && holes > 10 && exposed > 100, "{moves} {breaks} {holes} {exposed}");
+    assert!(way == Way::FirstFit || breaks > 0, "{breaks}");
+}
+
+#[test]
+fn the_same_seed_gives_the_same_plan() {
+    let f = fleet(7);
+    assert_eq!(plan(&f, &terms(7), 3), plan(&f, &terms(7), 3));
+}
+
+#[test]
+fn the_search_is_never_behind_first_fit() {
+    for seed in 0..200 {
+        let (f, t) = (fleet(seed), terms(seed));
+        let (a, b) = (plan_by(&f, &t, Way::FirstFit, seed), plan_by(&f, &t, Way::Search, seed));
+        let key = |p: &Plan| (p.after.exposed, p.after.together, p.after.holes_lacking);
+        assert!(key(&b) < key(&a) || key(&b) == key(&a) && b.saving >= a.saving - 1e-9, "seed {seed}");
+    }
+}
+
+fn small(hosts: &[(&str, u32)], functions: &[(&str, u32, bool)], at: &[(&str, &str)]) -> Fleet {
+    let zone = |n: &str| n[..1].to_string();
+    let mut fleet = Fleet {
+        hosts: hosts
+            .iter()
+            .map(|(n, mb)| Host {
+                name: n.to_string(),
+                zone: zone(n),
+                whole: Measure::mb(*mb),
+                free: Measure::mb(*mb),
+                up: true,
+            })
+            .collect(),
+        ..Fleet::default()
+    };
+    for (i, (f, h)) in at.iter().enumerate() {
+        fleet.instances.push(Instance {
+            id: format!("i{i}"),
+            function: f.to_string(),
+            host: h.to_string(),
+            load: 1.0,
+            age: std::time::Duration::from_secs(600),
+            lender_zone: zone(h),
+            movable: true,
+        });
+    }
+    for (n, mb, urgent) in functions {
+        let count = at.iter().filter(|a| a.0 == *n).count() as u32;
+        fleet.functions.push(Function {
+            name: n.to_string(),
+            takes: Measure::mb(*mb),
+            urgent: *urgent,
+            need: count,
+            wanted: count,
+            boot_ms: 1000,
+            apart: if *urgent { Apart::HOST } else { Apart::empty() },
+        });
+    }
+    fleet
+}
+
+#[test]
+fn two_that_need_each_others_room_swap_if_one_can_wait() {
+    // `a1` needs 600 for `big`; `book` fits on `a2` only when `batch` leaves, which fits only where `book` was.
+    let mut fleet = small(
+        &[("a1", 1024), ("a2", 700)],
+        &[("book", 512, true), ("batch", 400, false)],
+        &[("book", "a1"), ("batch", "a2")],
+    );
+    fleet.instances.push(Instance { id: "x".into(), function: "log".into(), ..fleet.instances[1].clone() });
+    fleet.instances[2].host = "a1".into();
+    fleet.functions.push(Function { name: "log".into(), takes: Measure::mb(200), ..fleet.functions[1].clone() });
+    fleet.functions[2].boot_ms = 1;
+    fleet.instances[2].movable = false;
+    fleet.expected = vec![Measure::mb(400)];
+    let p = plan(&fleet, &Terms::default(), 1);
+    assert_eq!(check(&fleet, &p, 24), Ok(()));
+    assert_eq!(p.after.holes_lacking, 1, "312 is free, and a swap leaves 424 - 0: {p:#?}");
+}
+
+#[test]
+fn a_slice_is_a_resource_like_memory() {
+    let mut fleet = small(&[("a1", 4096), ("a2", 4096), ("a3", 4096)], &[("f", 512, true)], &[("f", "a1")]);
+    fleet.functions[0].takes.slices[0] = 2;
+    for (h, n) in [(0, 4), (1, 1), (2, 2)] {
+        fleet.hosts[h].whole.slices[0] = n;
+        fleet.hosts[h].free.slices[0] = n;
+    }
+    fleet.hosts[0].up = false;
+    let p = plan(&fleet, &Terms::default(), 1);
+    assert_eq!(p.moves.len(), 1);
+    assert_eq!(p.moves[0].to.as_deref(), Some("a3"), "one slice is too few on a2");
+}
+
+#[test]
+fn where_hosts_cost_nothing_nothing_moves_to_save() {
+    let fleet = sample(3, 100, 0.4);
+    let mut calm = fleet.clone();
+    calm.expected.clear();
+    calm.functions.iter_mut().for_each(|f| f.apart = Apart::empty());
+    assert!(plan(&calm, &Terms::default(), 1).moves.is_empty());
+}
+
+/// Defects planted in good plans: each is found.
+#[rstest]
+#[case::out_of_order(0)]
+#[case::twice(1)]
+#[case::into_a_draining_host(2)]
+#[case::urgent_stopped_first(3)]
+#[case::urgent_let_go(4)]
+#[case::onto_a_full_host(5)]
+fn planted_defects_of_plans_are_found(#[case] defect: usize) {
+    let (mut found, mut planted) = (0, 0);
+    for seed in 0..400 {
+        let (mut f, t) = (fleet(seed), Terms { moves: 60, host_gb_s: 1.1, probes: 60_000, ..Terms::default() });
+        let mut p = plan_by(&f, &t, Way::Cheapest, seed);
+        let chain = p.moves.windows(2).position(|w| w[1].to.as_ref() == Some(&w[0].from));
+        let Some(n) = p.moves.iter().position(|m| m.urgent && m.to.is_some()) else { continue };
+        match defect {
+            0 => match chain {
+                Some(n) => p.moves.swap(n, n + 1),
+                None => continue,
+            },
+            1 => p.moves.push(p.moves[n].clone()),
+            2 => f.hosts.iter_mut().filter(|h| Some(&h.name) == p.moves[n].to.as_ref()).for_each(|h| h.up = false),
+            3 => p.moves[n].mode = Mode::BreakFirst { begin_after: n + 1 },
+            4 => p.moves[n].to = None,
+            _ => {
+                let to = p.moves[n].to.clone();
+                f.hosts.iter_mut().filter(|h| Some(&h.name) == to.as_ref()).for_each(|h| h.free = Measure::mb(100));
+            }
+        }
+        planted += 1;
+        found += u32::from(check(&f, &p, 60 + 1).is_err());
+    }
+    // Two that follow each other need not depend on each other.
+    assert!(planted > 5 && (found == planted || defect == 0 && found > 0), "{found} of {planted}");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,13 @@
 //! tindock: a dispatcher that sits beside each submitter and pushes tasks to workers.
 //!
-//! All decisions are in [`rules`]; the words they are spoken in are in [`terms`].
+//! All decisions are in [`rules`] and the files beside it, the index of workers in [`index`]; the words they are
+//! spoken in are in [`terms`].
 
 pub mod books;
+mod choosing;
+pub mod index;
+mod news;
 pub mod rules;
+mod sweeping;
+mod telling;
 pub mod terms;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,7 +4,7 @@
 
 use helpers::{duty, ms, Desk};
 use insta::assert_snapshot;
-use tindock::rules::whittle;
+use tindock::index::whittle;
 use tindock::terms::{Condition, Effect, Ending, Energy, Group};
 
 /// The mean number in the paper's queue grows by this much when the threshold moves: the busy index, worked
