--- a/crates/catalogue/src/change.rs
+++ b/crates/catalogue/src/change.rs
@@ -50,7 +50,7 @@
             from: old.revision,
             revision: self.revision,
             services: moved.then(|| self.services.clone()),
-            limits: self.limits.clone(),
+            limits: self.limits,
             gone: before.keys().filter(|key| !after.contains_key(*key)).cloned().collect(),
             set: set.map(|(_, route)| (*route).clone()).collect(),
             routes: self.routes.len() as u32,
@@ -73,7 +73,7 @@
             revision: change.revision,
             routes: routes.into_values().collect(),
             services: change.services.clone().unwrap_or_else(|| self.services.clone()),
-            limits: change.limits.clone(),
+            limits: change.limits,
         };
         let there = next.routes.len() == change.routes as usize && digest(&next) == change.digest;
         let places =
--- a/crates/house/src/archive.rs
+++ b/crates/house/src/archive.rs
@@ -134,6 +134,7 @@
     said: Said,
     duty: Option<Duty>,
     holder: Option<(SocketAddr, u64)>,
+    place: u8,
     reading_first: bool,
     first_due: Duration,
     start: Instant,
@@ -237,6 +238,7 @@
         vault,
         duty: None,
         holder: None,
+        place: settings.place(),
         reading_first: false,
         first_due: Duration::ZERO,
         start,
@@ -435,13 +437,13 @@
     fn note(&mut self, now: Duration, from: SocketAddr, note: Note) {
         match note {
             Note::Vault(say) => self.vault.hear(now, from, say),
-            Note::Pull { ip, revision } => {
+            Note::Pull { ip, revision, greets } => {
                 if self.readers.len() < 4096 || self.readers.contains_key(&ip) {
                     let reader =
                         self.readers.entry(ip).or_insert(Reader { revision, seen: now, follows: None });
                     (reader.revision, reader.seen) = (revision, now);
                 }
-                let news = self.news(now, ip);
+                let news = self.news(now, ip, greets);
                 self.post.send(from, &news);
                 self.send_word(now, Some(ip));
                 self.read_first(now);
@@ -455,7 +457,7 @@
                 reader.seen = now;
                 reader.follows = Some((number, version));
                 if greets {
-                    let news = self.news(now, from.ip());
+                    let news = self.news(now, from.ip(), true);
                     self.post.send(from, &news);
                 }
                 self.show_stacks(Some(from.ip()));
@@ -488,15 +490,16 @@
         }
     }
 
-    fn news(&self, now: Duration, to: IpAddr) -> Note {
+    fn news(&self, now: Duration, to: IpAddr, greets: bool) -> Note {
         let pages =
             self.readers.iter().filter(|(ip, r)| **ip != to && now < r.seen + PAGE_KEPT).map(|(ip, _)| *ip);
         Note::News {
             holder: self.holder,
             revision: self.vault.committed().map_or(0, |word| word.revision),
             touch: self.vault.in_touch(now) && self.vault.ready(),
-            archives: self.vault.members(),
-            pages: pages.take(SAMPLE).collect(),
+            place: self.place,
+            archives: if greets { self.vault.members() } else { Vec::new() },
+            pages: pages.take(if greets { SAMPLE } else { 0 }).collect(),
         }
     }
 
@@ -670,7 +673,7 @@
             let readers: Vec<IpAddr> =
                 self.readers.iter().filter(|(_, r)| now < r.seen + PAGE_KEPT).map(|(ip, _)| *ip).collect();
             for ip in readers {
-                let news = self.news(now, ip);
+                let news = self.news(now, ip, false);
                 self.post.send(SocketAddr::new(ip, port), &news);
             }
         }
--- a/crates/house/src/desk.rs
+++ b/crates/house/src/desk.rs
@@ -316,8 +316,7 @@
                 }
             }
             Order::PassedOver { lender } => {
-                let pause = tindock_lending::PASSED_OVER.as_secs_f64();
-                info!("lender {} passed over for {pause} s", lender.ip());
+                info!("lender {} passed over until it is heard", lender.ip());
             }
         }
     }
--- a/crates/house/src/notes.rs
+++ b/crates/house/src/notes.rs
@@ -10,16 +10,18 @@
 pub enum Note {
     /// Between archives: the vault's own.
     Vault(Say),
-    /// A page asks an archive for what it lacks; `wait`: it wants to hear of news as it comes.
+    /// A page asks an archive for what it lacks, and hears of news as it comes; `greets`: also who else is there.
     Pull {
         ip: IpAddr,
         revision: u64,
+        greets: bool,
     },
-    /// The answer: who holds the duty, the newest revision in force, who else is there.
+    /// The answer: who holds the duty, the newest revision in force, the archive's zone, who else is there.
     News {
         holder: Option<(SocketAddr, u64)>,
         revision: u64,
         touch: bool,
+        place: u8,
         archives: Vec<SocketAddr>,
         pages: Vec<IpAddr>,
     },
--- a/crates/house/src/page.rs
+++ b/crates/house/src/page.rs
@@ -25,6 +25,8 @@
 /// Pages that tell a new holder what it may not find on the list: instances younger than this (ms), and numbers.
 const TELLERS: usize = 6;
 const UNLISTED: u32 = 8000;
+/// One pull in so many asks who else is there.
+const PULL_GREETS: u32 = 6;
 /// One follow in so many asks for other pages.
 const GREETS: u32 = 4;
 /// What was confirmed so lately counts as the newest.
@@ -69,6 +71,10 @@
     tag: u64,
     numbers: BTreeMap<String, u32>,
     stacks: BTreeMap<String, (Listed, Duration)>,
+    /// Zones of archives, as they told them; one that did not answer counts as far.
+    zones_of: BTreeMap<SocketAddr, u8>,
+    place: u8,
+    pulls: u32,
     desks: Vec<Desk>,
     start: Instant,
     said: Said,
@@ -152,8 +158,7 @@
 
     let life = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
     let seed = life.as_nanos() as u64 ^ crate::archive::hash(&settings.node_name);
-    let places = settings.places();
-    let place = places.iter().position(|(zone, _)| *zone == settings.zone).unwrap_or(0) as u8;
+    let place = settings.place();
     let mut page = Page {
         me,
         views: Views::new(settings.ip_address, place, life.as_millis() as u64, seed, Duration::ZERO),
@@ -176,6 +181,9 @@
         tag: 0,
         numbers: BTreeMap::new(),
         stacks: BTreeMap::new(),
+        zones_of: BTreeMap::new(),
+        place,
+        pulls: 0,
         desks: Vec::new(),
         start,
         settings,
@@ -277,8 +285,10 @@
             return;
         }
         let to = self.archives[self.archive % self.archives.len()];
+        let greets = self.heard == Duration::ZERO || self.pulls.is_multiple_of(PULL_GREETS);
+        self.pulls = self.pulls.wrapping_add(1);
         let revision = self.catalogue.as_ref().filter(|_| !self.whole).map_or(0, |c| c.revision);
-        self.post.send(to, &Note::Pull { ip: self.me.ip(), revision });
+        self.post.send(to, &Note::Pull { ip: self.me.ip(), revision, greets });
     }
 
     /// Whether this page is among the few that tell a new holder what all of them know; chosen by the number, so that no
@@ -303,6 +313,9 @@
         if now >= self.heard + silent && now >= self.pulled + silent.min(Duration::from_millis(300)) {
             // Silent, or not in touch with the others: the next one, and the seeds again once in a while.
             let left = self.archive_now();
+            if let Some(left) = left {
+                self.zones_of.insert(left, u8::MAX);
+            }
             self.archive = self.archive.wrapping_add(1);
             if self.archive.is_multiple_of(8) {
                 // The file may have changed without a signal.
@@ -421,6 +434,21 @@
         }
     }
 
+    /// An archive of the own zone is asked, if there is one: news costs least there. One whose zone is unknown is asked once.
+    fn settle_near(&mut self) {
+        let rank = |at: &SocketAddr| match self.zones_of.get(at) {
+            Some(place) if *place == self.place => 0,
+            None => 1,
+            Some(_) => 2,
+        };
+        let Some(current) = self.archive_now() else { return };
+        if let Some(best) = (0..self.archives.len()).min_by_key(|i| rank(&self.archives[*i])) {
+            if rank(&self.archives[best]) < rank(&current) {
+                self.archive = best;
+            }
+        }
+    }
+
     /// The stacks as they are known here, with their ages now.
     fn known(&self, now: Duration) -> Vec<Listed> {
         let aged = |(listed, at): &(Listed, Duration)| Listed {
@@ -434,7 +462,8 @@
 
     fn note(&mut self, now: Duration, from: SocketAddr, note: Note) {
         match note {
-            Note::News { holder, revision, touch, archives, pages } => {
+            Note::News { holder, revision, touch, place, archives, pages } => {
+                self.zones_of.insert(from, place);
                 if !archives.is_empty() && archives != self.archives {
                     let current = self.archives.get(self.archive % self.archives.len().max(1)).copied();
                     self.archives = archives;
@@ -444,6 +473,7 @@
                 self.views.greet(now, pages);
                 let own = self.catalogue.as_ref().map_or(0, |c| c.revision);
                 if touch {
+                    self.settle_near();
                     if self.said.alone {
                         let silent = now.saturating_sub(self.heard).as_secs();
                         warn!("archive {} in touch again after {silent} s", from.ip());
--- a/crates/house/src/settings.rs
+++ b/crates/house/src/settings.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::fmt;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -168,7 +168,9 @@
 
     /// Where the page listens for the desk beside it.
     pub fn loopback(&self) -> SocketAddr {
-        SocketAddr::from(([127, 0, 0, 1], self.ephemeral_ports.0 + 2))
+        // Machines that are all played on one have a loopback address each, and the same ports.
+        let ip = if self.ip_address.is_loopback() { self.ip_address } else { Ipv4Addr::LOCALHOST.into() };
+        SocketAddr::new(ip, self.ephemeral_ports.0 + 2)
     }
 
     /// The seeds' addresses for other schedulers: the ports of a deployment are the same on all machines.
@@ -176,6 +178,11 @@
         self.seed_peers.iter().map(|seed| SocketAddr::new(seed.ip(), self.ephemeral_ports.0)).collect()
     }
 
+    /// The own zone's number among all zones.
+    pub fn place(&self) -> u8 {
+        self.places().iter().position(|(zone, _)| *zone == self.zone).unwrap_or(0) as u8
+    }
+
     /// All zones with their regions, in an order that is the same everywhere.
     pub fn places(&self) -> Vec<(String, String)> {
         let mut places = self.zones.clone();
--- a/crates/lending/src/lender.rs
+++ b/crates/lending/src/lender.rs
@@ -555,6 +555,14 @@
         }
     }
 
+    /// This borrower is asked at once after all loans that it has been asked after before.
+    pub fn doubt(&mut self, now: Duration, from: SocketAddr) {
+        let of = self.books.iter_mut().flat_map(|book| &mut book.loans);
+        for loan in of.filter(|loan| loan.to == from && now >= loan.since + LONG / 4) {
+            (loan.doubt, loan.asked) = (now, 0);
+        }
+    }
+
     /// Loans to be asked after now: the borrower, its life, the call and the instance.
     pub fn doubts(&mut self, now: Duration) -> Vec<(SocketAddr, u32, u32, u32)> {
         let mut all = Vec::new();
--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -27,8 +27,8 @@
 const TRIES: u32 = 3;
 /// Who has been heard so lately is not passed over.
 const SPEAKS: Duration = Duration::from_millis(250);
-/// For so long.
-pub const PASSED_OVER: Duration = Duration::from_secs(3);
+/// One that is passed over is asked for a word this often, and lends again once it is heard.
+pub const PASSED_OVER: Duration = Duration::from_millis(500);
 /// A new lender of an instance that others may have lent waits so long for what is told of it.
 const HEARING: Duration = Duration::from_millis(200);
 /// What a lender said of its room is believed so long.
@@ -166,6 +166,7 @@
     life: u32,
     chance: Rand32,
     members: Vec<Member>,
+    /// Lenders that say nothing, and when they are next asked for a word.
     passed_over: HashMap<SocketAddr, Duration>,
     functions: HashMap<Kind, Function>,
     entries: BTreeMap<String, Entry>, // all instances, by id
@@ -281,6 +282,8 @@
             .map(|m| m.at)
             .collect();
         self.members = members;
+        // One that begins anew may speak again.
+        self.passed_over.retain(|at, _| !fresh.contains(at));
         self.changed = now;
         self.arrange(true);
         self.tell_new_lenders(&fresh);
@@ -373,7 +376,7 @@
     }
 
     fn alive(&self, at: SocketAddr) -> bool {
-        at == self.me || self.passed_over.get(&at).is_none_or(|until| *until <= self.now)
+        at == self.me || !self.passed_over.contains_key(&at)
     }
 
     /// Who lends the instances of this function in this zone.
@@ -482,7 +485,7 @@
             let Some(entry) = self.entries.get(id).filter(|entry| entry.lends) else { continue };
             let (ready, heavy) = zones.entry(&entry.zone).or_default();
             // The weight is of those that count: started ones where there are any.
-            if entry.ready > *ready {
+            if entry.ready && !*ready {
                 (*ready, *heavy) = (true, weight(kind, &entry.at));
             } else if entry.ready == *ready {
                 *heavy = (*heavy).max(weight(kind, &entry.at));
@@ -690,12 +693,23 @@
     pub fn hear(&mut self, now: Duration, from: SocketAddr, bytes: &[u8]) -> bool {
         self.now = now;
         let Some(letter) = Letter::read(bytes) else { return false };
-        self.passed_over.remove(&from);
-        // A process that lives anew has forgotten what it lent.
-        if self.lives.len() < 4096
-            && self.lives.insert(from, (letter.life, now)).is_some_and(|old| old.0 != letter.life)
-        {
+        let back = self.passed_over.remove(&from).is_some();
+        let before = match self.lives.len() < 4096 || self.lives.contains_key(&from) {
+            true => self.lives.insert(from, (letter.life, now)),
+            false => None,
+        };
+        if back {
+            self.arrange(true);
+            self.tell_new_lenders(&HashSet::new());
+        }
+        // What it said while it was cut off is lost: it is asked after what it had then.
+        if before.is_none_or(|(_, heard)| heard + PASSED_OVER < now) {
+            self.shelves.values_mut().for_each(|shelf| shelf.doubt(now, from));
+        }
+        // A process that lives anew has forgotten what it lent, and waits for nothing that the one before asked for.
+        if before.is_some_and(|(life, _)| life != letter.life) {
             self.tell_new_lenders(&HashSet::from([from]));
+            self.shelves.values_mut().for_each(|shelf| shelf.forget_asks(from, letter.life));
         }
         for line in letter.lines {
             self.line(from, letter.life, line);
@@ -1021,6 +1035,26 @@
         }
     }
 
+    /// Whoever says nothing lends nothing for now, and what was asked of it is asked elsewhere.
+    fn pass_over(&mut self, silent: Vec<SocketAddr>) {
+        if silent.is_empty() {
+            return;
+        }
+        for &to in &silent {
+            if self.passed_over.insert(to, self.now + PASSED_OVER).is_none() {
+                self.orders.push_back(Order::PassedOver { lender: to });
+            }
+        }
+        self.arrange(true);
+        self.tell_new_lenders(&HashSet::new());
+        // All that was asked of them is asked elsewhere, not each after its own wait.
+        let asks = |call: &Call| matches!(call.stage, Stage::Asking { to, .. } if silent.contains(&to));
+        let lost: Vec<u32> = self.calls.iter().filter(|(_, call)| asks(call)).map(|(seq, _)| *seq).collect();
+        for seq in lost {
+            self.ask(seq, 0);
+        }
+    }
+
     /// The zone with room in which a call that would wait here does better, if there is one.
     fn better(&mut self, kind: Kind, wish: &Wish) -> Option<String> {
         let now = self.now;
@@ -1061,12 +1095,7 @@
         for kind in kinds {
             self.sweep(kind);
         }
-        let over = self.passed_over.len();
-        self.passed_over.retain(|_, until| *until > now);
-        if self.passed_over.len() != over {
-            self.arrange(true);
-            self.tell_new_lenders(&HashSet::new());
-        }
+        self.probe();
         self.short.retain(|_, at| *at + ROOM > now);
         if self.said.len() > 1024 {
             self.said.retain(|_, (at, _)| *at + ROOM > now);
@@ -1078,6 +1107,24 @@
         self.pump();
     }
 
+    /// Lenders that are passed over are asked for a word, and lend again once they are heard. Giving them back their
+    /// instances before would have their calls wait anew, and the instances change hands twice each time.
+    fn probe(&mut self) {
+        let now = self.now;
+        let members = &self.members;
+        self.passed_over.retain(|at, _| members.iter().any(|m| m.at == *at));
+        let due = self.passed_over.iter_mut().filter(|(_, next)| **next <= now);
+        let due: Vec<SocketAddr> = due
+            .map(|(at, next)| {
+                *next = now + PASSED_OVER;
+                *at
+            })
+            .collect();
+        for at in due {
+            self.say(at, Line::Unwanted { seq: 0, kind: 0, instance: 0 });
+        }
+    }
+
     fn sweep(&mut self, kind: Kind) {
         let now = self.now;
         let Some(shelf) = self.shelves.get_mut(&kind) else { return };
@@ -1133,7 +1180,7 @@
                             (*sent, *tries) = (now, 1);
                             lines.push((*to, seq, *hops));
                         } else if *tries >= TRIES {
-                            silent.push((seq, *to));
+                            silent.push(*to);
                         } else {
                             (*sent, *tries) = (now, *tries + 1);
                             lines.push((*to, seq, *hops));
@@ -1185,24 +1232,7 @@
             }
             self.orders.push_back(Order::No { call: seq, after: Duration::from_millis(200) });
         }
-        if !silent.is_empty() {
-            for &(_, to) in &silent {
-                let before = self.passed_over.insert(to, now + PASSED_OVER);
-                if before.is_none_or(|until| until <= now) {
-                    self.orders.push_back(Order::PassedOver { lender: to });
-                }
-            }
-            self.arrange(true);
-            self.tell_new_lenders(&HashSet::new());
-            // All that was asked of them is asked elsewhere, not each after its own wait.
-            let gone: HashSet<SocketAddr> = silent.into_iter().map(|(_, to)| to).collect();
-            let asks = |call: &Call| matches!(call.stage, Stage::Asking { to, .. } if gone.contains(&to));
-            let lost: Vec<u32> =
-                self.calls.iter().filter(|(_, call)| asks(call)).map(|(seq, _)| *seq).collect();
-            for seq in lost {
-                self.ask(seq, 0);
-            }
-        }
+        self.pass_over(silent);
     }
 
     /// What the scaler is to hear of functions in this one's care.
@@ -1221,6 +1251,11 @@
         self.calls.len()
     }
 
+    /// Lenders that say nothing, and are not asked until they do.
+    pub fn passed_over(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.passed_over.keys().copied()
+    }
+
     /// The name of a function told of.
     pub fn name(&self, kind: Kind) -> Option<&str> {
         self.functions.get(&kind).map(|f| f.name.as_str())
--- a/crates/lending/tests/harness/mod.rs
+++ b/crates/lending/tests/harness/mod.rs
@@ -622,9 +622,7 @@
                 }
                 Order::Gone { .. } | Order::Ready { .. } | Order::Wanted(_) => {}
                 // Until it is asked again, this one has a view of its own.
-                Order::PassedOver { .. } => {
-                    self.differed = self.differed.max(self.now + tindock_lending::PASSED_OVER)
-                }
+                Order::PassedOver { .. } => self.differed = self.differed.max(self.now + MS),
             }
         }
     }
@@ -851,7 +849,8 @@
     fn calm_views(&self) -> bool {
         let newest = self.views.len() - 1;
         let there = self.hosts.iter().filter(|h| h.lending.is_some());
-        there.clone().all(|h| h.frozen.is_none() && h.view == newest)
+        let sees = |h: &Host| h.lending.as_ref().is_some_and(|l| l.passed_over().next().is_none());
+        there.clone().all(|h| h.frozen.is_none() && h.view == newest && sees(h))
             && self.cuts.is_empty()
             && self.now > self.differed
     }
@@ -870,6 +869,11 @@
             return;
         }
         self.looked = self.now;
+        // While somebody passes a lender over it has a view of its own.
+        let mut living = self.hosts.iter().filter_map(|h| h.lending.as_ref());
+        if living.any(|lending| lending.passed_over().next().is_some()) {
+            self.differed = self.differed.max(self.now);
+        }
         let calm = self.calm_views();
         let mut found = Vec::new();
         let mut seen = Vec::new();
--- a/crates/rehearsal/src/desk.rs
+++ b/crates/rehearsal/src/desk.rs
@@ -83,6 +83,7 @@
     Demand(Vec<Demand>),
     /// A call has its slot, after so long.
     Slot(Duration),
+    PassedOver(SocketAddr),
     Gone(String),
     Ready(String),
     Answer {
@@ -340,7 +341,7 @@
                     self.kept.remove(&instance);
                     self.out.push_back(Out::Gone(instance));
                 }
-                Order::PassedOver { .. } => {}
+                Order::PassedOver { lender } => self.out.push_back(Out::PassedOver(lender)),
                 Order::Ready { instance } => self.out.push_back(Out::Ready(instance)),
                 Order::Wanted(told) => {
                     let demand = self.demand(told);
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -602,6 +602,10 @@
                         self.slot_waits.push(wait.as_secs_f64() * 1e3);
                     }
                 }
+                desk::Out::PassedOver(lender) => {
+                    let name = edge.name.clone();
+                    self.tell(format!("{name} passes {} over", lender.ip()));
+                }
                 desk::Out::Gone(instance) => running.page.carry(Note::Gone(instance)),
                 desk::Out::Ready(instance) => running.page.carry(Note::Ready(instance)),
                 desk::Out::Lend { to, bytes } => self.send_lend(n, ip, to, bytes),
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -70,12 +70,16 @@
 fn go() -> Result<String, Wrong> {
     let one_line = |why: String| vec![format!("tindock: {}", why.replace('\n', " "))];
     let named = || std::env::var_os("GW_CONFIG").map(PathBuf::from).ok_or("GW_CONFIG names no configuration");
-    let whole = Cli::command().subcommands(tindock_house::cli::commands());
+    let whole =
+        Cli::command().subcommands(tindock_house::cli::commands()).subcommand(tindock_standins::command());
     let matches = whole.get_matches();
     // The whole system's commands are built beside this scheduler's own.
     if let Some((name, given)) = matches.subcommand().filter(|(name, _)| tindock_house::cli::is_ours(name)) {
         return Ok(tindock_house::cli::run(name, given).map_err(one_line)?);
     }
+    if let Some(("demo", given)) = matches.subcommand() {
+        return Ok(tindock_standins::run(given).map_err(one_line)?);
+    }
     match Cli::from_arg_matches(&matches).map_err(|e| e.exit()).map(|cli| cli.command).unwrap_or(None) {
         None => {
             let path = named().map_err(|why| one_line(why.into()))?;
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -5,7 +5,7 @@
 //! answer counts as not read (a process that had read all of it leaves an end instead), an end as read.
 
 use crate::ledger::{Asked, Ledger};
-use crate::wire::{call, read_answer, request, Broken};
+use crate::wire::{call, read_answer, request, request_in_chunks, Broken};
 use crate::workers::{print, seal};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
@@ -353,7 +353,12 @@
             ("Standin-Work-Ms", &work),
             ("Standin-Answer-Bytes", &bytes),
         ];
-        let out = request(&class.method, target, &headers, body);
+        // Bodies come with a length or in chunks.
+        let out = if user.hash % 2 == 1 && !body.is_empty() {
+            request_in_chunks(&class.method, target, &headers, body, 100)
+        } else {
+            request(&class.method, target, &headers, body)
+        };
         let mut buf = Vec::new();
         let exchange = async {
             if let Err(why) = stream.write_all(&out).await {
--- a/crates/standins/src/demo.rs
+++ b/crates/standins/src/demo.rs
@@ -238,6 +238,8 @@
         let hosts = (0..6).map(host).collect();
         let mut offered = platform::Options::new(net.provider(), functions(), hosts);
         offered.seed = seed;
+        let (provider, terms) = (net.provider(), offered.clone());
+        let platform = Platform::start(offered, ledger.clone()).await.map_err(Fault::Platform)?;
         let plan = Plan {
             program,
             folder: folder().map_err(|(path, why)| Fault::Fleet(fleet::Fault::File(path, why)))?,
@@ -245,24 +247,22 @@
             edges: 1,
             cores: 3,
             grace: Duration::from_secs(2),
-            drain: offered.drain,
-            rate_per_s: offered.rate_per_s,
-            duty_rate_s: offered.duty_rate_s,
-            max_lag: offered.max_lag,
+            drain: terms.drain,
+            rate_per_s: terms.rate_per_s,
+            duty_rate_s: terms.duty_rate_s,
+            max_lag: terms.max_lag,
             again: Some(Duration::from_millis(500)),
         };
-        let provider = net.provider();
-        let platform = Platform::start(offered, ledger.clone()).await.map_err(Fault::Platform)?;
         let fleet = Fleet::start(plan, net, provider).map_err(Fault::Fleet)?;
         let mut stage =
             Stage { fleet, platform, ledger, zones, taken: Duration::ZERO, served: Duration::ZERO };
         stage.taken = match stage.configure().await {
             Ok(()) => began.elapsed(),
-            Err(fault) => return stage.close(false, Err(fault)).await,
+            Err(fault) => return stage.close(Err(fault)).await,
         };
         stage.served = match stage.first().await {
             Ok(()) => began.elapsed(),
-            Err(fault) => return stage.close(false, Err(fault)).await,
+            Err(fault) => return stage.close(Err(fault)).await,
         };
         Ok(stage)
     }
@@ -312,8 +312,8 @@
     }
 
     /// Ends everything that was started, and hands the outcome on.
-    pub async fn close<T>(self, keep: bool, outcome: Result<T, Fault>) -> Result<T, Fault> {
-        self.fleet.end(keep).await;
+    pub async fn close<T>(self, outcome: Result<T, Fault>) -> Result<T, Fault> {
+        self.fleet.end().await;
         outcome
     }
 }
@@ -359,6 +359,10 @@
 /// The whole demo: what is left to print at its end. All that it started has ended by then.
 pub async fn demo(options: Options) -> Result<String, Fault> {
     let mut ends = Ends::new()?;
+    if let Some(path) = &options.report {
+        // Found out now, and not after the load.
+        std::fs::write(path, "").map_err(|why| Fault::Report(path.clone(), why))?;
+    }
     say("starting 3 archives, 3 pages and 3 desks, with stand-ins for the platform and the operator\n");
     let stage = tokio::select! {
         stage = Stage::open(options.program.clone(), options.seed) => stage?,
@@ -376,13 +380,14 @@
             Ok(format!("\nended; {}", counts(&stage)))
         }
     };
-    let kept = match (options.keep, stage.fleet.folder()) {
-        (true, folder) => format!("settings, logs and disks: {}\n", folder.display()),
-        _ => String::new(),
-    };
+    let mut kept = String::new();
+    if options.keep {
+        stage.fleet.keep_folder();
+        kept = format!("settings, logs and disks: {}\n", stage.fleet.folder().display());
+    }
     // A second Ctrl-C does not wait for anybody's grace.
     let closed = tokio::select! {
-        closed = stage.close(options.keep, played) => closed,
+        closed = stage.close(played) => closed,
         () = ends.come() => Ok("ended at once\n".into()),
     };
     closed.map(|text| text + &kept)
@@ -417,7 +422,7 @@
         for class in classes() {
             let method = if class.repeatable { "" } else { " -X POST -d hello" };
             text += &format!(
-                "  curl -i{method} -H 'Host: {}' -H \"Attempt-Id: $(uuidgen)\" -H 'Deadline-Ms: 4000' \
+                "  curl -i{method} -H 'Host: {}' -H \"Attempt-Id: $(cat /proc/sys/kernel/random/uuid)\" -H 'Deadline-Ms: 4000' \
                  http://{}{}1\n",
                 class.hostname, door.data_plane, class.path
             );
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -102,6 +102,8 @@
     guard: Option<(Child, ChildStdin)>,
     happened: Vec<(Instant, String)>,
     ending: bool,
+    /// The folder stays.
+    kept: bool,
 }
 
 /// The programs while they run.
@@ -132,7 +134,8 @@
         fs::create_dir_all(&plan.folder).map_err(|why| Fault::File(plan.folder.clone(), why))?;
         let guard = guard_of(&plan);
         let happened = Vec::new();
-        let inner = Inner { plan, net, provider, machines, processes, guard, happened, ending: false };
+        let inner =
+            Inner { plan, net, provider, machines, processes, guard, happened, ending: false, kept: false };
         let inner = Arc::new(Mutex::new(inner));
         let watched = inner.clone();
         let watch = tokio::spawn(async move {
@@ -233,8 +236,13 @@
         text
     }
 
-    /// SIGTERM to all, SIGKILL to those that are still there after their grace; the folder is removed unless it is kept.
-    pub async fn end(self, keep_folder: bool) {
+    /// The folder stays when all is over.
+    pub fn keep_folder(&self) {
+        self.inner().kept = true;
+    }
+
+    /// SIGTERM to all, SIGKILL to those that are still there after their grace; then the folder goes.
+    pub async fn end(self) {
         let grace = {
             let mut inner = self.inner();
             inner.ending = true;
@@ -248,9 +256,6 @@
             sleep(LOOK / 2).await;
             self.inner().look();
         }
-        if keep_folder {
-            self.inner().keep_folder();
-        }
     }
 }
 
@@ -369,15 +374,11 @@
             drop(to);
             let _ = child.wait();
         }
-        if !self.plan.folder.as_os_str().is_empty() {
+        if !self.kept {
             let _ = fs::remove_dir_all(&self.plan.folder);
         }
     }
 
-    fn keep_folder(&mut self) {
-        self.plan.folder = PathBuf::new();
-    }
-
     /// The settings file of a process.
     fn settings(&self, machine: &Machine, role: Role, first: bool) -> String {
         let (plan, ports, ip) = (&self.plan, self.net.ports, machine.ip);
@@ -481,3 +482,19 @@
     }
     let _ = fs::remove_dir_all(folder);
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_guard_leaves_alone_what_is_another_program_and_removes_the_folder() {
+        let folder = std::env::temp_dir().join(format!("tindock-guard-{}", std::process::id()));
+        fs::create_dir(&folder).expect("a folder");
+        let mut other = Command::new("sleep").arg("5").spawn().expect("a process");
+        guard(&folder, format!("+{}\n+x\n-7\n", other.id()).as_bytes());
+        assert!(!folder.exists());
+        assert!(matches!(other.try_wait(), Ok(None)));
+        other.kill().and_then(|()| other.wait()).expect("its end");
+    }
+}
--- a/crates/standins/src/places.rs
+++ b/crates/standins/src/places.rs
@@ -38,6 +38,8 @@
 const PROVIDER: u8 = 100;
 const HOSTS: u8 = 101;
 const GUARD: u8 = 250;
+/// Listened on at the guard's address while a net is held, whatever its other ports are.
+const HELD: u16 = 17_999;
 
 impl Net {
     /// One that is free, looked for from `seed` on.
@@ -58,9 +60,11 @@
 
     fn hold(x: u8, y: u8, ports: Ports) -> std::io::Result<Net> {
         let at = |last: u8, port: u16| (Ipv4Addr::new(127, x, y, last), port);
-        let held = TcpListener::bind(at(GUARD, ports.data_plane))?;
+        let held = TcpListener::bind(at(GUARD, HELD))?;
         // A program that listens on every address would be in the way.
-        for port in [ports.readiness, ports.control_plane, ports.provider, ports.ephemeral.0] {
+        for port in
+            [ports.data_plane, ports.readiness, ports.control_plane, ports.provider, ports.ephemeral.0]
+        {
             TcpListener::bind(at(GUARD, port))?;
         }
         std::net::UdpSocket::bind(at(GUARD, ports.ephemeral.0))?;
--- a/crates/standins/src/wire.rs
+++ b/crates/standins/src/wire.rs
@@ -228,6 +228,26 @@
     message(format!("{method} {target} HTTP/1.1\r\n"), headers, body, bodied)
 }
 
+/// The same, with the body in chunks of at most `size` bytes.
+pub fn request_in_chunks(
+    method: &str,
+    target: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    size: usize,
+) -> Vec<u8> {
+    let mut all = headers.to_vec();
+    all.push(("Transfer-Encoding", "chunked"));
+    let mut bytes = message(format!("{method} {target} HTTP/1.1\r\n"), &all, b"", false);
+    for chunk in body.chunks(size.max(1)) {
+        bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+        bytes.extend_from_slice(chunk);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    bytes
+}
+
 fn message(mut head: String, headers: &[(&str, &str)], body: &[u8], bodied: bool) -> Vec<u8> {
     // Writing to a String cannot fail.
     for (name, value) in headers {
@@ -263,3 +283,51 @@
     }
     h
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+    use tokio::net::TcpListener;
+
+    async fn over(bytes: Vec<u8>) -> TcpStream {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+        let mut sender =
+            TcpStream::connect(listener.local_addr().expect("an address")).await.expect("it is taken");
+        sender.write_all(&bytes).await.expect("it goes out");
+        listener.accept().await.expect("a connection").0
+    }
+
+    #[rstest]
+    #[case::length(request("POST", "/a", &[("Host", "h")], b"hello world"))]
+    #[case::chunks(request_in_chunks("POST", "/a", &[("Host", "h")], b"hello world", 4))]
+    #[tokio::test]
+    async fn requests_come_back_as_they_went(#[case] bytes: Vec<u8>) {
+        let (mut twice, mut buf) = (bytes.clone(), Vec::new());
+        twice.extend(bytes);
+        let mut stream = over(twice).await;
+        for _ in 0..2 {
+            let got = read_request(&mut stream, &mut buf).await.expect("a request");
+            assert_eq!((got.target.as_str(), got.headers.get("HOST")), ("/a", Some("h")));
+            assert_eq!(got.body, b"hello world");
+        }
+        assert!(matches!(read_request(&mut stream, &mut buf).await, Err(Broken::Ended)));
+    }
+
+    #[rstest]
+    #[case::length("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", Ok("hi"))]
+    #[case::until_the_end("HTTP/1.1 200 OK\r\n\r\nhi", Ok("hi"))]
+    #[case::after_another("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No\r\n\r\n", Ok(""))]
+    #[case::short("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nhi", Err(Broken::Cut))]
+    #[case::bad_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", Err(Broken::Garbled))]
+    #[case::other("\x16\x03 hello\r\n\r\n", Err(Broken::Garbled))]
+    #[tokio::test]
+    async fn answers_are_whole_or_say_why_not(
+        #[case] bytes: &'static str,
+        #[case] wanted: Result<&'static str, Broken>,
+    ) {
+        let mut stream = over(bytes.into()).await;
+        let got = read_answer(&mut stream, &mut Vec::new(), "GET").await;
+        assert_eq!(got.map(|answer| answer.body), wanted.map(|body| body.as_bytes().to_vec()));
+    }
+}
