The duty is renewed every 0.35 s: nine core machines stay within the bound at rest

Seen: vault's is_quiet_at_rest failed in the whole test run: 16.5 messages a second from each of nine members, 16 allowed. Excluded: anything of lending or rehearsal (vault alone fails). Change: RENEW 0.35 s; a term of 0.9 s, a tenth taken off, still holds two renewals. Before and after: test fails, test passes; rehearsal's 44 scenarios pass.

--- a/crates/vault/src/lease.rs
+++ b/crates/vault/src/lease.rs
@@ -13,7 +13,7 @@
 use crate::{Stored, Vault, What};
 
 pub const TERM: Duration = Duration::from_millis(900);
-const RENEW: Duration = Duration::from_millis(300);
+const RENEW: Duration = Duration::from_millis(350);
 /// A round that has no majority by then has failed.
 const ROUND: Duration = Duration::from_millis(300);
 /// Numbers stay far from the end, and exact in a double.
