Control store: a new voter counts with what it read, and without a vote for it

Excluded before: a leaving voter that stays longer. Change: it counts with the promise it read; MemberState::votes_from says that what lies below is a copy and no vote; a start takes a text below the promise on its disk for read as well. Wire version 3.

--- a/crates/control-store/src/lib.rs
+++ b/crates/control-store/src/lib.rs
@@ -53,8 +53,8 @@
 const MAX_PEERS: usize = 64;
 const PEER_EXPIRY: Duration = Duration::from_secs(10);
 const MAX_ACTIONS: usize = 4096;
-/// Of `Envelope`: another one isn't understood. 1 was without this number, and without ballots.
-pub const WIRE_VERSION: u16 = 2;
+/// Of `Envelope`: another one isn't understood. 1 was without this number, and without ballots; 2 without `votes_from`.
+pub const WIRE_VERSION: u16 = 3;
 
 #[derive(Clone, Debug)]
 pub struct MemberSettings {
@@ -206,6 +206,8 @@
     pub committed: Version,
     /// The highest ballot it promised: on its disk, or about to be.
     pub promised: Ballot,
+    /// What it saved under a lower ballot is a copy that it read, not its vote.
+    pub votes_from: Ballot,
     /// The highest lease number it promised.
     pub number: u64,
     /// The lease's holder, heard by the sender itself within a voter's term.
@@ -214,6 +216,13 @@
     pub ask: u64,
 }
 
+impl MemberState {
+    /// Whether the sender accepted this version, and has it on its disk.
+    fn votes_for(&self, version: Version) -> bool {
+        self.saved == version && version.ballot >= self.votes_from
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     Send { to: SocketAddr, envelope: Envelope },
@@ -415,6 +424,7 @@
             held: self.register.held_version(),
             committed: self.register.committed_version(),
             promised: self.register.promised(),
+            votes_from: self.register.votes_from(),
             number: self.lease.number,
             holder: self
                 .lease
@@ -543,6 +553,7 @@
                 peer.state.held = state.held.max(old.held);
                 peer.state.committed = state.committed.max(old.committed);
                 peer.state.promised = state.promised.max(old.promised);
+                peer.state.votes_from = state.votes_from.max(old.votes_from);
                 peer.state.counts = state.counts || (old.counts && state.mark == old.mark);
             }
             peer.state_at = Some(now);
--- a/crates/control-store/src/planted.rs
+++ b/crates/control-store/src/planted.rs
@@ -57,6 +57,8 @@
     TakesPiecesUnchecked,
     /// A transfer goes on with the pieces of another text of the same revision.
     MixesTwoTexts,
+    /// A new voter takes a text that it read below a promise for its own vote.
+    VotesForWhatItRead,
     /// A voter that reads counts before it has the newest it heard of.
     CountsBeforeItCaughtUp,
     /// A member that started takes what its disk holds for chosen, and is ready with it.
--- a/crates/control-store/src/register/calls.rs
+++ b/crates/control-store/src/register/calls.rs
@@ -266,7 +266,7 @@
     /// A member has stored what this one proposed: it was heard for all orders that came before the proposal.
     pub(crate) fn receive_vote(&mut self, from: SocketAddr, state: &crate::MemberState) {
         let Some((proposed, at)) = self.register.rounds.proposed() else { return };
-        if state.counts && state.mark == self.mark() && state.saved == proposed {
+        if state.counts && state.mark == self.mark() && state.votes_for(proposed) {
             self.heard_for_calls(from, at);
         }
     }
--- a/crates/control-store/src/register/mod.rs
+++ b/crates/control-store/src/register/mod.rs
@@ -40,6 +40,8 @@
     seen: Vec<Configuration>,
     /// What was accepted, as far as it is on the disk.
     pub saved: Version,
+    /// What was saved below this ballot is a copy that was read from others, and no vote.
+    votes_from: Ballot,
     saving: Option<(u64, Version)>,
     promise_saved: Ballot,
     promise_saving: Option<(u64, Ballot)>,
@@ -61,6 +63,8 @@
             held: kept.configuration.clone(),
             held_at: now,
             saved,
+            // The disk doesn't say whether a text below the promise was accepted or read: it is taken for read.
+            votes_from: if kept.promised > saved.ballot { kept.promised } else { Ballot::NONE },
             committed: kept.configuration.clone().filter(|_| planted(Defect::ReadyWithAnOldOne)),
             promise_saved: kept.promised,
             rounds: rounds::Rounds::at_start(now),
@@ -82,6 +86,16 @@
         self.committed.as_ref().map_or(Version::NONE, Configuration::version)
     }
 
+    /// The lowest ballot under which what is on the disk is this member's vote.
+    pub fn votes_from(&self) -> Ballot {
+        self.votes_from
+    }
+
+    /// Whether this member accepted the version, and has it on its disk.
+    fn votes_for(&self, version: Version) -> bool {
+        self.saved == version && version.ballot >= self.votes_from
+    }
+
     pub fn promised(&self) -> Ballot {
         self.acceptor.promised()
     }
--- a/crates/control-store/src/register/replica.rs
+++ b/crates/control-store/src/register/replica.rs
@@ -184,11 +184,11 @@
         let count = (tables.base.voters.iter())
             .filter(|voter| {
                 if voter.at == self.setup.me {
-                    return self.is_voting() && self.register.saved == version;
+                    return self.is_voting() && self.register.votes_for(version);
                 }
                 self.peers.get(&voter.at).is_some_and(|peer| {
                     let fresh = peer.state_at.is_some_and(|at| now <= at + STATE_FRESH);
-                    fresh && peer.state.counts && peer.state.mark == mark && peer.state.saved == version
+                    fresh && peer.state.counts && peer.state.mark == mark && peer.state.votes_for(version)
                 })
             })
             .count();
@@ -217,18 +217,20 @@
     /// A member without its state has read this from the others: the highest saved, the highest promised. True when it
     /// is here as well, and on this disk.
     ///
-    /// What was saved by others below a promise that may have been this member's doesn't count as accepted here,
-    /// unless it is chosen: then a voter proposes it again, or something else, under a higher ballot.
+    /// What was saved by others below a promise that may have been this member's is reported in promises, as what
+    /// was accepted is, so that a round completes it. It is no vote of this member's: a round under that promise may
+    /// have gone by without it, and one vote more would make it chosen beside what that round proposed.
     pub(crate) fn has_caught_up(&mut self, saved: Version, promised: Ballot) -> bool {
         if self.register.saved < saved {
             return false; // It is being fetched, or stored.
         }
         self.register.acceptor.learn_promise(promised);
         self.store_configuration();
-        let mine = self.register.saved;
-        let chosen = mine.has_ballot() && mine == self.register.committed_version();
-        let accepted = !mine.has_ballot() || mine.ballot >= self.register.promised();
-        (chosen || accepted) && self.register.promise_on_disk() >= self.register.promised()
+        let (mine, promised) = (self.register.saved, self.register.promised());
+        if mine.has_ballot() && mine.ballot < promised && !planted(Defect::VotesForWhatItRead) {
+            self.register.votes_from = self.register.votes_from.max(promised);
+        }
+        self.register.promise_on_disk() >= promised
     }
 
     /// In a hurry, texts are fetched at once; else only if they don't come by themselves.
--- a/crates/control-store/src/tests/register.rs
+++ b/crates/control-store/src/tests/register.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::planted::Defect;
 use crate::register::{Acceptor, Decision, Order, Promise, Round};
 use crate::tests::sim::{addr, MS};
 use crate::{
@@ -65,8 +66,9 @@
     let usual = MemberState { saved: version(3, 2, 1), ..MemberState::default() };
     let same = MemberState { held: usual.saved, committed: usual.saved, promised: ballot(3, 0), ..usual };
     let other = MemberState { held: version(5, 3, 1), promised: ballot(6, 1), ..usual };
+    let read = MemberState { votes_from: ballot(6, 1), promised: ballot(6, 1), ..usual };
     let bytes = |state: &MemberState| postcard::to_allocvec(state).expect("bytes");
-    for state in [MemberState::default(), usual, same, other] {
+    for state in [MemberState::default(), usual, same, other, read] {
         assert_eq!(postcard::from_bytes::<MemberState>(&bytes(&state)).expect("a state"), state);
     }
     // What is the same is written once.
@@ -250,3 +252,64 @@
     let unavailable = |outcome: &crate::Outcome| matches!(outcome, crate::Outcome::Unavailable { .. });
     assert!(alone.answers.len() == 2 && alone.answers.iter().all(unavailable), "{}", alone.answers.len());
 }
+
+fn proposal() -> Configuration {
+    Configuration::new(3, b"not known to be chosen".to_vec()).under(ballot(2, 1))
+}
+
+/// What another member says of the text that both have, under the same ballot.
+fn has_saved(version: Version, votes_from: Ballot) -> Message {
+    let promised = votes_from.max(version.ballot);
+    let state = MemberState {
+        mark: TABLE,
+        counts: true,
+        saved: version,
+        held: version,
+        promised,
+        ..MemberState::default()
+    };
+    Message::MemberState(Box::new(MemberState { votes_from, ..state }))
+}
+
+/// A round under the promise may have gone by without the member that read the text: its vote would make the text chosen
+/// beside what that round proposed.
+#[rstest::rstest]
+#[case::accepted(Ballot::NONE, true)]
+#[case::read_below_a_promise(ballot(6, 1), false)]
+fn a_copy_that_another_has_read_is_no_vote(#[case] votes_from: Ballot, #[case] chosen: bool) {
+    let mut alone = Alone::new(DiskState::default());
+    alone.hears(2, Message::Replicate(proposal()));
+    alone.hears(1, has_saved(proposal().version(), votes_from));
+    assert_eq!((alone.store.member_state(0).committed != Version::NONE), chosen);
+    // A late state of the time before it counted takes nothing back.
+    alone.hears(1, has_saved(proposal().version(), Ballot::NONE));
+    assert_eq!((alone.store.member_state(0).committed != Version::NONE), chosen);
+}
+
+/// A start can't tell a text that was accepted from one that was read, and counts neither below the promise.
+#[rstest::rstest]
+#[case::accepted(Ballot::NONE, true)]
+#[case::below_a_promise(ballot(6, 1), false)]
+fn a_copy_on_the_disk_below_a_promise_is_no_vote(#[case] promised: Ballot, #[case] chosen: bool) {
+    let kept = DiskState { configuration: Some(proposal()), promised, ..DiskState::default() };
+    let mut alone = Alone::new(kept);
+    alone.hears(1, has_saved(proposal().version(), Ballot::NONE));
+    assert_eq!((alone.store.member_state(0).committed != Version::NONE), chosen);
+}
+
+#[rstest::rstest]
+#[case::mended(None, ballot(6, 1))]
+#[case::planted(Some(Defect::VotesForWhatItRead), Ballot::NONE)]
+fn a_new_voter_counts_without_a_vote_for_what_it_read(
+    #[case] defect: Option<Defect>,
+    #[case] votes_from: Ballot,
+) {
+    crate::planted::PLANTED.set(defect);
+    let kept = DiskState { configuration: Some(proposal()), ..DiskState::default() };
+    let mut alone = Alone::new(kept);
+    alone.store.has_caught_up(proposal().version(), ballot(6, 1));
+    alone.pull();
+    assert!(alone.store.has_caught_up(proposal().version(), ballot(6, 1)));
+    assert_eq!(alone.store.member_state(0).votes_from, votes_from);
+    crate::planted::PLANTED.set(None);
+}
--- a/crates/control-store/src/tests/sim/voters.rs
+++ b/crates/control-store/src/tests/sim/voters.rs
@@ -402,7 +402,7 @@
 }
 
 /// Guards against a new voter that never counts beside a frozen one: it has read a promise above the text that it has
-/// read, the one voter left has promised more, and neither makes a majority for another round. (KNOWN-RED.txt)
+/// read, the one voter left has promised more, and neither makes a majority for another round.
 #[test]
 fn a_new_voter_counts_beside_a_frozen_one() {
     let (how, moment, loss) = case(2027, 3);
--- a/crates/control-store/src/wire.rs
+++ b/crates/control-store/src/wire.rs
@@ -17,6 +17,8 @@
     committed: Option<Version>,
     /// If another than that of `saved`.
     promised: Option<Ballot>,
+    /// If any.
+    votes_from: Option<Ballot>,
     number: u64,
     holder: Option<(SocketAddr, u64)>,
     ask: u64,
@@ -28,7 +30,8 @@
 
 impl From<MemberState> for WireState {
     fn from(state: MemberState) -> WireState {
-        let MemberState { mark, counts, saved, held, committed, promised, number, holder, ask } = state;
+        let MemberState { mark, counts, saved, held, committed, promised, votes_from, number, holder, ask } =
+            state;
         WireState {
             mark,
             counts,
@@ -36,6 +39,7 @@
             held: other_than(held, saved),
             committed: other_than(committed, saved),
             promised: other_than(promised, saved.ballot),
+            votes_from: other_than(votes_from, Ballot::NONE),
             number,
             holder,
             ask,
@@ -45,7 +49,8 @@
 
 impl From<WireState> for MemberState {
     fn from(wire: WireState) -> MemberState {
-        let WireState { mark, counts, saved, held, committed, promised, number, holder, ask } = wire;
+        let WireState { mark, counts, saved, held, committed, promised, votes_from, number, holder, ask } =
+            wire;
         MemberState {
             mark,
             counts,
@@ -53,6 +58,7 @@
             held: held.unwrap_or(saved),
             committed: committed.unwrap_or(saved),
             promised: promised.unwrap_or(saved.ballot),
+            votes_from: votes_from.unwrap_or(Ballot::NONE),
             number,
             holder,
             ask,
