DRAIN: a requester refuses what it knows to leave, at the grant and before the first byte

Change: may_send_to, Line::Refused, Ended::Leaving, Failure::Leaving; lists told as whole; no revival of a draining one. Harness rule KnownToLeave, planted LeavingUsed; Rule::Drain now looks at grants, as the requester's own check hid a lender that lends what drains.

--- a/crates/house/examples/desk.rs
+++ b/crates/house/examples/desk.rs
@@ -270,9 +270,11 @@
     };
     let desk = Desk { ip: host(2), zone: "a".into(), life: 1 };
     let entries = (0..SERVICES * INSTANCES).map(listed).collect();
-    for told in
-        [Told::Desks(vec![desk]), Told::Word(configuration()), Told::Stacks { entries, ended: Vec::new() }]
-    {
+    for told in [
+        Told::Desks(vec![desk]),
+        Told::Word(configuration()),
+        Told::Stacks { entries, ended: Vec::new(), whole: true },
+    ] {
         link.write_all(&frame(&told)).expect("the desk");
     }
     let ready = || {
--- a/crates/house/src/desk.rs
+++ b/crates/house/src/desk.rs
@@ -252,6 +252,11 @@
         call
     }
 
+    /// Whether a request may go to this instance, by what is known of it here now.
+    pub fn may_send_to(&self, instance: &str) -> bool {
+        self.lending.may_send_to(instance)
+    }
+
     /// A search for a slot, or the use of one, is over.
     pub fn settle(&mut self, call: u32, ended: Ended) {
         let now = self.now();
@@ -311,8 +316,12 @@
                 let members: Vec<Member> = desks.into_iter().map(member).collect();
                 self.lending.members(now, members);
             }
-            Told::Stacks { entries, ended } => {
+            Told::Stacks { entries, mut ended, whole } => {
                 self.stacked = true;
+                if whole {
+                    // What ended while the link was down is told by its absence.
+                    ended.extend(self.lending.entries_but(&entries, |listed| &listed.instance));
+                }
                 let entries = entries.into_iter().map(|listed| entry(now, listed)).collect();
                 self.lending.stacks(now, entries, &ended);
                 for id in &ended {
--- a/crates/house/src/notes.rs
+++ b/crates/house/src/notes.rs
@@ -90,6 +90,8 @@
     Stacks {
         entries: Vec<Listed>,
         ended: Vec<String>,
+        /// The entries are all there are.
+        whole: bool,
     },
     /// Whether the configuration in hand is known to be the newest, so that a 404 can be said.
     Fresh(bool),
--- a/crates/house/src/page.rs
+++ b/crates/house/src/page.rs
@@ -423,7 +423,7 @@
                 self.tell(&Told::Desks(self.desks.clone()));
                 let entries = self.stacks.entries(now);
                 if self.stacks.is_known() {
-                    self.tell(&Told::Stacks { entries, ended: Vec::new() });
+                    self.tell(&Told::Stacks { entries, ended: Vec::new(), whole: true });
                 }
                 self.tell(&Told::Fresh(self.fresh));
             }
@@ -567,8 +567,8 @@
                     self.pull();
                 }
                 Taken::New { ended } => {
-                    let Stacks { entries, .. } = news;
-                    self.tell(&Told::Stacks { entries, ended });
+                    let Stacks { entries, whole, .. } = news;
+                    self.tell(&Told::Stacks { entries, ended, whole });
                 }
             },
             Note::ControlStore(_)
--- a/crates/house/src/workers.rs
+++ b/crates/house/src/workers.rs
@@ -42,6 +42,8 @@
     Refused,
     /// The connection did not come up, or there was no time left to send.
     NotConnected,
+    /// By this proxy's word, which came meanwhile, the worker leaves.
+    Leaving,
     /// The worker turned the request away.
     NotExecuted { after: Option<Duration> },
     /// Another instance has the address.
@@ -63,6 +65,7 @@
             Failure::FailedAnswer => Ended::Done,
             Failure::Refused | Failure::Misdirected => Ended::Gone,
             Failure::NotConnected | Failure::Lost { late: true } => Ended::Silent,
+            Failure::Leaving => Ended::Leaving,
             Failure::NotExecuted { .. } => Ended::Full,
             Failure::Lost { late: false } => Ended::Idle,
         }
@@ -97,6 +100,10 @@
         Ok(connection) => connection,
         Err(failure) => return Outcome::Failed { attempt: permit.unused(), failure },
     };
+    // The last moment to look: the word may have come while the connection was opened.
+    if !shared.borrow().may_send_to(request.instance) {
+        return Outcome::Failed { attempt: permit.unused(), failure: Failure::Leaving };
+    }
     let left = request.end.saturating_sub(shared.borrow().now());
     if left < MIN_TIME_LEFT {
         return Outcome::Failed { attempt: permit.unused(), failure: Failure::NotConnected };
--- a/crates/house/tests/answers.rs
+++ b/crates/house/tests/answers.rs
@@ -125,7 +125,7 @@
     for told in [
         Told::Desks(vec![Desk { ip: host(2), zone: "a".into(), life: 1 }]),
         Told::Word(Catalogue::read(text.as_bytes()).unwrap()),
-        Told::Stacks { entries: vec![listed], ended: Vec::new() },
+        Told::Stacks { entries: vec![listed], ended: Vec::new(), whole: true },
     ] {
         link.write_all(&frame(&told)).await.unwrap();
     }
--- a/crates/house/tests/loans.rs
+++ b/crates/house/tests/loans.rs
@@ -32,6 +32,12 @@
 
 /// A desk, the page's end of its link, the readiness address, and the port that all have on addresses of their own.
 async fn desk() -> (TcpStream, SocketAddr, u16) {
+    let (_, page, at, port) = desk_with_door().await;
+    (page, at, port)
+}
+
+/// The same, and where the desk comes again when its link breaks.
+async fn desk_with_door() -> (TcpListener, TcpStream, SocketAddr, u16) {
     let door = TcpListener::bind((host(2), 0)).await.unwrap();
     let port = door.local_addr().unwrap().port();
     let settings = format!(
@@ -42,7 +48,8 @@
     );
     let settings = Settings::read(&settings).unwrap();
     tokio::task::spawn_local(async move { tindock_house::desk::run(settings).await.unwrap() });
-    (door.accept().await.unwrap().0, SocketAddr::new(host(3), port), port)
+    let page = door.accept().await.unwrap().0;
+    (door, page, SocketAddr::new(host(3), port), port)
 }
 
 /// The status and the body's bytes, of a connection that ends with them.
@@ -77,6 +84,30 @@
     }
 }
 
+/// Guards against instances that end while the link to the agent is down, and were kept for ever: a list that is whole
+/// says what there is by what it lacks.
+#[test]
+fn what_ended_while_the_link_was_down_is_gone() {
+    alone(async {
+        let (door, page, at, _) = desk_with_door().await;
+        let nowhere = SocketAddr::new(host(1), 9);
+        let (first, second) = (listed("i-1", "sums", nowhere, true), listed("i-2", "sums", nowhere, true));
+        let word = Told::Word(Catalogue::read(WORD.as_bytes()).unwrap());
+        let desks = Told::Desks(vec![Desk { ip: host(2), zone: "a".into(), life: 1 }]);
+        let told = |entries| Told::Stacks { entries, ended: Vec::new(), whole: true };
+        let mut page = page;
+        for line in [desks, word, told(vec![first, second.clone()])] {
+            page.write_all(&frame(&line)).await.unwrap();
+        }
+        while !asks(&format!("--function sums {at}")).await.is_ok_and(|text| text.contains("i-1")) {}
+        drop(page);
+        let mut page = door.accept().await.unwrap().0;
+        page.write_all(&frame(&told(vec![second]))).await.unwrap();
+        while asks(&format!("--function sums {at}")).await.unwrap().contains("i-1") {}
+        assert!(asks(&format!("--function sums {at}")).await.unwrap().contains("i-2"));
+    });
+}
+
 #[test]
 fn staff_ask_a_desk() {
     alone(async {
@@ -96,7 +127,7 @@
         for told in [
             Told::Desks(vec![member(host(2), "a"), member(host(9), "b")]),
             Told::Word(Catalogue::read(WORD.as_bytes()).unwrap()),
-            Told::Stacks { entries, ended: Vec::new() },
+            Told::Stacks { entries, ended: Vec::new(), whole: true },
         ] {
             to.write_all(&frame(&told)).await.unwrap();
         }
--- a/crates/lending/src/lender.rs
+++ b/crates/lending/src/lender.rs
@@ -11,6 +11,8 @@
 const GRACE: Duration = Duration::from_millis(300);
 /// An instance that was full though its books said otherwise lends nothing for so long.
 const FULL_REST: Duration = Duration::from_millis(60);
+/// One that a requester knows to leave: this lender's own word is older, and the newer one is on its way.
+const LEAVING_REST: Duration = Duration::from_millis(500);
 /// One that kept silent rests longer, doubling up to eight times this.
 const SILENT_REST: Duration = Duration::from_millis(500);
 /// Smooths run times: about twenty runs.
@@ -565,6 +567,7 @@
             }
             Ended::Idle => {}
             Ended::Full => book.rests = now + FULL_REST,
+            Ended::Leaving => book.rests = now + LEAVING_REST,
             Ended::Silent => {
                 book.rests = now + SILENT_REST * (1 << book.silent.min(3));
                 book.silent += 1;
@@ -611,6 +614,17 @@
         }
     }
 
+    /// A grant that its requester won't use, since it knows the instance to leave.
+    pub fn refused(&mut self, now: Duration, from: SocketAddr, life: u32, seq: u32, instance: u32) {
+        for book in self.books.iter_mut().filter(|book| hash(&book.entry.instance) == instance) {
+            if let Some(at) = book.loans.iter().position(|loan| loan.is(from, life, seq)) {
+                book.loans.swap_remove(at);
+                book.rests = now + LEAVING_REST;
+                self.news = true;
+            }
+        }
+    }
+
     /// A process that begins anew waits for nothing that the one before asked for.
     pub fn forget_asks(&mut self, from: SocketAddr, life: u32) {
         self.queue.retain(|wish| wish.from != from || wish.life == life);
--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -6,6 +6,7 @@
 //! The sum of slots lent of an instance is at most its function's `max_inflight` while members agree. A new lender hears
 //! from the borrowers what is out, and waits for that before it lends.
 
+pub mod departed;
 pub mod lender;
 pub mod lives;
 pub mod over;
@@ -13,6 +14,7 @@
 pub mod planted;
 pub mod words;
 
+use departed::Departed;
 use lender::{Book, Loan, Shelf, Verdict, Wish};
 pub use lender::{Entry, Function, Told};
 use lives::{Lives, Speaker};
@@ -165,6 +167,18 @@
     sent: Duration,
     tries: u32,
     began: Duration,
+    /// This one knows the instance to leave: the lender rests it.
+    refused: bool,
+}
+
+impl Stray {
+    fn line(&self) -> Line {
+        let Stray { seq, kind, instance, .. } = *self;
+        match self.refused {
+            true => Line::Refused { seq, kind, instance },
+            false => Line::Unwanted { seq, kind, instance },
+        }
+    }
 }
 
 pub struct Lending {
@@ -178,6 +192,7 @@
     functions: HashMap<Kind, Function>,
     entries: BTreeMap<String, Entry>, // all instances, by id
     by_kind: HashMap<Kind, Vec<String>>,
+    departed: Departed,
     shelves: BTreeMap<Kind, Shelf>,
     score: pick::Score,
     calls: BTreeMap<u32, Call>,
@@ -247,6 +262,7 @@
             functions: HashMap::new(),
             entries: BTreeMap::new(),
             by_kind: HashMap::new(),
+            departed: Departed::default(),
             shelves: BTreeMap::new(),
             score: pick::index,
             calls: BTreeMap::new(),
@@ -366,14 +382,30 @@
 
     /// A slot that nobody waits for, or (instance 0) a place in a queue that is not wanted any more.
     fn stray(&mut self, to: SocketAddr, seq: u32, kind: Kind, instance: u32) {
+        self.give_back(to, seq, kind, instance, false);
+    }
+
+    fn give_back(&mut self, to: SocketAddr, seq: u32, kind: Kind, instance: u32, refused: bool) {
         let now = self.now;
+        let stray = Stray { to, seq, kind, instance, sent: now, tries: 1, began: now, refused };
+        let line = stray.line();
         if !self.strays.iter().any(|s| (s.to, s.seq, s.instance) == (to, seq, instance))
             && self.strays.len() < 4096
             && to != self.me
         {
-            self.strays.push(Stray { to, seq, kind, instance, sent: now, tries: 1, began: now });
+            self.strays.push(stray);
         }
-        self.say(to, Line::Unwanted { seq, kind, instance });
+        self.say(to, line);
+    }
+
+    /// Whether a request may be sent there, by this one's own word. One that it hasn't heard of may be new; a lender that
+    /// was cut off, or stood still, hands out what it doesn't know to leave.
+    pub fn may_send_to(&self, instance: &str) -> bool {
+        let leaves = match self.entries.get(instance) {
+            Some(entry) => !entry.lends,
+            None => self.departed.contains(instance),
+        };
+        !leaves || planted(Defect::LeavingUsed)
     }
 
     /// Instances that are new or have changed, and ids that have ended.
@@ -382,6 +414,7 @@
         // Only these are looked at: a large fleet changes many times a second.
         let mut kinds = BTreeSet::new();
         for id in ended {
+            self.departed.note(now, id);
             if let Some(old) = self.entries.remove(id) {
                 kinds.insert(old.kind);
                 if let Some(ids) = self.by_kind.get_mut(&old.kind) {
@@ -390,6 +423,7 @@
             }
         }
         for entry in changed {
+            self.departed.is_back(&entry.instance);
             kinds.insert(entry.kind);
             let ids = self.by_kind.entry(entry.kind).or_default();
             if !ids.contains(&entry.instance) {
@@ -403,9 +437,10 @@
         self.pump();
     }
 
-    /// What this one has told of and learned of an instance: for whoever tells a new holder.
-    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.values()
+    /// The ids of known instances that a whole list lacks.
+    pub fn entries_but<T>(&self, list: &[T], id: impl Fn(&T) -> &str) -> Vec<String> {
+        let listed: HashSet<&str> = list.iter().map(id).collect();
+        self.entries.keys().filter(|known| !listed.contains(known.as_str())).cloned().collect()
     }
 
     fn alive(&self, at: SocketAddr) -> bool {
@@ -768,7 +803,7 @@
     /// A late letter of a life that is over can still give back what that life had, and nothing else.
     fn hear_former(&mut self, from: SocketAddr, letter: Letter) {
         for line in letter.lines {
-            if matches!(line, Line::Return { .. } | Line::Unwanted { .. }) {
+            if matches!(line, Line::Return { .. } | Line::Unwanted { .. } | Line::Refused { .. }) {
                 self.line(from, letter.life, line);
             }
         }
@@ -880,6 +915,15 @@
                 self.say(from, Line::Dropped { seq, instance });
                 self.serve(kind);
             }
+            Line::Refused { seq, kind, instance } => {
+                if let Some(shelf) = self.shelves.get_mut(&kind) {
+                    shelf.refused(now, from, life, seq, instance);
+                }
+                let parked = self.parked.iter_mut().filter(|(id, _)| hash(id) == instance);
+                parked.for_each(|(_, loans)| loans.retain(|l| (l.to, l.life, l.seq) != (from, life, seq)));
+                self.say(from, Line::Dropped { seq, instance });
+                self.serve(kind);
+            }
             Line::Dropped { seq, instance } => {
                 self.strays.retain(|s| (s.to, s.seq, s.instance) != (from, seq, instance));
             }
@@ -983,7 +1027,14 @@
             let entry = self.entries.get(&instance);
             entry.is_none_or(|entry| entry.kind == kind) || planted(Defect::NumbersAgain)
         };
+        let may_send = self.may_send_to(&instance);
         match self.calls.get_mut(&seq) {
+            Some(call) if matches!(call.stage, Stage::Asking { .. }) && fits(call.kind) && !may_send => {
+                let kind = call.kind;
+                call.avoid = id;
+                self.give_back(from, seq, kind, id, true);
+                self.ask_again_elsewhere(seq, from);
+            }
             Some(call) if matches!(call.stage, Stage::Asking { .. }) && fits(call.kind) => {
                 let kind = call.kind;
                 let asked = match call.stage {
@@ -1020,6 +1071,17 @@
         }
     }
 
+    /// A call whose grant was refused: the one that gave it rests the instance. Where it has no other, the call is sent on or
+    /// waits there, as any does.
+    fn ask_again_elsewhere(&mut self, seq: u32, gave: SocketAddr) {
+        let Some(Call { stage: Stage::Asking { to, hops, .. }, .. }) = self.calls.get(&seq) else { return };
+        // Another was asked meanwhile, and answers too.
+        if *to == gave {
+            let hops = hops.saturating_add(1);
+            self.ask(seq, hops);
+        }
+    }
+
     fn forget(&mut self, instance: &str) {
         if let Some(old) = self.entries.remove(instance) {
             if let Some(ids) = self.by_kind.get_mut(&old.kind) {
@@ -1294,7 +1356,7 @@
         for stray in &mut self.strays {
             if now >= stray.sent + AGAIN * (1 << (stray.tries - 1).min(4)) {
                 (stray.sent, stray.tries) = (now, stray.tries + 1);
-                let line = Line::Unwanted { seq: stray.seq, kind: stray.kind, instance: stray.instance };
+                let line = stray.line();
                 self.out.entry(stray.to).or_default().push(line);
             }
         }
--- a/crates/lending/src/pick.rs
+++ b/crates/lending/src/pick.rs
@@ -127,7 +127,7 @@
             }
             // One that returns from silence is new again.
             Ended::Silent => (self.woken, self.known) = (true, false),
-            Ended::Idle | Ended::Full | Ended::Gone => {}
+            Ended::Idle | Ended::Full | Ended::Gone | Ended::Leaving => {}
         }
     }
 }
--- a/crates/lending/src/planted.rs
+++ b/crates/lending/src/planted.rs
@@ -22,6 +22,8 @@
     QueueForgotten,
     /// What drains is still lent.
     DrainLent,
+    /// A slot of an instance that the requester knows to leave is used all the same.
+    LeavingUsed,
     /// A new life numbers its calls like the one before, and takes what comes for them.
     NumbersAgain,
     /// Loans are forgotten when their instance goes to another lender for a while.
--- a/crates/lending/src/words.rs
+++ b/crates/lending/src/words.rs
@@ -25,6 +25,8 @@
     Gone,
     /// No answer, no connection, or a broken one.
     Silent,
+    /// Not used: by the requester's own word the instance leaves, or has ended.
+    Leaving,
 }
 
 /// One line of a letter.
@@ -56,6 +58,8 @@
     Room { kind: Kind, free: u8, waiting: u8, run: u16 },
     /// Asked of a borrower, of a loan that is out for long or was forgotten for a while: does it have it still?
     Still { seq: u32, kind: Kind, instance: u32, life: u32 },
+    /// A grant that the requester won't use: by its own word the instance leaves, or has ended. Answered with `Dropped`.
+    Refused { seq: u32, kind: Kind, instance: u32 },
 }
 
 /// A datagram: who says it (the life of its process) and its lines.
--- a/crates/lending/tests/harness/mod.rs
+++ b/crates/lending/tests/harness/mod.rs
@@ -57,6 +57,8 @@
     Starved,
     /// A slot lent on an instance that lends no more.
     Drain,
+    /// A call sent to an instance that its own proxy knows to leave, or to have ended.
+    KnownToLeave,
     /// A slot lent to a life that another has followed, as its lender has heard.
     Life,
     /// A slot lent again, or told of, for a call that has come back.
@@ -688,6 +690,7 @@
 
     fn send(&mut self, who: usize, to: SocketAddr, bytes: Vec<u8>) {
         self.tell(|| format!("  {who} to {to}: {:?}", tindock_lending::words::Letter::read(&bytes)));
+        self.look_at_grants(&bytes);
         let Some(&other) = self.by_at.get(&to) else { return };
         self.out.bytes += bytes.len() + 28;
         self.out.letters += 1;
@@ -716,9 +719,9 @@
             return self.find(Rule::Once, format!("a slot for call {seq} of {who}, which it does not have"));
         };
         let n = self.by_id[instance];
-        let (kind_of, ended, drains) = {
+        let (kind_of, ended) = {
             let i = &self.instances[n];
-            (i.kind, i.ended, i.drains)
+            (i.kind, i.ended)
         };
         if self.calls[call].went.is_some() || self.calls[call].refused {
             self.find(Rule::Once, format!("call {call} was answered twice"));
@@ -726,13 +729,13 @@
         if kind_of != self.calls[call].kind || self.instances[n].at != at {
             self.find(Rule::Once, format!("call {call} goes to {instance} of another function"));
         }
-        // All learn of a drain within the skew of views; a queue on it is served elsewhere.
         self.in_time(who, call);
-        let frozen = self.hosts.iter().any(|h| h.frozen.is_some());
-        if let Some(since) = drains.filter(|_| !frozen && self.differed < self.now) {
-            if self.now > since + self.skew + UNDERWAY {
-                self.find(Rule::Drain, format!("{instance} is lent {:?} after its drain", self.now - since));
-            }
+        self.lent_in_time(n);
+        if self.knows_it_leaves(who, n) {
+            self.find(
+                Rule::KnownToLeave,
+                format!("{who} sends to {instance}, of which it knows that it leaves"),
+            );
         }
         self.tell(|| format!("call {call} of {who} ({seq}) has {instance}"));
         self.calls[call].went = Some(self.now);
@@ -753,6 +756,38 @@
         self.later(runs + MS / 5, event);
     }
 
+    /// What no lender may grant any more; that its requester would not use it is no excuse.
+    fn look_at_grants(&mut self, bytes: &[u8]) {
+        let lines = Letter::read(bytes).map(|letter| letter.lines).unwrap_or_default();
+        for line in lines {
+            if let Line::Grant { instance, .. } = line {
+                self.lent_in_time(self.by_id[&instance]);
+            }
+        }
+    }
+
+    /// All learn of a drain within the skew of views; a queue on it is served elsewhere.
+    fn lent_in_time(&mut self, n: usize) {
+        let frozen = self.hosts.iter().any(|h| h.frozen.is_some());
+        let Some(since) = self.instances[n].drains.filter(|_| !frozen && self.differed < self.now) else {
+            return;
+        };
+        if self.now > since + self.skew + UNDERWAY {
+            let what = format!("{} is lent {:?} after its drain", self.instances[n].id, self.now - since);
+            self.find(Rule::Drain, what);
+        }
+    }
+
+    /// By the last list that this host was told.
+    fn knows_it_leaves(&self, who: usize, n: usize) -> bool {
+        let version = self.hosts[who].stacks;
+        let is_it = |entry: &&Entry| entry.instance == self.instances[n].id;
+        match self.stacks[version].iter().find(is_it) {
+            Some(entry) => !entry.lends,
+            None => self.stacks[..version].iter().flatten().any(|entry| is_it(&entry)),
+        }
+    }
+
     /// Calls are answered by their end, but for a sweep; one that was frozen answers as it wakes.
     fn in_time(&mut self, who: usize, call: usize) {
         let (now, end) = (self.local(who), self.calls[call].end);
--- a/crates/lending/tests/planted.rs
+++ b/crates/lending/tests/planted.rs
@@ -17,6 +17,7 @@
 #[case(Defect::ByArrival, Class::Tidy, Rule::Order)]
 #[case(Defect::QueueForgotten, Class::Tidy, Rule::Starved)]
 #[case(Defect::DrainLent, Class::Tidy, Rule::Drain)]
+#[case(Defect::LeavingUsed, Class::Tidy, Rule::KnownToLeave)]
 #[case(Defect::NumbersAgain, Class::Rough, Rule::Once)]
 #[case(Defect::BooksForgotten, Class::Rough, Rule::Bound)]
 #[case(Defect::FreedTwice, Class::Quiet, Rule::Slots)]
--- a/crates/rehearsal/src/desk.rs
+++ b/crates/rehearsal/src/desk.rs
@@ -43,10 +43,16 @@
 /// How a request to one worker ended.
 enum Outcome {
     Answer(Box<(AnswerHead, Vec<u8>)>),
-    Unsent { refused: bool },
+    Unsent {
+        refused: bool,
+    },
+    /// By the proxy's own word the worker leaves: nothing was sent.
+    Leaving,
     NotExecuted,
     Misdirected,
-    Lost { late: bool },
+    Lost {
+        late: bool,
+    },
 }
 
 impl Outcome {
@@ -55,6 +61,7 @@
             Outcome::Answer(_) => Ended::Done,
             Outcome::Unsent { refused: true } | Outcome::Misdirected => Ended::Gone,
             Outcome::Unsent { refused: false } | Outcome::Lost { late: true } => Ended::Silent,
+            Outcome::Leaving => Ended::Leaving,
             Outcome::NotExecuted => Ended::Full,
             Outcome::Lost { late: false } => Ended::Idle,
         }
@@ -529,6 +536,9 @@
         let Some(hand) = self.hands.get_mut(&id) else { return };
         let (token, line) = (hand.token, hand.line);
         let Some(at) = hand.at else { return };
+        if !self.lending.may_send_to(&hand.instance) {
+            return self.outcome(now, id, token, Outcome::Leaving);
+        }
         let left = hand.end.saturating_sub(now);
         if left < Duration::from_millis(5) {
             return self.outcome(now, id, token, Outcome::Unsent { refused: false });
@@ -638,7 +648,7 @@
                 }
                 hand.arrivals += 1;
             }
-            Outcome::Unsent { .. } => {}
+            Outcome::Unsent { .. } | Outcome::Leaving => {}
             Outcome::NotExecuted => {
                 hand.arrivals += 1;
                 hand.pause = Duration::from_millis(60);
--- a/crates/stacks/src/book.rs
+++ b/crates/stacks/src/book.rs
@@ -29,6 +29,8 @@
     /// When it was first known to be ready.
     pub(crate) ready: Option<Duration>,
     pub(crate) listed: bool,
+    /// The last list showed it as draining: one that is about to be stopped is not taken back into service then.
+    pub(crate) listed_draining: bool,
     pub(crate) missing: u8,
     /// Lists in a row that show it up though it is held to drain.
     pub(crate) up: u8,
--- a/crates/stacks/src/scaler.rs
+++ b/crates/stacks/src/scaler.rs
@@ -275,6 +275,7 @@
             }
             let (mut turned, mut left) = (false, false);
             if let Some(h) = self.book.mark(&l.instance) {
+                h.listed_draining = l.draining;
                 // Pages tell a new holder what lends no more as draining, whether its host leaves or the holder before was
                 // about to stop it: the platform never takes one that it shows as up for so long, so it would stay for ever.
                 let drains = h.entry.standing == Standing::Draining && !l.draining;
@@ -346,6 +347,7 @@
             known: now,
             ready: Some(now),
             listed: true,
+            listed_draining: l.draining,
             missing: 0,
             up: 0,
             stop_at: None,
@@ -508,6 +510,7 @@
             known: now,
             ready: None,
             listed: false,
+            listed_draining: false,
             missing: 0,
             up: 0,
             stop_at: None,
@@ -592,6 +595,7 @@
                 known: now,
                 ready,
                 listed: false,
+                listed_draining: false,
                 missing: 0,
                 up: 0,
                 stop_at: None,
@@ -805,7 +809,12 @@
         if there < want.total {
             let mut count = want.total - there;
             for h in self.book.of(name).filter(|h| h.entry.standing == Standing::Ending) {
-                if count > 0 && !h.stop_sent && !h.leaving && !moves.holds(&h.entry.instance) {
+                if count > 0
+                    && !h.stop_sent
+                    && !h.leaving
+                    && !h.listed_draining
+                    && !moves.holds(&h.entry.instance)
+                {
                     revive.push(h.entry.instance.clone());
                     *have.entry(&h.entry.zone).or_default() += 1;
                     count -= 1;
--- a/crates/stacks/tests/sim.rs
+++ b/crates/stacks/tests/sim.rs
@@ -1000,3 +1000,50 @@
     }
     assert!(stopped > 0);
 }
+
+/// Guards against one that is listed as leaving, taken back into service because it was about to be stopped anyway.
+#[rstest]
+fn one_that_drains_is_not_taken_back_before_its_stop(#[values(false, true)] drains: bool) {
+    let at: SocketAddr = "10.0.0.1:80".parse().unwrap();
+    let listed = |n: u32, draining: bool| Listed {
+        instance: format!("i{n}"),
+        service: "d".into(),
+        address: at,
+        zone: "a".into(),
+        host: "m".into(),
+        draining,
+    };
+    let host = Host { name: "m".into(), zone: "a".into(), memory_mb: 8000, free_memory_mb: 0, up: true };
+    let mut scaler = Scaler::new(terms(), 7, 1, ms(0));
+    scaler.services(ms(0), &[dock("d")]);
+    scaler.inherit(ms(0), &[], &[], 7);
+    scaler.hosts(ms(0), &[host]);
+    scaler.listed(ms(0), &[listed(0, false), listed(1, false), listed(2, false)]);
+    let ending = |scaler: &Scaler| {
+        let ends = |e: &&Entry| e.standing == Standing::Ending;
+        scaler.entries().find(ends).map(|e| e.instance.clone())
+    };
+    let mut t = 0;
+    while ending(&scaler).is_none() {
+        t += STEP;
+        assert!(t < 60_000, "nothing is too many");
+        while scaler.next(ms(t)).is_some() {}
+    }
+    let leaves = ending(&scaler).unwrap();
+    let list: Vec<Listed> = (0..3).map(|n| listed(n, drains && leaves == format!("i{n}"))).collect();
+    scaler.listed(ms(t + STEP), &list);
+    let demand = Demand {
+        service: "d".into(),
+        zone: "a".into(),
+        rate: 300.0,
+        busy: 12.0,
+        peak: 12,
+        waiting: 8,
+        run_ms: 100.0,
+        idle_ms: 0,
+        origins: Vec::new(),
+    };
+    scaler.demand(ms(t + 2 * STEP), demand);
+    while scaler.next(ms(t + 2 * STEP)).is_some() {}
+    assert_eq!(ending(&scaler), drains.then_some(leaves));
+}
