--- a/crates/circulation/src/lib.rs
+++ b/crates/circulation/src/lib.rs
@@ -16,7 +16,7 @@
 pub use source::{Source, LAG, PAUSE};
 
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// How far the stacks are known: the number of the duty, and the version under it. A later duty's versions begin above
 /// those of all before it. The least one knows nothing.
@@ -48,6 +48,14 @@
     pub replaces: Option<String>,
 }
 
+/// A proxy among which owners of slots are chosen: its machine, its zone's number, the life of its process (0: none serves).
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proxy {
+    pub ip: IpAddr,
+    pub place: u8,
+    pub life: u32,
+}
+
 /// What changed after the version `from`; `whole`: this is everything. `tag` and `numbers` name the starts made so far, for
 /// whoever holds the duty next. Under the number 0 it is a reading of the platform's list while nobody holds the duty.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -60,6 +68,8 @@
     pub ended: Vec<String>,
     pub tag: u64,
     pub numbers: Vec<(String, u32)>,
+    /// All proxies among which owners are chosen, if they changed after `from`.
+    pub proxies: Option<Vec<Proxy>>,
 }
 
 impl Stacks {
--- a/crates/circulation/src/replica.rs
+++ b/crates/circulation/src/replica.rs
@@ -1,6 +1,6 @@
 //! The stacks as one page or archive knows them.
 
-use crate::{Listed, Mark, Stacks};
+use crate::{Listed, Mark, Proxy, Stacks};
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
@@ -22,6 +22,7 @@
     tag: u64,
     numbers: BTreeMap<String, u32>,
     entries: BTreeMap<String, (Listed, Duration)>,
+    proxies: Option<Vec<Proxy>>,
 }
 
 impl Replica {
@@ -39,6 +40,11 @@
         self.tag
     }
 
+    /// The proxies among which owners of slots are chosen, once they were told.
+    pub fn proxies(&self) -> Option<&[Proxy]> {
+        self.proxies.as_deref()
+    }
+
     /// The highest number of a start of each service.
     pub fn numbers(&self) -> Vec<(String, u32)> {
         self.numbers.iter().map(|(service, n)| (service.clone(), *n)).collect()
@@ -65,6 +71,9 @@
             self.entries.insert(entry.instance.clone(), (entry.clone(), now));
         }
         self.numbers.extend(news.numbers.iter().cloned());
+        if news.proxies.is_some() {
+            self.proxies.clone_from(&news.proxies);
+        }
         Taken::New { ended }
     }
 
@@ -100,6 +109,7 @@
             ended: Vec::new(),
             tag: self.tag,
             numbers: self.numbers(),
+            proxies: self.proxies.clone(),
         }
     }
 }
--- a/crates/controller/src/lease_duties.rs
+++ b/crates/controller/src/lease_duties.rs
@@ -2,10 +2,11 @@
 //! holder before it, and what it tells of the instances.
 
 use crate::convert::{entry_from_wire, entry_to_wire, services};
+use crate::proxies::Proxies;
 use std::collections::HashSet;
 use std::time::Duration;
 use tindock_catalogue::Catalogue;
-use tindock_circulation::{Listed, Replica, Source, Stacks};
+use tindock_circulation::{Listed, Proxy, Replica, Source, Stacks};
 use tindock_stacks::{self as autoscaler, Entry, Host, Order, Rebinding, Scaler};
 
 /// Instances younger than this (ms) a new holder may not find on the platform's list.
@@ -39,6 +40,9 @@
     pub scaler: Scaler,
     /// To whom the instances are told.
     pub source: Source,
+    proxies: Proxies,
+    /// The version under which they changed last.
+    proxies_version: u64,
     list_interval: Duration,
     inherited: bool,
     /// Whether this controller knew the earlier holder's starts itself.
@@ -77,6 +81,8 @@
             since: now,
             scaler,
             source: Source::new(number, now),
+            proxies: Proxies::new(now, replica.proxies()),
+            proxies_version: 0,
             list_interval: settings.list_interval,
             inherited: false,
             knew_starts,
@@ -93,7 +99,7 @@
     pub fn next_due(&self) -> Duration {
         let readings = self.instances_due.min(self.hosts_due);
         let source_due = self.source.next_due(self.scaler.version());
-        self.scaler.next_due().min(readings).min(source_due)
+        self.scaler.next_due().min(readings).min(source_due).min(self.proxies.next_due())
     }
 
     /// Whether the list of instances is to be read now; then a reading has begun.
@@ -155,6 +161,18 @@
         }
     }
 
+    /// An agent follows, and says which process serves beside it.
+    pub fn proxy_follows(&mut self, now: Duration, proxy: Proxy) {
+        self.proxies.follows(now, proxy);
+    }
+
+    /// A change of the proxies is told as one of the instances is, under a version of its own.
+    pub fn look_at_proxies(&mut self, now: Duration) {
+        if self.proxies.changed(now).is_some() {
+            self.proxies_version = self.scaler.next_version();
+        }
+    }
+
     /// Whether it knows what there is. Before that its silence would read as an end of everything.
     pub fn is_informed(&self) -> bool {
         self.instances_known && self.hosts_known && self.inherited
@@ -176,6 +194,7 @@
             let changed: HashSet<&str> = news.entries.iter().map(|entry| entry.service.as_str()).collect();
             numbers.retain(|(service, _)| changed.contains(service.as_str()));
         }
+        let proxies = self.proxies.told().filter(|_| news.whole || self.proxies_version > version);
         Stacks {
             number: self.number,
             from: version,
@@ -185,6 +204,7 @@
             ended: news.ended.into_iter().map(|(id, _)| id).collect(),
             tag,
             numbers,
+            proxies: proxies.map(<[Proxy]>::to_vec),
         }
     }
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - `lease_duties`: the autoscaler of a controller while it holds the lease;
 //! - `agents`: which agents ask this controller, and which of them lack the configuration in force;
+//! - `proxies`: the proxies among which owners of slots are chosen;
 //! - `contact`: whether what was heard can be fresh;
 //! - `convert`: between the configuration, the autoscaler's entries and the instances on the wire.
 
@@ -10,8 +11,10 @@
 mod contact;
 mod convert;
 mod lease_duties;
+mod proxies;
 
 pub use agents::{Agents, AGENT_TIMEOUT, MAX_AGENTS, RESEND_INTERVAL};
 pub use contact::{Contact, DISTRUST, STOOD_STILL};
 pub use convert::{entry_from_wire, entry_to_wire, platform_instances, services};
 pub use lease_duties::{list_interval, LeaseDuties, LeaseSettings, UNLISTED_MS};
+pub use proxies::Proxies;
--- /dev/null
+++ b/crates/controller/src/proxies.rs
@@ -0,0 +1,85 @@
+//! The proxies among which owners of slots are chosen, as the holder of the lease knows them: each agent follows the holder
+//! and says which process serves beside it. One list for all: what each proxy sees of the others differs for a while after
+//! each change, and for as long as a full link loses datagrams, and two that see differently own the same slots.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::time::Duration;
+use tindock_circulation::Proxy;
+
+/// Without a predecessor's list the first one waits so long for the agents to follow.
+const FIRST_LIST_AFTER: Duration = Duration::from_millis(1500);
+/// An agent follows once a second; one that was not heard for so long is gone, or cut off.
+const SILENT_AFTER: Duration = Duration::from_millis(3000);
+/// A longer pause between two looks is one in which this process stood still, and heard nobody.
+const STOOD_STILL: Duration = Duration::from_millis(1000);
+const MAX_PROXIES: usize = 4096;
+
+#[derive(Debug)]
+struct Known {
+    proxy: Proxy,
+    heard: Duration,
+}
+
+/// The proxies that serve.
+#[derive(Debug)]
+pub struct Proxies {
+    known: BTreeMap<IpAddr, Known>,
+    /// As they were last told.
+    told: Option<Vec<Proxy>>,
+    first_due: Duration,
+    looked: Duration,
+}
+
+impl Proxies {
+    /// `before`: what the holder before this one told last.
+    pub fn new(now: Duration, before: Option<&[Proxy]>) -> Proxies {
+        let heard = |proxy: &Proxy| (proxy.ip, Known { proxy: *proxy, heard: now });
+        Proxies {
+            known: before.unwrap_or_default().iter().map(heard).collect(),
+            told: before.map(<[Proxy]>::to_vec),
+            first_due: now + FIRST_LIST_AFTER,
+            looked: now,
+        }
+    }
+
+    /// An agent says which process serves beside it: none (life 0) where it leaves or has not begun.
+    pub fn follows(&mut self, now: Duration, proxy: Proxy) {
+        if proxy.life == 0 {
+            self.known.remove(&proxy.ip);
+        } else if self.known.len() < MAX_PROXIES || self.known.contains_key(&proxy.ip) {
+            self.known.insert(proxy.ip, Known { proxy, heard: now });
+        }
+    }
+
+    /// The list, if it is another than the one that was told last.
+    pub fn changed(&mut self, now: Duration) -> Option<&[Proxy]> {
+        let pause = now.saturating_sub(self.looked);
+        self.looked = now;
+        if pause > STOOD_STILL {
+            self.known.values_mut().for_each(|known| known.heard += pause);
+        }
+        if self.told.is_none() && now < self.first_due {
+            return None;
+        }
+        self.known.retain(|_, known| now < known.heard + SILENT_AFTER);
+        let list: Vec<Proxy> = self.known.values().map(|known| known.proxy).collect();
+        if self.told.as_ref() == Some(&list) {
+            return None;
+        }
+        self.told = Some(list);
+        self.told.as_deref()
+    }
+
+    /// The list that was told last.
+    pub fn told(&self) -> Option<&[Proxy]> {
+        self.told.as_deref()
+    }
+
+    /// When a look may find a change without any further input.
+    pub fn next_due(&self) -> Duration {
+        let silent = self.known.values().map(|known| known.heard + SILENT_AFTER).min();
+        let first = self.told.is_none().then_some(self.first_due);
+        silent.into_iter().chain(first).min().unwrap_or(Duration::MAX)
+    }
+}
--- a/crates/gazette/src/lib.rs
+++ b/crates/gazette/src/lib.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// The life of the process that serves here; 0 if none does.
+    pub fn life(&self) -> u32 {
+        self.own.life
+    }
+
     /// The process that serves here; told on at the next exchange, which is due at once.
     pub fn serves(&mut self, now: Duration, life: u32) {
         if self.own.life != life {
--- a/crates/house/src/controller/agents.rs
+++ b/crates/house/src/controller/agents.rs
@@ -35,7 +35,7 @@
                 self.read_first_instances(now);
             }
             Note::Leaving { ip } => self.agents.left(ip),
-            Note::Follow { mark, greets } => {
+            Note::Follow { mark, greets, proxy } => {
                 let relays = self.control_store.members().contains(&from);
                 if !relays {
                     self.agents.followed(now, from.ip());
@@ -45,6 +45,10 @@
                     self.post.send(from, &news);
                 }
                 if let Some(lease) = &mut self.lease {
+                    // Its own address: a note is not to speak for another.
+                    if let Some(proxy) = proxy.filter(|proxy| proxy.ip == from.ip()) {
+                        lease.duties.proxy_follows(now, proxy);
+                    }
                     let version = lease.duties.scaler.version();
                     lease.duties.source.follow(now, version, from.ip(), mark, relays);
                 }
@@ -152,7 +156,7 @@
         self.followed = now;
         let mark = self.relay.replica().mark();
         if holder != self.settings.peer() {
-            return self.post.send(holder, &Note::Follow { mark, greets: false });
+            return self.post.send(holder, &Note::Follow { mark, greets: false, proxy: None });
         }
         if let Some(lease) = &mut self.lease {
             let version = lease.duties.scaler.version();
@@ -164,7 +168,7 @@
     fn take_instances(&mut self, now: Duration, from: SocketAddr, news: Stacks) {
         if self.relay.take(now, news) == Taken::Gap {
             let mark = self.relay.replica().mark();
-            self.post.send(from, &Note::Follow { mark, greets: false });
+            self.post.send(from, &Note::Follow { mark, greets: false, proxy: None });
         }
         self.hand_on();
     }
@@ -183,6 +187,7 @@
     pub(super) fn tell_instances(&mut self, now: Duration) {
         let Some(lease) = self.lease.as_mut().filter(|lease| lease.duties.is_informed()) else { return };
         let duties = &mut lease.duties;
+        duties.look_at_proxies(now);
         duties.source.tick(now, duties.scaler.version());
         let me = self.settings.peer();
         // By the version it leads on from: the same piece goes to all controllers.
--- a/crates/house/src/desk.rs
+++ b/crates/house/src/desk.rs
@@ -25,6 +25,8 @@
 /// Asks, queues and dials are looked at this often while there is something in hand, else at rest.
 const TICK: Duration = Duration::from_millis(25);
 const REST: Duration = Duration::from_millis(100);
+/// An owner that says nothing is given so long to refuse a connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// What lenders tell the scaler, at most this often.
 const TELL: Duration = Duration::from_millis(250);
 /// What happens often is said in the log at most this often.
@@ -55,7 +57,10 @@
     tells: mpsc::Sender<Vec<u8>>,
     socket: Rc<UdpSocket>,
     chance: oorandom::Rand32,
+    /// How many proxies there are, as the agent hears of them and as the owners are told: the budget's slack is divided by
+    /// the greater, so that those who see few don't spend others' parts.
     desks: usize,
+    owners: Option<usize>,
     calls: Cell<usize>,
     wake: Rc<Notify>,
     /// Further tries withheld since this was last said in the log.
@@ -105,6 +110,7 @@
         socket: socket.clone(),
         chance: oorandom::Rand32::new(seed),
         desks: 1,
+        owners: None,
         calls: Cell::new(0),
         wake: wake.clone(),
         withheld: HashMap::new(),
@@ -217,6 +223,11 @@
         self.fresh
     }
 
+    /// Ports are alike on all machines.
+    fn readiness_port(&self) -> u16 {
+        self.settings.bindings.readiness.map_or(0, |at| at.port())
+    }
+
     pub fn draw(&mut self) -> u32 {
         self.chance.rand_u32()
     }
@@ -228,7 +239,7 @@
 
     /// Whether the budget allows another send of a request that has reached a worker; what it withholds is counted.
     pub fn may_repeat(&mut self, now: Duration, kind: Kind) -> bool {
-        let allowed = self.budget.repeat(now, kind, self.desks);
+        let allowed = self.budget.repeat(now, kind, self.desks.max(self.owners.unwrap_or(1)));
         if !allowed {
             *self.withheld.entry(kind).or_default() += 1;
         }
@@ -306,15 +317,14 @@
             }
             Told::Desks(desks) => {
                 self.desks = desks.len().max(1);
-                let port = self.settings.lending().port();
-                let member = |desk: Other| Member {
-                    at: SocketAddr::new(desk.ip, port),
-                    region: self.regions.get(&desk.zone).cloned().unwrap_or_default(),
-                    zone: desk.zone,
-                    life: desk.life,
-                };
-                let members: Vec<Member> = desks.into_iter().map(member).collect();
-                self.lending.members(now, members);
+                // Only until the holder of the lease has told who owns.
+                if self.owners.is_none() {
+                    self.members(now, desks);
+                }
+            }
+            Told::Owners(desks) => {
+                self.owners = Some(desks.len().max(1));
+                self.members(now, desks);
             }
             Told::Stacks { entries, mut ended, whole } => {
                 self.stacked = true;
@@ -337,6 +347,18 @@
         true
     }
 
+    fn members(&mut self, now: Duration, desks: Vec<Other>) {
+        let port = self.settings.lending().port();
+        let member = |desk: Other| Member {
+            at: SocketAddr::new(desk.ip, port),
+            region: self.regions.get(&desk.zone).cloned().unwrap_or_default(),
+            zone: desk.zone,
+            life: desk.life,
+        };
+        let members: Vec<Member> = desks.into_iter().map(member).collect();
+        self.lending.members(now, members);
+    }
+
     /// Of the configuration in force; 0 without one.
     fn revision(&self) -> u64 {
         self.catalogue.as_ref().map_or(0, |own| own.0.revision)
@@ -414,6 +436,11 @@
                 drop(state);
                 tokio::task::spawn_local(dial(shared.clone(), instance, at));
             }
+            Order::Probe { owner } => {
+                let at = SocketAddr::new(owner.ip(), state.readiness_port());
+                drop(state);
+                tokio::task::spawn_local(probe(shared.clone(), owner, at));
+            }
             Order::Gone { instance } => {
                 info!("instance {instance} gone: it refuses connections, or its address is another's");
                 state.workers.forget(&instance);
@@ -444,6 +471,21 @@
     pump(&shared);
 }
 
+/// Whether a process runs at an owner's address that says nothing. A machine refuses connections where nobody listens; one that
+/// is slow, frozen, without power or cut off does not.
+async fn probe(shared: Shared, owner: SocketAddr, at: SocketAddr) {
+    let refused = std::io::ErrorKind::ConnectionRefused;
+    if workers::connect(at, PROBE_TIMEOUT).await.is_err_and(|why| why.kind() == refused) {
+        {
+            let mut state = shared.borrow_mut();
+            let now = state.now();
+            info!("lender {} has ended: it refuses connections", owner.ip());
+            state.lending.has_ended(now, owner);
+        }
+        pump(&shared);
+    }
+}
+
 /// The loopback link to the page: told in order; said again from the start after a break.
 async fn page_link(shared: Shared, mut outbox: mpsc::Receiver<Vec<u8>>, life: u32) {
     let at = shared.borrow().settings.loopback();
--- a/crates/house/src/notes.rs
+++ b/crates/house/src/notes.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use tindock_catalogue::{Catalogue, Change};
 pub use tindock_circulation::Listed;
-use tindock_circulation::{Mark, Stacks};
+use tindock_circulation::{Mark, Proxy, Stacks};
 use tindock_control_store::Envelope;
 
 /// Between pages and archives.
@@ -35,10 +35,11 @@
     /// What leads to it from the one that the page has.
     Change(Change),
     /// To the holder: a page or an archive follows the stacks, and has them up to this mark. All follow one holder, so it knows
-    /// of all: `greets` asks it for some of the pages.
+    /// of all: `greets` asks it for some of the pages. A page says which process serves beside it.
     Follow {
         mark: Mark,
         greets: bool,
+        proxy: Option<Proxy>,
     },
     /// From the holder, and from the archive that is asked: what changed in the stacks.
     Stacks(Stacks),
@@ -86,7 +87,10 @@
 pub enum Told {
     Word(Catalogue),
     Change(Change),
+    /// Those that this agent hears of.
     Desks(Vec<Desk>),
+    /// Those among which owners of slots are chosen.
+    Owners(Vec<Desk>),
     Stacks {
         entries: Vec<Listed>,
         ended: Vec<String>,
--- a/crates/house/src/page.rs
+++ b/crates/house/src/page.rs
@@ -10,7 +10,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 use tindock_catalogue::Catalogue;
-use tindock_circulation::{Replica, Stacks, Taken};
+use tindock_circulation::{Proxy, Replica, Stacks, Taken};
 use tindock_gazette::{Letter, Views};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -210,7 +210,7 @@
                 // The desk beside it ends what it holds; the page stays for that.
                 let now = page.start.elapsed();
                 info!("SIGTERM: leaving, with the desk");
-                page.views.serves(now, 0);
+                page.serves(now, 0);
                 leaving = Some(now + crate::settings::seconds((page.settings.timers.grace_s - 0.4).max(0.2)));
             }
             Ok(Some(event)) => {
@@ -263,6 +263,31 @@
         }
     }
 
+    /// Who serves beside this page has changed: the others and the holder are told at once.
+    fn serves(&mut self, now: Duration, life: u32) {
+        if self.views.life() == life {
+            return;
+        }
+        self.views.serves(now, life);
+        if let Some((holder, _)) = self.holder {
+            self.followed = now;
+            let follow = self.follow();
+            self.post.send(holder, &follow);
+        }
+    }
+
+    /// The proxies among which owners are chosen, as the desk takes them.
+    fn tell_owners(&mut self) {
+        let places = self.settings.places();
+        let desk = |proxy: &Proxy| {
+            let zone = places.get(usize::from(proxy.place))?.0.clone();
+            Some(Desk { ip: proxy.ip, zone, life: proxy.life })
+        };
+        if let Some(owners) = self.stacks.proxies().map(|all| all.iter().filter_map(desk).collect()) {
+            self.tell(&Told::Owners(owners));
+        }
+    }
+
     fn tell(&mut self, told: &Told) {
         if let Some(desk) = &self.desk {
             // A desk that does not read is told everything again when it comes back.
@@ -321,7 +346,8 @@
     /// would never hear of each other.
     fn follow(&mut self) -> Note {
         self.follows = self.follows.wrapping_add(1);
-        Note::Follow { mark: self.stacks.mark(), greets: self.follows % GREETS == 1 }
+        let proxy = Proxy { ip: self.me.ip(), place: self.place, life: self.views.life() };
+        Note::Follow { mark: self.stacks.mark(), greets: self.follows % GREETS == 1, proxy: Some(proxy) }
     }
 
     fn tick(&mut self, now: Duration) {
@@ -421,16 +447,17 @@
                     self.tell(&Told::Word(catalogue));
                 }
                 self.tell(&Told::Desks(self.desks.clone()));
+                self.tell_owners();
                 let entries = self.stacks.entries(now);
                 if self.stacks.is_known() {
                     self.tell(&Told::Stacks { entries, ended: Vec::new(), whole: true });
                 }
                 self.tell(&Told::Fresh(self.fresh));
             }
-            Event::Tells(Tells::Life(life)) if !leaving => self.views.serves(now, life),
+            Event::Tells(Tells::Life(life)) if !leaving => self.serves(now, life),
             Event::Tells(Tells::Life(_)) => {}
             Event::Tells(Tells::Leaving) | Event::DeskGone => {
-                self.views.serves(now, 0);
+                self.serves(now, 0);
                 if matches!(event, Event::DeskGone) {
                     self.desk = None;
                 }
@@ -567,8 +594,11 @@
                     self.pull();
                 }
                 Taken::New { ended } => {
-                    let Stacks { entries, whole, .. } = news;
+                    let Stacks { entries, whole, proxies, .. } = news;
                     self.tell(&Told::Stacks { entries, ended, whole });
+                    if proxies.is_some() {
+                        self.tell_owners();
+                    }
                 }
             },
             Note::ControlStore(_)
--- a/crates/house/tests/loans.rs
+++ b/crates/house/tests/loans.rs
@@ -125,6 +125,8 @@
         let member = |ip, zone: &str| Desk { ip, zone: zone.into(), life: 1 };
         let entries = vec![listed("i-1", "sums", served, true), listed("i-2", "rare", served, false)];
         for told in [
+            // First alone: of another that is there first it would wait for a handover.
+            Told::Desks(vec![member(host(2), "a")]),
             Told::Desks(vec![member(host(2), "a"), member(host(9), "b")]),
             Told::Word(Catalogue::read(WORD.as_bytes()).unwrap()),
             Told::Stacks { entries, ended: Vec::new(), whole: true },
@@ -190,6 +192,8 @@
     let at = |n| SocketAddr::from(([10, 0, 0, n], 7301));
     let mut lending = Lending::new(at(1), "a".into(), 1, 1, Duration::ZERO);
     let member = |n, zone: &str| Member { at: at(n), zone: zone.into(), region: "r".into(), life: 1 };
+    // First alone: of another that is there first it would wait for a handover.
+    lending.members(Duration::ZERO, vec![member(1, "a")]);
     lending.members(Duration::ZERO, vec![member(1, "a"), member(2, "b")]);
     let function =
         |name: String| Function { kind: kind(&name), name, slots: 2, boot: Duration::from_secs(1) };
--- a/crates/lending/src/lender.rs
+++ b/crates/lending/src/lender.rs
@@ -2,7 +2,7 @@
 
 use crate::pick::{index, Boots, Score, Seen, Sight, RATE_FLOOR};
 use crate::planted::{planted, Defect};
-use crate::words::{kind as hash, Ended, Kind};
+use crate::words::{kind as hash, Ended, Kind, LoanedSlot};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -87,6 +87,12 @@
     pub entry: Entry,
     pub loans: Vec<Loan>,
     rests: Duration,
+    /// The former owner whose handover ends the rest.
+    pub awaits: Option<SocketAddr>,
+    /// When its first rest ends: what was out before is known from then on.
+    pub settled: Duration,
+    /// When it is next asked for.
+    pub claim_due: Duration,
     silent: u32,
     pub dialled: Duration,
     /// It has been dialled in vain: the first connection it takes tells how long its start took.
@@ -706,6 +712,17 @@
         Loan { to, life, seq, since: now, until, priority: 0, doubt, asked: 0 }
     }
 
+    /// As a new owner is told of it.
+    pub fn as_told(&self, now: Duration) -> LoanedSlot {
+        let left = u32::try_from(self.until.saturating_sub(now).as_millis()).unwrap_or(u32::MAX);
+        LoanedSlot { to: self.to, life: self.life, seq: self.seq, left }
+    }
+
+    /// The same, told by the former owner: it may have come back there meanwhile, so its borrower is asked soon.
+    pub fn handed_over(now: Duration, to: SocketAddr, life: u32, seq: u32, left: Duration) -> Loan {
+        Loan { doubt: now + LONG / 4, until: now + left, ..Loan::told(now, to, life, seq, left) }
+    }
+
     /// It is asked after again in a while, each time later.
     fn doubted(&mut self, now: Duration) {
         self.doubt = now + LONG / 4 * (1 << self.asked.min(2));
@@ -719,6 +736,9 @@
             entry,
             loans,
             rests,
+            awaits: None,
+            settled: rests,
+            claim_due: Duration::ZERO,
             silent: 0,
             dialled: Duration::ZERO,
             refused: false,
@@ -731,6 +751,26 @@
         book
     }
 
+    /// Nothing is waited for any more; it lends from then on.
+    pub fn stop_waiting(&mut self, rests: Duration) {
+        self.awaits = None;
+        self.rests = self.rests.min(rests);
+        self.settled = self.settled.min(rests);
+    }
+
+    /// Loans that a former owner gave, as far as they are not known.
+    pub fn merge(&mut self, loans: Vec<Loan>) {
+        for loan in loans {
+            if !self.loans.iter().any(|old| old.is(loan.to, loan.life, loan.seq)) {
+                self.loans.push(loan);
+            }
+        }
+    }
+
+    pub fn rests_until(&self) -> Duration {
+        self.rests
+    }
+
     /// How much longer it lends nothing, though it may.
     pub fn rests(&self, now: Duration) -> Duration {
         self.rests.saturating_sub(now)
--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -7,24 +7,28 @@
 //! from the borrowers what is out, and waits for that before it lends.
 
 pub mod departed;
+mod handover;
 pub mod lender;
 pub mod lives;
 pub mod over;
+pub mod owners;
 pub mod pick;
 pub mod planted;
 pub mod words;
 
 use departed::Departed;
+use handover::{Cause, Early, Pending};
 use lender::{Book, Loan, Shelf, Verdict, Wish};
 pub use lender::{Entry, Function, Told};
 use lives::{Lives, Speaker};
 use oorandom::Rand32;
 use over::{CallsOver, Over};
+use owners::{weight, Owners};
 use planted::{planted, Defect};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
-use words::{kind as hash, Ended, Kind, Letter, Line, LINES};
+use words::{kind as hash, lines_that_fit, Ended, Kind, Letter, Line, LINES};
 
 /// An ask or a return is said again after this, and then after twice as long each time: a few round trips across regions.
 const AGAIN: Duration = Duration::from_millis(60);
@@ -36,8 +40,14 @@
 const SPEAKS: Duration = Duration::from_millis(250);
 /// One that is passed over is asked for a word this often, and lends again once it is heard.
 pub const PASSED_OVER: Duration = Duration::from_millis(500);
-/// A new lender of an instance that others may have lent waits so long for what is told of it.
-const HEARING: Duration = Duration::from_millis(200);
+/// Who has heard no word of anybody for so long, though it asked, is cut off from all: it turns its calls away,
+const ISOLATED: Duration = Duration::from_millis(1000);
+/// and lends no more after so long: the others may have new owners by then.
+const FENCED: Duration = Duration::from_millis(2000);
+/// Its clients are told to come back after this.
+const CUT_OFF_RETRY: Duration = Duration::from_millis(300);
+/// An owner that was heard so lately is not probed.
+const PROBED_AFTER: Duration = Duration::from_millis(250);
 /// What a lender said of its room is believed so long.
 const ROOM: Duration = Duration::from_millis(400);
 /// A lender whose calls wait says so to the lenders of the function elsewhere, at most this often.
@@ -103,6 +113,10 @@
     },
     /// For the scaler, at once: a call has found no instance.
     Wanted(Told),
+    /// Whether a process runs there: if its connections are refused, answer with `has_ended`.
+    Probe {
+        owner: SocketAddr,
+    },
     /// For the log: this lender has said nothing, and another is asked for a while.
     PassedOver {
         lender: SocketAddr,
@@ -186,9 +200,20 @@
     zone: String,
     life: u32,
     chance: Rand32,
-    members: Vec<Member>,
-    /// Lenders that say nothing, and when they are next asked for a word.
+    owners: Owners,
+    /// The members before these.
+    former: Vec<Member>,
+    /// Lenders that say nothing, and when they are next asked for a word. Others are asked where there are others; that
+    /// changes no owner.
     passed_over: HashMap<SocketAddr, Duration>,
+    /// When anybody was last heard.
+    heard: Duration,
+    /// When an owner in this one's zone was last probed for a call that came here.
+    probed: HashMap<SocketAddr, Duration>,
+    pending: Vec<Pending>,
+    early: HashMap<String, Early>,
+    /// To whom this one handed instances over lately.
+    given: HashMap<String, (SocketAddr, Duration)>,
     functions: HashMap<Kind, Function>,
     entries: BTreeMap<String, Entry>, // all instances, by id
     by_kind: HashMap<Kind, Vec<String>>,
@@ -212,6 +237,8 @@
     full: BTreeSet<Kind>,
     /// Who has been heard, and in which life.
     lives: Lives,
+    /// Asked of addresses where two lives have spoken: the number of the question, and when.
+    questions: HashMap<SocketAddr, (u32, Duration)>,
     /// Calls of others that are over here.
     over: CallsOver,
     out: BTreeMap<SocketAddr, Vec<Line>>,
@@ -230,18 +257,6 @@
 /// Before all addresses.
 const LOWEST: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
 
-fn weight(kind: Kind, at: &SocketAddr) -> u64 {
-    let octets = match at {
-        SocketAddr::V4(v4) => u64::from(u32::from(*v4.ip())) << 16 | u64::from(v4.port()),
-        SocketAddr::V6(v6) => (u128::from(*v6.ip()) as u64).rotate_left(16) ^ u64::from(v6.port()),
-    };
-    let mut x = octets ^ u64::from(kind).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    for by in [0xbf58_476d_1ce4_e5b9_u64, 0x94d0_49bb_1331_11eb] {
-        x = (x ^ (x >> 30)).wrapping_mul(by);
-    }
-    x ^ (x >> 31)
-}
-
 fn ms(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
@@ -257,8 +272,14 @@
             zone,
             life,
             chance: Rand32::new(seed),
-            members: Vec::new(),
+            owners: Owners::new(),
+            former: Vec::new(),
             passed_over: HashMap::new(),
+            heard: now,
+            probed: HashMap::new(),
+            pending: Vec::new(),
+            early: HashMap::new(),
+            given: HashMap::new(),
             functions: HashMap::new(),
             entries: BTreeMap::new(),
             by_kind: HashMap::new(),
@@ -275,6 +296,7 @@
             said: HashMap::new(),
             full: BTreeSet::new(),
             lives: Lives::default(),
+            questions: HashMap::new(),
             over: CallsOver::default(),
             out: BTreeMap::new(),
             own: VecDeque::new(),
@@ -303,49 +325,66 @@
                 shelf.function = function.clone();
             }
         }
-        self.arrange(false);
+        self.arrange(Cause::News);
         self.pump();
     }
 
-    /// Who lends and borrows, this one among them.
+    /// Who lends and borrows, this one among them if it does.
     pub fn members(&mut self, now: Duration, mut members: Vec<Member>) {
         self.now = now;
         members.sort_by_key(|m| m.at);
         members.dedup_by_key(|m| m.at);
-        if members == self.members {
+        if members == self.owners.members() {
             return;
         }
-        let fresh: HashSet<SocketAddr> = members
-            .iter()
-            .filter(|m| !self.members.iter().any(|old| old.at == m.at && old.life == m.life))
-            .map(|m| m.at)
-            .collect();
-        self.members = members;
+        let known = |m: &&Member| self.owners.member(m.at).is_some_and(|old| old.life == m.life);
+        let fresh: HashSet<SocketAddr> = members.iter().filter(|m| !known(m)).map(|m| m.at).collect();
+        let former = self.owners.replace(members);
         self.name_lives();
         // One that begins anew may speak again.
         self.passed_over.retain(|at, _| !fresh.contains(at));
         self.changed = now;
-        self.arrange(true);
+        self.arrange(Cause::Members(&former));
+        self.former = former;
+        self.claim();
+        self.probe_former_owners();
         self.tell_new_lenders(&fresh);
-        let lost: Vec<u32> = self
-            .calls
-            .iter()
-            .filter_map(|(&seq, call)| match call.stage {
-                Stage::Asking { to, .. } if to != self.me && !self.members.iter().any(|m| m.at == to) => {
-                    Some(seq)
-                }
-                _ => None,
-            })
-            .collect();
-        for seq in lost {
+        self.ask_owners();
+        self.pump();
+    }
+
+    /// Calls that were asked of one that owns nothing of their function any more are asked of the owners.
+    fn ask_owners(&mut self) {
+        let asked = self.calls.values().filter_map(|call| match call.stage {
+            Stage::Asking { to, .. } if to != self.me => Some((call.kind, to)),
+            _ => None,
+        });
+        let asked: HashSet<(Kind, SocketAddr)> = asked.collect();
+        let owns = |(kind, at): &(Kind, SocketAddr)| {
+            self.zones_of(*kind).keys().any(|zone| self.lender(*kind, zone) == Some(*at))
+        };
+        let owners: HashSet<(Kind, SocketAddr)> = asked.into_iter().filter(owns).collect();
+        self.ask_anew(|kind, to| !owners.contains(&(kind, to)));
+    }
+
+    /// Calls that wait for a word of others for which this holds are asked anew.
+    fn ask_anew(&mut self, which: impl Fn(Kind, SocketAddr) -> bool) {
+        let waits = |(&seq, call): (&u32, &Call)| match call.stage {
+            Stage::Asking { to, .. } if to != self.me && which(call.kind, to) => Some((seq, call.kind, to)),
+            _ => None,
+        };
+        let lost: Vec<(u32, Kind, SocketAddr)> = self.calls.iter().filter_map(waits).collect();
+        for (seq, kind, to) in lost {
+            if self.owners.member(to).is_some() {
+                self.stray(to, seq, kind, 0);
+            }
             self.ask(seq, 0);
         }
-        self.pump();
     }
 
     /// A life that the members name is the present one, also before it speaks.
     fn name_lives(&mut self) {
-        for member in self.members.iter().filter(|member| member.at != self.me) {
+        for member in self.owners.members().iter().filter(|member| member.at != self.me) {
             if self.lives.named(self.awake, member.at, member.life) {
                 self.shelves.values_mut().for_each(|shelf| shelf.forget_asks(member.at, member.life));
             }
@@ -433,7 +472,8 @@
             let entry = Entry { ready: entry.ready || ready, ..entry };
             self.entries.insert(entry.instance.clone(), entry);
         }
-        self.arrange_kinds(kinds, false);
+        self.arrange_kinds(kinds, &Cause::News);
+        self.claim();
         self.pump();
     }
 
@@ -443,79 +483,102 @@
         self.entries.keys().filter(|known| !listed.contains(known.as_str())).cloned().collect()
     }
 
-    fn alive(&self, at: SocketAddr) -> bool {
-        at == self.me || !self.passed_over.contains_key(&at)
-    }
-
     /// Who lends the instances of this function in this zone.
     fn lender(&self, kind: Kind, zone: &str) -> Option<SocketAddr> {
-        let region = self.members.iter().find(|m| m.zone == zone).map(|m| m.region.as_str());
-        let best = |near: &dyn Fn(&Member) -> bool| {
-            let open = self.members.iter().filter(|m| near(m) && self.alive(m.at));
-            open.max_by_key(|m| weight(kind, &m.at)).map(|m| m.at)
-        };
-        best(&|m| m.zone == zone)
-            .or_else(|| best(&|m| Some(m.region.as_str()) == region))
-            .or_else(|| best(&|_| true))
+        self.owners.owner(kind, zone)
+    }
+
+    /// Nobody answers: this process is cut off from all others. One that has ended is nobody to hear of.
+    fn is_isolated(&self) -> bool {
+        let others = self.owners.members().iter().filter(|m| m.at != self.me && !self.owners.has_ended(m.at));
+        let enough = others.count().min(2);
+        enough > 0 && self.passed_over.len() >= enough && self.now >= self.heard + ISOLATED
+    }
+
+    /// Cut off for so long that the others may have new owners for what this one owns.
+    fn is_fenced(&self) -> bool {
+        self.is_isolated() && self.now >= self.heard + FENCED && !planted(Defect::IsolatedLends)
     }
 
     /// Puts the instances in this one's care on its shelves. Those that another may have lent until now rest first.
-    fn arrange(&mut self, handed_over: bool) {
+    fn arrange(&mut self, cause: Cause) {
         let mut kinds: BTreeSet<Kind> = self.shelves.keys().copied().collect();
         kinds.extend(self.by_kind.keys().copied());
-        self.arrange_kinds(kinds, handed_over);
+        self.arrange_kinds(kinds, &cause);
     }
 
-    fn arrange_kinds(&mut self, kinds: BTreeSet<Kind>, handed_over: bool) {
-        let now = self.now;
+    fn arrange_kinds(&mut self, kinds: BTreeSet<Kind>, cause: &Cause) {
         for kind in kinds {
-            let mut mine: BTreeMap<String, Entry> = BTreeMap::new();
-            for id in self.by_kind.get(&kind).into_iter().flatten() {
-                let Some(entry) = self.entries.get(id) else { continue };
-                if self.lender(kind, &entry.zone) == Some(self.me) && self.functions.contains_key(&kind) {
-                    mine.insert(id.clone(), entry.clone());
-                }
-            }
+            let mine = self.owned(kind);
             if mine.is_empty() && !self.shelves.contains_key(&kind) {
                 continue;
             }
-            let Some(function) = self.functions.get(&kind).cloned() else {
-                // Guards calls of a function that left the configuration: they are answered, not forgotten.
-                if let Some(shelf) = self.shelves.remove(&kind) {
-                    for wish in shelf.queue {
-                        self.say(wish.from, Line::Later { seq: wish.seq, after: 500 });
-                    }
-                }
-                continue;
-            };
-            let score = self.score;
-            let shelf = self.shelves.entry(kind).or_insert_with(|| Shelf::new(function, now).scored(score));
-            let (kept, dropped): (Vec<Book>, Vec<Book>) =
-                shelf.books.drain(..).partition(|book| mine.contains_key(&book.entry.instance));
-            shelf.books = kept;
-            // Loans are kept for their terms: views of who lends may change back.
-            for book in dropped {
-                if !book.loans.is_empty() && !planted(Defect::BooksForgotten) {
-                    self.parked.entry(book.entry.instance).or_default().extend(book.loans);
-                }
+            match self.functions.get(&kind).cloned() {
+                Some(function) => self.arrange_shelf(function, mine, cause),
+                None => self.close_shelf(kind),
             }
-            for book in &mut shelf.books {
-                if let Some(entry) = mine.remove(&book.entry.instance) {
-                    book.entry = entry;
-                }
-            }
-            for (_, entry) in mine {
-                // One that has just begun has been lent by nobody. One that comes over with a change of members, or is
-                // first heard of soon after that or after this process began, may be in use by those who had it from
-                // another, who may have found it ready before the list showed it.
-                let fresh = !entry.ready && now < entry.since + shelf.function.boot.mul_f64(0.5);
-                let old = handed_over || now < self.began.max(self.changed) + Duration::from_secs(2);
-                let at_once = fresh || !old || planted(Defect::LendsAtOnce);
-                let rests = if at_once { Duration::ZERO } else { now + HEARING };
-                let loans = self.parked.remove(&entry.instance).unwrap_or_default();
-                shelf.books.push(Book::new(entry, rests, loans));
+        }
+    }
+
+    /// The instances of a function that this process owns.
+    fn owned(&self, kind: Kind) -> BTreeMap<String, Entry> {
+        if !self.functions.contains_key(&kind) {
+            return BTreeMap::new();
+        }
+        let all = self.by_kind.get(&kind).into_iter().flatten().filter_map(|id| self.entries.get(id));
+        let mine = all.filter(|entry| self.lender(kind, &entry.zone) == Some(self.me));
+        mine.map(|entry| (entry.instance.clone(), entry.clone())).collect()
+    }
+
+    /// Guards calls of a function that left the configuration: they are answered, not forgotten. Nor are its loans: a later
+    /// change may bring it back while they are out.
+    fn close_shelf(&mut self, kind: Kind) {
+        let Some(shelf) = self.shelves.remove(&kind) else { return };
+        for wish in shelf.queue {
+            self.say(wish.from, Line::Later { seq: wish.seq, after: 500 });
+        }
+        for book in shelf.books {
+            self.park(book);
+        }
+    }
+
+    /// Loans are kept for their terms: the instance may come back to this one's care.
+    fn park(&mut self, book: Book) {
+        if !book.loans.is_empty() && !planted(Defect::BooksForgotten) {
+            self.parked.entry(book.entry.instance).or_default().extend(book.loans);
+        }
+    }
+
+    fn arrange_shelf(&mut self, function: Function, mut mine: BTreeMap<String, Entry>, cause: &Cause) {
+        let (now, score, kind, boot) = (self.now, self.score, function.kind, function.boot);
+        let shelf = self.shelves.entry(kind).or_insert_with(|| Shelf::new(function, now).scored(score));
+        let (mut kept, dropped): (Vec<Book>, Vec<Book>) =
+            shelf.books.drain(..).partition(|book| mine.contains_key(&book.entry.instance));
+        for book in &mut kept {
+            if let Some(entry) = mine.remove(&book.entry.instance) {
+                book.entry = entry;
             }
         }
+        for book in dropped {
+            self.hand_over(&book);
+            self.park(book);
+        }
+        for entry in mine.into_values() {
+            kept.push(self.new_book(entry, boot, cause));
+        }
+        if let Some(shelf) = self.shelves.get_mut(&kind) {
+            shelf.books = kept;
+        }
+    }
+
+    fn new_book(&mut self, entry: Entry, boot: Duration, cause: &Cause) -> Book {
+        let beginning = self.beginning(&entry, boot, cause);
+        let loans = self.parked.remove(&entry.instance).unwrap_or_default();
+        let early = self.early.remove(&entry.instance);
+        let mut book = Book::new(entry, beginning.rests, loans);
+        book.awaits = beginning.awaits;
+        book.merge(early.map(|early| early.loans).unwrap_or_default());
+        book
     }
 
     /// A call wants a slot; its number is what `Go` and `No` name. `aim` and `end` are times by the same clock.
@@ -544,7 +607,7 @@
     }
 
     fn region(&self, zone: &str) -> Option<&str> {
-        self.members.iter().find(|m| m.zone == zone).map(|m| m.region.as_str())
+        self.owners.region(zone)
     }
 
     /// Zones with instances of this function that lend; whether one of them has started, and the highest weight.
@@ -576,7 +639,8 @@
             let far = if zone == self.zone { 0 } else { 2 + 2 * u32::from(self.region(zone) != own) };
             let starting = if ready { 0 } else { 8 };
             let full = self.room_at(kind, zone).is_some_and(|room| room.free == 0 || room.waiting > 0);
-            far + starting + if full { 5 } else { 0 }
+            let silent = self.lender(kind, zone).is_some_and(|at| self.passed_over.contains_key(&at));
+            far + starting + if full { 5 } else { 0 } + if silent { 30 } else { 0 }
         };
         let zones = self.zones_of(kind);
         let best = zones.iter().min_by_key(|(zone, (ready, heavy))| (cost(zone, *ready), *heavy));
@@ -694,6 +758,12 @@
     fn ask_in(&mut self, seq: u32, zone: &str, hops: u8) {
         let Some(call) = self.calls.get(&seq) else { return };
         let to = self.lender(call.kind, zone).unwrap_or(self.me);
+        if to != self.me && self.is_isolated() {
+            // No word would come: the client may find one that is not cut off.
+            self.calls.remove(&seq);
+            self.orders.push_back(Order::No { call: seq, after: CUT_OFF_RETRY });
+            return;
+        }
         let line = self.ask_line(seq, call, hops);
         let now = self.now;
         if let Some(call) = self.calls.get_mut(&seq) {
@@ -771,19 +841,23 @@
         self.now = now;
         let Some(letter) = Letter::read(bytes) else { return false };
         let speaker = self.lives.hear(now, self.awake, from, letter.life);
-        if speaker == Speaker::Former {
+        if speaker == Speaker::Disputed {
+            self.ask_which_life(from);
+        }
+        if matches!(speaker, Speaker::Former | Speaker::Disputed) {
             self.hear_former(from, letter);
             return true;
         }
-        let back = self.passed_over.remove(&from).is_some();
-        if back {
-            self.arrange(true);
+        self.heard = now;
+        self.passed_over.remove(&from);
+        if self.owners.note_alive(from) {
+            self.arrange(Cause::Evidence);
             self.tell_new_lenders(&HashSet::new());
         }
         // What it said while it was cut off is lost: it is asked after what it had then.
         let last = match speaker {
             Speaker::Same { last } | Speaker::New { last } => last,
-            Speaker::Unknown | Speaker::Former => None,
+            Speaker::Unknown | Speaker::Former | Speaker::Disputed => None,
         };
         if last.is_none_or(|heard| heard + PASSED_OVER < now) {
             self.shelves.values_mut().for_each(|shelf| shelf.doubt(now, from));
@@ -800,9 +874,28 @@
         true
     }
 
+    /// Which of two lives is the present one: the one that answers a question of a number that was never used.
+    fn ask_which_life(&mut self, at: SocketAddr) {
+        let now = self.now;
+        if self.questions.get(&at).is_some_and(|(_, asked)| now < *asked + AGAIN) {
+            return;
+        }
+        self.questions.retain(|_, (_, asked)| now < *asked + RETURNING);
+        let number = self.chance.rand_u32() | 1;
+        self.questions.insert(at, (number, now));
+        self.say(at, Line::Unwanted { seq: number, kind: 0, instance: 0 });
+    }
+
     /// A late letter of a life that is over can still give back what that life had, and nothing else.
     fn hear_former(&mut self, from: SocketAddr, letter: Letter) {
         for line in letter.lines {
+            let answers = |(number, _): &(u32, Duration)| line == Line::Dropped { seq: *number, instance: 0 };
+            if self.questions.get(&from).is_some_and(answers) {
+                self.questions.remove(&from);
+                self.lives.answered(self.now, self.awake, from, letter.life);
+                self.shelves.values_mut().for_each(|shelf| shelf.forget_asks(from, letter.life));
+                self.tell_new_lenders(&HashSet::from([from]));
+            }
             if matches!(line, Line::Return { .. } | Line::Unwanted { .. } | Line::Refused { .. }) {
                 self.line(from, letter.life, line);
             }
@@ -927,6 +1020,12 @@
             Line::Dropped { seq, instance } => {
                 self.strays.retain(|s| (s.to, s.seq, s.instance) != (from, seq, instance));
             }
+            Line::HandsOver { kind, instance, loans, complete } => {
+                self.taken_over(from, kind, instance, loans, complete)
+            }
+            Line::TookOver { instance } => self.handed_over(from, instance),
+            Line::Claims { kind, instance } => self.claimed(from, kind, instance),
+            Line::GaveTo { kind, instance, owner } => self.gave_to(from, kind, &instance, owner),
             Line::Room { kind, free, waiting, run } => {
                 self.note_room(kind, from, free, waiting, run);
                 if waiting > 0 {
@@ -975,7 +1074,8 @@
                 if to != from {
                     return;
                 }
-                let named = self.members.iter().find(|m| hash(&m.zone) == zone).map(|m| m.zone.clone());
+                let mut zones = self.owners.members().iter().map(|m| &m.zone);
+                let named = zones.find(|name| hash(name) == zone).cloned();
                 match named {
                     Some(zone) => self.ask_in(seq, &zone, hops.saturating_add(1)),
                     None => self.ask(seq, hops.saturating_add(1)),
@@ -1106,6 +1206,9 @@
         if self.over.asks_nothing(&(wish.from, wish.life, wish.seq)) {
             return;
         }
+        if self.is_fenced() {
+            return self.say(wish.from, Line::Later { seq: wish.seq, after: ms(CUT_OFF_RETRY) });
+        }
         let Some(function) = self.functions.get(&kind).cloned() else {
             return self.say(wish.from, Line::Later { seq: wish.seq, after: 300 });
         };
@@ -1128,9 +1231,12 @@
         {
             return self.say(wish.from, Line::Waits { seq: wish.seq, free, waiting });
         }
-        let origin = self.members.iter().find(|m| m.at == wish.from).map_or(0, |m| hash(&m.zone));
+        let origin = self.owners.member(wish.from).map_or(0, |m| hash(&m.zone));
         shelf.counted(now, origin);
         let lends = shelf.lends();
+        if !lends {
+            self.probe_owner(kind);
+        }
         if !lends && hops < HOPS {
             if let Some(zone) = self.elsewhere(kind) {
                 return self.say(wish.from, Line::Elsewhere { seq: wish.seq, zone: hash(&zone) });
@@ -1174,7 +1280,8 @@
         }
     }
 
-    /// Whoever says nothing lends nothing for now, and what was asked of it is asked elsewhere.
+    /// Whoever says nothing is asked for nothing while there are others, and it is seen whether its process runs at all. It
+    /// goes on as the owner of what it owns: it may be slow, and lend to all that it hears.
     fn pass_over(&mut self, silent: Vec<SocketAddr>) {
         if silent.is_empty() {
             return;
@@ -1182,10 +1289,12 @@
         for &to in &silent {
             if self.passed_over.insert(to, self.now + PASSED_OVER).is_none() {
                 self.orders.push_back(Order::PassedOver { lender: to });
+                self.orders.push_back(Order::Probe { owner: to });
+            }
+            if planted(Defect::SilenceIsEnd) {
+                self.has_ended(self.now, to);
             }
         }
-        self.arrange(true);
-        self.tell_new_lenders(&HashSet::new());
         // All that was asked of them is asked elsewhere, not each after its own wait.
         let asks = |call: &Call| matches!(call.stage, Stage::Asking { to, .. } if silent.contains(&to));
         let lost: Vec<u32> = self.calls.iter().filter(|(_, call)| asks(call)).map(|(seq, _)| *seq).collect();
@@ -1194,6 +1303,20 @@
         }
     }
 
+    /// A call has come for what another owns, as far as is known here: the one that asks may know that its process has ended.
+    fn probe_owner(&mut self, kind: Kind) {
+        let now = self.now;
+        let Some(owner) = self.lender(kind, &self.zone).filter(|at| *at != self.me) else { return };
+        let heard = self.lives.heard(&owner).is_some_and(|heard| heard + PROBED_AFTER > now);
+        let lately = self.probed.get(&owner).is_some_and(|at| now < *at + PASSED_OVER);
+        if heard || lately {
+            return;
+        }
+        self.probed.retain(|_, at| now < *at + PASSED_OVER);
+        self.probed.insert(owner, now);
+        self.orders.push_back(Order::Probe { owner });
+    }
+
     /// The zone with room in which a call that would wait here does better, if there is one.
     fn better(&mut self, kind: Kind, wish: &Wish) -> Option<String> {
         let now = self.now;
@@ -1211,6 +1334,9 @@
     /// Slots that are free go to who waits.
     fn serve(&mut self, kind: Kind) {
         let now = self.now;
+        if self.is_fenced() {
+            return;
+        }
         loop {
             let Some(shelf) = self.shelves.get_mut(&kind) else { return };
             let chance = &mut self.chance;
@@ -1232,6 +1358,8 @@
         }
         self.swept = now;
         self.again();
+        self.hand_over_again();
+        self.claim();
         let kinds: Vec<Kind> = self.shelves.keys().copied().collect();
         for kind in kinds {
             self.sweep(kind);
@@ -1248,12 +1376,11 @@
         self.pump();
     }
 
-    /// Lenders that are passed over are asked for a word, and lend again once they are heard. Giving them back their
-    /// instances before would have their calls wait anew, and the instances change hands twice each time.
+    /// Lenders that are passed over are asked for a word, and are asked for slots again once they are heard.
     fn probe(&mut self) {
         let now = self.now;
-        let members = &self.members;
-        self.passed_over.retain(|at, _| members.iter().any(|m| m.at == *at));
+        let owners = &self.owners;
+        self.passed_over.retain(|at, _| owners.member(*at).is_some());
         let due = self.passed_over.iter_mut().filter(|(_, next)| **next <= now);
         let due: Vec<SocketAddr> = due
             .map(|(at, next)| {
@@ -1263,11 +1390,23 @@
             .collect();
         for at in due {
             self.say(at, Line::Unwanted { seq: 0, kind: 0, instance: 0 });
+            self.orders.push_back(Order::Probe { owner: at });
+        }
+    }
+
+    /// Whoever waits here is told to come back.
+    fn turn_away(&mut self, kind: Kind) {
+        let waiting = self.shelves.get_mut(&kind).map(|shelf| std::mem::take(&mut shelf.queue));
+        for wish in waiting.unwrap_or_default() {
+            self.say(wish.from, Line::Later { seq: wish.seq, after: ms(CUT_OFF_RETRY) });
         }
     }
 
     fn sweep(&mut self, kind: Kind) {
         let now = self.now;
+        if self.is_fenced() {
+            self.turn_away(kind);
+        }
         let Some(shelf) = self.shelves.get_mut(&kind) else { return };
         shelf.expire(now);
         let doubts = shelf.doubts(now);
@@ -1393,19 +1532,19 @@
         self.calls.len()
     }
 
-    /// Lenders that say nothing, and are not asked until they do.
+    /// Lenders that say nothing, and are not asked until they do where there are others.
     pub fn passed_over(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         self.passed_over.keys().copied()
     }
 
     /// The zone of a member.
     pub fn zone_at(&self, at: SocketAddr) -> Option<&str> {
-        self.members.iter().find(|m| m.at == at).map(|m| m.zone.as_str())
+        self.owners.member(at).map(|m| m.zone.as_str())
     }
 
     /// The zone of this hash, as the members have it.
     pub fn zone(&self, of: u32) -> Option<&str> {
-        self.members.iter().map(|m| m.zone.as_str()).find(|zone| hash(zone) == of)
+        self.owners.members().iter().map(|m| m.zone.as_str()).find(|zone| hash(zone) == of)
     }
 
     /// The name of a function told of.
@@ -1417,6 +1556,8 @@
     pub fn busy(&self) -> bool {
         !self.calls.is_empty()
             || !self.strays.is_empty()
+            || !self.pending.is_empty()
+            || self.shelves.values().any(|shelf| shelf.books.iter().any(|book| book.awaits.is_some()))
             || self
                 .shelves
                 .values()
@@ -1447,7 +1588,8 @@
         }
         let to = *self.out.keys().next()?;
         let lines = self.out.get_mut(&to)?;
-        let mut part: Vec<Line> = lines.drain(..lines.len().min(LINES)).collect();
+        let fit = lines_that_fit(lines);
+        let mut part: Vec<Line> = lines.drain(..fit).collect();
         if lines.is_empty() {
             self.out.remove(&to);
         }
--- a/crates/lending/src/lives.rs
+++ b/crates/lending/src/lives.rs
@@ -17,6 +17,9 @@
 /// it doesn't know may be older than the one that speaks.
 const YOUNG: Duration = Duration::from_secs(3);
 
+/// In the place of the life that comes next; programs draw odd numbers.
+const NO_LIFE: u32 = 0;
+
 /// Who a letter is from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Speaker {
@@ -26,8 +29,10 @@
     Same { last: Option<Duration> },
     /// A life that follows the one that spoke last; when that was.
     New { last: Option<Duration> },
-    /// A life that another has followed, or may have.
+    /// A life that another has followed.
     Former,
+    /// Another life than the one that spoke last, of which this process is too young to know which follows which.
+    Disputed,
 }
 
 struct Peer {
@@ -75,10 +80,14 @@
             (peer.heard, peer.present, peer.spoke) = (Some(now), awake, true);
             return Speaker::Same { last };
         }
-        let may_be_older = peer.former.contains(&life) || (awake < YOUNG && peer.spoke);
         let successor_speaks = awake < peer.present + FORMER_SILENCE;
-        if may_be_older && successor_speaks && !planted(Defect::FormerHeard) {
-            return Speaker::Former;
+        if successor_speaks && !planted(Defect::FormerHeard) {
+            if peer.former.contains(&life) {
+                return Speaker::Former;
+            }
+            if awake < YOUNG && peer.spoke {
+                return Speaker::Disputed;
+            }
         }
         peer.succeed(awake, life, true);
         peer.heard = Some(now);
@@ -100,6 +109,21 @@
         follows
     }
 
+    /// This life has answered a question that was just asked: it is the present one.
+    pub fn answered(&mut self, now: Duration, awake: Duration, at: SocketAddr, life: u32) {
+        if let Some(peer) = self.peers.get_mut(&at).filter(|peer| peer.life != life) {
+            peer.succeed(awake, life, true);
+            peer.heard = Some(now);
+        }
+    }
+
+    /// The process that spoke there last has ended: whatever other life speaks follows it.
+    pub fn ended(&mut self, awake: Duration, at: SocketAddr) {
+        if let Some(peer) = self.peers.get_mut(&at).filter(|peer| peer.life != NO_LIFE) {
+            peer.succeed(awake, NO_LIFE, false);
+        }
+    }
+
     /// When this process was last heard, in any life.
     pub fn heard(&self, at: &SocketAddr) -> Option<Duration> {
         self.peers.get(at)?.heard
--- a/crates/lending/src/planted.rs
+++ b/crates/lending/src/planted.rs
@@ -28,6 +28,14 @@
     NumbersAgain,
     /// Loans are forgotten when their instance goes to another lender for a while.
     BooksForgotten,
+    /// A new owner doesn't wait for what the former one hands over.
+    HandoverNotAwaited,
+    /// A former owner hands nothing over.
+    NothingHandedOver,
+    /// Whoever says nothing for a while is taken for ended.
+    SilenceIsEnd,
+    /// An owner that hears nobody goes on lending.
+    IsolatedLends,
     /// A slot that comes back is freed twice.
     FreedTwice,
     /// Letters of a life that another has followed are taken for the present one's.
--- a/crates/lending/src/words.rs
+++ b/crates/lending/src/words.rs
@@ -29,6 +29,18 @@
     Leaving,
 }
 
+/// A slot that is out, as a former owner tells the new one: whose it is, and for how many ms yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanedSlot {
+    pub to: SocketAddr,
+    pub life: u32,
+    pub seq: u32,
+    pub left: u32,
+}
+
+/// The most that are told of one instance; requesters tell of the rest themselves.
+pub const MAX_LOANED_SLOTS: usize = 32;
+
 /// One line of a letter.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Line {
@@ -60,6 +72,25 @@
     Still { seq: u32, kind: Kind, instance: u32, life: u32 },
     /// A grant that the requester won't use: by its own word the instance leaves, or has ended. Answered with `Dropped`.
     Refused { seq: u32, kind: Kind, instance: u32 },
+    /// To the new owner of an instance: the sender lends it no more, and these slots are out.
+    HandsOver { kind: Kind, instance: String, loans: Vec<LoanedSlot>, complete: bool },
+    /// That was written down.
+    TookOver { instance: u32 },
+    /// To the former owner of an instance: the sender owns it from now on, and waits for what is out.
+    Claims { kind: Kind, instance: String },
+    /// The answer of one that has handed it over to another already.
+    GaveTo { kind: Kind, instance: String, owner: SocketAddr },
+}
+
+impl Line {
+    /// About how many bytes it takes.
+    fn size(&self) -> usize {
+        match self {
+            Line::HandsOver { instance, loans, .. } => 8 + instance.len() + 20 * loans.len(),
+            Line::Claims { instance, .. } | Line::GaveTo { instance, .. } => 20 + instance.len(),
+            _ => 32,
+        }
+    }
 }
 
 /// A datagram: who says it (the life of its process) and its lines.
@@ -71,6 +102,18 @@
 
 /// Lines in one datagram; keeps it under a packet's size.
 pub const LINES: usize = 16;
+/// Bytes of the lines in one datagram, for lines that are longer than most.
+const LINES_SIZE: usize = 1200;
+
+/// How many of these lines go in the next datagram.
+pub fn lines_that_fit(lines: &[Line]) -> usize {
+    let mut size = 0;
+    let fit = lines.iter().take(LINES).take_while(|line| {
+        size += line.size();
+        size <= LINES_SIZE
+    });
+    fit.count().max(1).min(lines.len())
+}
 
 impl Letter {
     /// None for what cannot be read: dropped by the reader, never guessed.
--- a/crates/lending/tests/lives.rs
+++ b/crates/lending/tests/lives.rs
@@ -39,6 +39,8 @@
 fn played_for(zone: u8, slots: usize, age: u64) -> Played {
     let now = Duration::from_secs(10);
     let mut lending = Lending::new(at(1), "z1".into(), 11, 5, Duration::ZERO);
+    // First alone: of another that is there first it would wait for a handover.
+    lending.members(now, vec![member(1, 11)]);
     lending.members(now, vec![member(1, 11), member(2, 21)]);
     let function = Function { kind: kind(KIND), name: KIND.into(), slots, boot: ms(300) };
     lending.functions(now, vec![function]);
--- a/crates/rehearsal/src/controller.rs
+++ b/crates/rehearsal/src/controller.rs
@@ -243,7 +243,7 @@
                 self.hand_on();
                 self.read_first(now);
             }
-            Note::Follow { mark, greets } => {
+            Note::Follow { mark, greets, proxy } => {
                 let relays = self.control_store.members().contains(&from);
                 if !relays {
                     self.agents.followed(now, from.ip());
@@ -253,6 +253,9 @@
                     self.send(from, news);
                 }
                 if let Some(lease) = &mut self.lease {
+                    if let Some(proxy) = proxy {
+                        lease.proxy_follows(now, proxy);
+                    }
                     lease.source.follow(now, lease.scaler.version(), from.ip(), mark, relays);
                 }
                 self.tell_instances(now);
@@ -332,7 +335,7 @@
         self.followed = now;
         let mark = self.relay.replica().mark();
         if holder != self.terms.setup.me {
-            return self.send(holder, Note::Follow { mark, greets: false });
+            return self.send(holder, Note::Follow { mark, greets: false, proxy: None });
         }
         if let Some(lease) = &mut self.lease {
             lease.source.follow(now, lease.scaler.version(), holder.ip(), mark, true);
@@ -342,7 +345,7 @@
     fn take_stacks(&mut self, now: Duration, from: SocketAddr, news: Stacks) {
         if self.relay.take(now, news) == Taken::Gap {
             let mark = self.relay.replica().mark();
-            self.send(from, Note::Follow { mark, greets: false });
+            self.send(from, Note::Follow { mark, greets: false, proxy: None });
         }
         self.hand_on();
     }
@@ -357,6 +360,7 @@
 
     fn tell_instances(&mut self, now: Duration) {
         let Some(lease) = self.lease.as_mut().filter(|lease| lease.is_informed()) else { return };
+        lease.look_at_proxies(now);
         lease.source.tick(now, lease.scaler.version());
         let me = self.terms.setup.me;
         let mut sends = Vec::new();
--- a/crates/rehearsal/src/notes.rs
+++ b/crates/rehearsal/src/notes.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use tindock_catalogue::Catalogue;
-pub use tindock_circulation::{Listed, Mark, Stacks};
+pub use tindock_circulation::{Listed, Mark, Proxy, Stacks};
 use tindock_control_store::Envelope;
 use tindock_stacks as stacks;
 
@@ -29,6 +29,7 @@
     Follow {
         mark: Mark,
         greets: bool,
+        proxy: Option<Proxy>,
     },
     Stacks(Rc<Stacks>),
     Demand(Vec<stacks::Demand>),
--- a/crates/rehearsal/src/page.rs
+++ b/crates/rehearsal/src/page.rs
@@ -1,6 +1,6 @@
 //! The page's carrying, as in `house::page`: what it pulls, follows, hears and tells the desk beside it.
 
-use crate::notes::{Listed, Note};
+use crate::notes::{Listed, Note, Proxy};
 use crate::planted::Planted;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -22,6 +22,7 @@
 pub enum Told {
     Word(Rc<Catalogue>),
     Desks(Vec<(IpAddr, String, u32)>),
+    Owners(Vec<(IpAddr, String, u32)>),
     Stacks { entries: Vec<Listed>, ended: Vec<String> },
     Fresh(bool),
 }
@@ -34,6 +35,7 @@
 
 pub struct Page {
     ip: IpAddr,
+    place: u8,
     places: Vec<(String, String)>,
     seeds: Vec<SocketAddr>,
     convergence: Duration,
@@ -72,6 +74,7 @@
         let mut page = Page {
             views: Views::new(terms.ip, place, terms.since, terms.seed, Duration::ZERO),
             ip: terms.ip,
+            place,
             places: terms.places,
             archives: terms.seeds.clone(),
             seeds: terms.seeds,
@@ -119,7 +122,8 @@
     fn follow(&mut self, holder: SocketAddr) {
         self.follows = self.follows.wrapping_add(1);
         let greets = self.follows % GREETS == 1;
-        self.send(holder, Note::Follow { mark: self.stacks.mark(), greets });
+        let proxy = Proxy { ip: self.ip, place: self.place, life: self.views.life() };
+        self.send(holder, Note::Follow { mark: self.stacks.mark(), greets, proxy: Some(proxy) });
     }
 
     pub fn next_due(&self) -> Duration {
@@ -180,6 +184,28 @@
         }
     }
 
+    /// Who serves beside this page has changed.
+    pub fn serves(&mut self, now: Duration, life: u32) {
+        if self.views.life() == life {
+            return;
+        }
+        self.views.serves(now, life);
+        if let Some((holder, _)) = self.holder {
+            self.followed = now;
+            self.follow(holder);
+        }
+    }
+
+    fn tell_owners(&mut self) {
+        let place = |proxy: &Proxy| {
+            let zone = self.places.get(usize::from(proxy.place))?.0.clone();
+            Some((proxy.ip, zone, proxy.life))
+        };
+        if let Some(owners) = self.stacks.proxies().map(|all| all.iter().filter_map(place).collect()) {
+            self.tell(Told::Owners(owners));
+        }
+    }
+
     /// What the desk tells, carried to whoever holds the duty.
     pub fn carry(&mut self, note: Note) {
         let Some((holder, _)) = self.holder else { return };
@@ -224,6 +250,9 @@
                 Taken::New { ended } => {
                     let entries = news.entries.clone();
                     self.tell(Told::Stacks { entries, ended });
+                    if news.proxies.is_some() {
+                        self.tell_owners();
+                    }
                 }
             },
             _ => {}
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -67,6 +67,11 @@
         instance: String,
         at: SocketAddr,
     },
+    Refused {
+        edge: usize,
+        life: u64,
+        owner: SocketAddr,
+    },
     Connected {
         edge: usize,
         life: u64,
@@ -564,6 +569,7 @@
             Event::Connected { edge, .. }
             | Event::Came { edge, .. }
             | Event::Due { edge, .. }
+            | Event::Refused { edge, .. }
             | Event::Closed { edge, .. }
             | Event::AtEdge { edge, .. }
             | Event::Left { edge, .. }
@@ -639,6 +645,12 @@
                     running.desk.over(now - running.born, hand, token);
                 }
             }
+            Event::Refused { edge, life, owner } => {
+                let now = self.now;
+                if let Some(running) = self.running(edge, life) {
+                    running.desk.refused(now - running.born, owner);
+                }
+            }
             Event::Hangup { at, attempt } => self.hangup(at, attempt),
             Event::Closed { edge, life, instance } => {
                 if let Some(running) = self.running(edge, life) {
@@ -731,7 +743,10 @@
                         Told::Desks(desks) if self.sharing != Sharing::AllSeeing => {
                             running.desk.desks(local, &desks)
                         }
-                        Told::Desks(_) => {}
+                        Told::Owners(owners) if self.sharing != Sharing::AllSeeing => {
+                            running.desk.owners(local, &owners)
+                        }
+                        Told::Desks(_) | Told::Owners(_) => {}
                         Told::Stacks { entries, ended } => running.desk.stacks(local, &entries, &ended),
                         Told::Fresh(fresh) => running.desk.fresh(fresh),
                     },
@@ -761,6 +776,7 @@
                     let name = edge.name.clone();
                     self.tell(format!("{name} passes {} over", lender.ip()));
                 }
+                desk::Out::Probe(owner) => self.probe_owner(n, life, owner),
                 desk::Out::Gone(instance) => running.page.carry(Note::Gone(instance)),
                 desk::Out::Ready(instance) => running.page.carry(Note::Ready(instance)),
                 desk::Out::Lend { to, bytes } => self.send_lend(n, ip, to, bytes),
@@ -958,6 +974,18 @@
         }
     }
 
+    /// A machine refuses connections where its processes are gone; one without power, or behind a cut, says nothing.
+    fn probe_owner(&mut self, n: usize, life: u64, owner: SocketAddr) {
+        let Some(&Node::Edge(other)) = self.by_ip.get(&owner.ip()) else { return };
+        let (from, to) = (Node::Edge(n), Node::Edge(other));
+        let cut = self.net.cut(from, to) || self.net.cut(to, from);
+        if cut || self.edges[other].up != Power::Refuses {
+            return;
+        }
+        let takes = self.net.delay(from, to) * 2;
+        self.later(takes, Event::Refused { edge: n, life, owner });
+    }
+
     fn send_platform(&mut self, n: usize, life: u64, number: u64, call: controller::Call) {
         let id = self.number();
         if let Some(core) = self.cores.get_mut(n) {
@@ -1043,7 +1071,7 @@
                     seed,
                     planted: self.planted,
                 });
-                page.views.serves(Duration::ZERO, life);
+                page.serves(Duration::ZERO, life);
                 let plan = (self.planted, self.sharing, self.ranking);
                 let desk = Desk::new(edge.ip, &zone, &places, life, seed, budget, plan);
                 edge.running = Some(Running { born: now, page, desk, leaves: None });
--- a/crates/rehearsal/src/world/acts.rs
+++ b/crates/rehearsal/src/world/acts.rs
@@ -359,7 +359,7 @@
                 running.leaves =
                     Some((now + grace / 2, now + grace.saturating_sub(Duration::from_millis(500))));
                 running.desk.leaving = true;
-                running.page.views.serves(local, 0);
+                running.page.serves(local, 0);
                 if self.planted == Some(Planted::LeavesAtOnce) {
                     running.leaves = Some((now, now));
                 }
--- a/crates/scale-run/src/hollow.rs
+++ b/crates/scale-run/src/hollow.rs
@@ -165,6 +165,7 @@
                 Told::Word(catalogue) => ("whole configuration", Some(catalogue.revision)),
                 Told::Change(change) => ("change of configuration", Some(change.revision)),
                 Told::Desks(_) => ("members", None),
+                Told::Owners(_) => ("owners", None),
                 Told::Stacks { .. } => ("instances", None),
                 Told::Fresh(_) => ("freshness", None),
             };
--- a/crates/stacks/src/book.rs
+++ b/crates/stacks/src/book.rs
@@ -78,6 +78,11 @@
         self.version
     }
 
+    pub(crate) fn next_version(&mut self) -> u64 {
+        self.version += 1;
+        self.version
+    }
+
     /// Versions seen elsewhere are behind the next one.
     pub(crate) fn beyond(&mut self, version: u64) {
         self.version = self.version.max(version);
--- a/crates/stacks/src/scaler.rs
+++ b/crates/stacks/src/scaler.rs
@@ -1081,6 +1081,11 @@
         self.book.version()
     }
 
+    /// The version of a change that is told beside those of the instances.
+    pub fn next_version(&mut self) -> u64 {
+        self.book.next_version()
+    }
+
     /// What changed after `version`. While the holder is new and does not know all, never whole.
     pub fn since(&self, version: u64) -> News {
         self.book.since(version)
