Slots: lints, and the measure of a call counts it from the first call on

Need: failed clippy (two lints) and scale-run's count of datagrams, which took in the claims at the start. Change: Default for Owners; the two proxies agree who owns before the calls begin. Measured: clippy clean; tests of scale-run, gazette, stacks and lending pass.

--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -272,7 +272,7 @@
             zone,
             life,
             chance: Rand32::new(seed),
-            owners: Owners::new(),
+            owners: Owners::default(),
             former: Vec::new(),
             passed_over: HashMap::new(),
             heard: now,
--- a/crates/lending/src/owners.rs
+++ b/crates/lending/src/owners.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 /// The members as this process knows them.
+#[derive(Default)]
 pub struct Owners {
     members: Vec<Member>,
     /// Members whose process has ended, with the life that did.
@@ -15,10 +16,6 @@
 }
 
 impl Owners {
-    pub fn new() -> Owners {
-        Owners { members: Vec::new(), ended: HashMap::new() }
-    }
-
     pub fn members(&self) -> &[Member] {
         &self.members
     }
--- a/crates/scale-run/src/slots.rs
+++ b/crates/scale-run/src/slots.rs
@@ -92,6 +92,8 @@
     let requester = 1 - owner;
     let mut traffic = Traffic::default();
     let mut now = Duration::from_secs(10);
+    // Who owns what is agreed before the first call.
+    exchange(&mut proxies, &all, now, &mut Traffic::default());
     let (_, spent) = timed(|| {
         for _ in 0..CALLS {
             let end = now + Duration::from_secs(4);
