Owners are told on by peers; silent owners' calls are given up; a list after 2.2 s

Change: agents' letters say up to which mark the owners are known, and who has had newer ones for 1 s sends them; after 0.8 s a call that only silent owners could serve is answered with 503. What was handed over early holds 1 s.

--- a/crates/circulation/src/lib.rs
+++ b/crates/circulation/src/lib.rs
@@ -56,6 +56,14 @@
     pub life: u32,
 }
 
+/// All proxies among which owners of slots are chosen, and under which mark the holder of the lease told them: a later one
+/// holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owners {
+    pub mark: Mark,
+    pub proxies: Vec<Proxy>,
+}
+
 /// What changed after the version `from`; `whole`: this is everything. `tag` and `numbers` name the starts made so far, for
 /// whoever holds the duty next. Under the number 0 it is a reading of the platform's list while nobody holds the duty.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -68,8 +76,8 @@
     pub ended: Vec<String>,
     pub tag: u64,
     pub numbers: Vec<(String, u32)>,
-    /// All proxies among which owners are chosen, if they changed after `from`.
-    pub proxies: Option<Vec<Proxy>>,
+    /// If they changed after `from`.
+    pub owners: Option<Owners>,
 }
 
 impl Stacks {
--- a/crates/circulation/src/replica.rs
+++ b/crates/circulation/src/replica.rs
@@ -1,6 +1,6 @@
 //! The stacks as one page or archive knows them.
 
-use crate::{Listed, Mark, Proxy, Stacks};
+use crate::{Listed, Mark, Owners, Stacks};
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
@@ -22,7 +22,7 @@
     tag: u64,
     numbers: BTreeMap<String, u32>,
     entries: BTreeMap<String, (Listed, Duration)>,
-    proxies: Option<Vec<Proxy>>,
+    owners: Option<Owners>,
 }
 
 impl Replica {
@@ -41,8 +41,17 @@
     }
 
     /// The proxies among which owners of slots are chosen, once they were told.
-    pub fn proxies(&self) -> Option<&[Proxy]> {
-        self.proxies.as_deref()
+    pub fn owners(&self) -> Option<&Owners> {
+        self.owners.as_ref()
+    }
+
+    /// Owners as the holder told them, whoever passes them on; true if they are newer than those known.
+    pub fn take_owners(&mut self, owners: &Owners) -> bool {
+        let newer = self.owners.as_ref().is_none_or(|own| own.mark < owners.mark);
+        if newer {
+            self.owners = Some(owners.clone());
+        }
+        newer
     }
 
     /// The highest number of a start of each service.
@@ -71,8 +80,8 @@
             self.entries.insert(entry.instance.clone(), (entry.clone(), now));
         }
         self.numbers.extend(news.numbers.iter().cloned());
-        if news.proxies.is_some() {
-            self.proxies.clone_from(&news.proxies);
+        if let Some(owners) = &news.owners {
+            self.take_owners(owners);
         }
         Taken::New { ended }
     }
@@ -109,7 +118,7 @@
             ended: Vec::new(),
             tag: self.tag,
             numbers: self.numbers(),
-            proxies: self.proxies.clone(),
+            owners: self.owners.clone(),
         }
     }
 }
--- a/crates/controller/src/lease_duties.rs
+++ b/crates/controller/src/lease_duties.rs
@@ -6,7 +6,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 use tindock_catalogue::Catalogue;
-use tindock_circulation::{Listed, Proxy, Replica, Source, Stacks};
+use tindock_circulation::{Listed, Mark, Proxy, Replica, Source, Stacks};
 use tindock_stacks::{self as autoscaler, Entry, Host, Order, Rebinding, Scaler};
 
 /// Instances younger than this (ms) a new holder may not find on the platform's list.
@@ -41,8 +41,6 @@
     /// To whom the instances are told.
     pub source: Source,
     proxies: Proxies,
-    /// The version under which they changed last.
-    proxies_version: u64,
     list_interval: Duration,
     inherited: bool,
     /// Whether this controller knew the earlier holder's starts itself.
@@ -81,8 +79,7 @@
             since: now,
             scaler,
             source: Source::new(number, now),
-            proxies: Proxies::new(now, replica.proxies()),
-            proxies_version: 0,
+            proxies: Proxies::new(now, replica.owners()),
             list_interval: settings.list_interval,
             inherited: false,
             knew_starts,
@@ -168,8 +165,9 @@
 
     /// A change of the proxies is told as one of the instances is, under a version of its own.
     pub fn look_at_proxies(&mut self, now: Duration) {
-        if self.proxies.changed(now).is_some() {
-            self.proxies_version = self.scaler.next_version();
+        if self.proxies.has_changed(now) {
+            let version = self.scaler.next_version();
+            self.proxies.tell(Mark { number: self.number, version });
         }
     }
 
@@ -194,7 +192,9 @@
             let changed: HashSet<&str> = news.entries.iter().map(|entry| entry.service.as_str()).collect();
             numbers.retain(|(service, _)| changed.contains(service.as_str()));
         }
-        let proxies = self.proxies.told().filter(|_| news.whole || self.proxies_version > version);
+        let told = self.proxies.told();
+        let newer = |mark: Mark| mark > Mark { number: self.number, version };
+        let owners = told.filter(|owners| news.whole || newer(owners.mark)).cloned();
         Stacks {
             number: self.number,
             from: version,
@@ -204,7 +204,7 @@
             ended: news.ended.into_iter().map(|(id, _)| id).collect(),
             tag,
             numbers,
-            proxies: proxies.map(<[Proxy]>::to_vec),
+            owners,
         }
     }
 }
--- a/crates/controller/src/proxies.rs
+++ b/crates/controller/src/proxies.rs
@@ -5,12 +5,12 @@
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::time::Duration;
-use tindock_circulation::Proxy;
+use tindock_circulation::{Mark, Owners, Proxy};
 
 /// Without a predecessor's list the first one waits so long for the agents to follow.
 const FIRST_LIST_AFTER: Duration = Duration::from_millis(1500);
 /// An agent follows once a second; one that was not heard for so long is gone, or cut off.
-const SILENT_AFTER: Duration = Duration::from_millis(3000);
+const SILENT_AFTER: Duration = Duration::from_millis(2200);
 /// A longer pause between two looks is one in which this process stood still, and heard nobody.
 const STOOD_STILL: Duration = Duration::from_millis(1000);
 const MAX_PROXIES: usize = 4096;
@@ -26,18 +26,18 @@
 pub struct Proxies {
     known: BTreeMap<IpAddr, Known>,
     /// As they were last told.
-    told: Option<Vec<Proxy>>,
+    told: Option<Owners>,
     first_due: Duration,
     looked: Duration,
 }
 
 impl Proxies {
     /// `before`: what the holder before this one told last.
-    pub fn new(now: Duration, before: Option<&[Proxy]>) -> Proxies {
+    pub fn new(now: Duration, before: Option<&Owners>) -> Proxies {
         let heard = |proxy: &Proxy| (proxy.ip, Known { proxy: *proxy, heard: now });
         Proxies {
-            known: before.unwrap_or_default().iter().map(heard).collect(),
-            told: before.map(<[Proxy]>::to_vec),
+            known: before.iter().flat_map(|owners| &owners.proxies).map(heard).collect(),
+            told: before.cloned(),
             first_due: now + FIRST_LIST_AFTER,
             looked: now,
         }
@@ -52,28 +52,32 @@
         }
     }
 
-    /// The list, if it is another than the one that was told last.
-    pub fn changed(&mut self, now: Duration) -> Option<&[Proxy]> {
+    /// Whether the list is another than the one that was told last. It is told under the mark that the caller gives it.
+    pub fn has_changed(&mut self, now: Duration) -> bool {
         let pause = now.saturating_sub(self.looked);
         self.looked = now;
         if pause > STOOD_STILL {
             self.known.values_mut().for_each(|known| known.heard += pause);
         }
         if self.told.is_none() && now < self.first_due {
-            return None;
+            return false;
         }
         self.known.retain(|_, known| now < known.heard + SILENT_AFTER);
-        let list: Vec<Proxy> = self.known.values().map(|known| known.proxy).collect();
-        if self.told.as_ref() == Some(&list) {
-            return None;
-        }
-        self.told = Some(list);
-        self.told.as_deref()
+        self.told.as_ref().is_none_or(|told| !told.proxies.iter().eq(self.list()))
+    }
+
+    fn list(&self) -> impl Iterator<Item = &Proxy> {
+        self.known.values().map(|known| &known.proxy)
+    }
+
+    /// The list as it is now is told under this mark.
+    pub fn tell(&mut self, mark: Mark) {
+        self.told = Some(Owners { mark, proxies: self.list().copied().collect() });
     }
 
     /// The list that was told last.
-    pub fn told(&self) -> Option<&[Proxy]> {
-        self.told.as_deref()
+    pub fn told(&self) -> Option<&Owners> {
+        self.told.as_ref()
     }
 
     /// When a look may find a change without any further input.
--- a/crates/gazette/src/lib.rs
+++ b/crates/gazette/src/lib.rs
@@ -66,6 +66,8 @@
     pub beats: Vec<Beat>,
     /// Sources of which a beat came that does not fit what is known: all of it is wanted.
     pub wants: Vec<IpAddr>,
+    /// Up to which number and version the writer knows who owns slots.
+    pub owners: (u64, u64),
 }
 
 impl Letter {
@@ -96,6 +98,8 @@
     due: Duration,
     /// Who serves here has changed: all are told at once, not one at a time.
     urgent: bool,
+    /// Told in each letter.
+    owners: (u64, u64),
 }
 
 impl Views {
@@ -109,9 +113,15 @@
             chance: Rand32::new(seed),
             due: now,
             urgent: false,
+            owners: (0, 0),
         }
     }
 
+    /// Up to which number and version this one knows who owns slots; told in each letter from now on.
+    pub fn know_owners(&mut self, owners: (u64, u64)) {
+        self.owners = owners;
+    }
+
     /// The life of the process that serves here; 0 if none does.
     pub fn life(&self) -> u32 {
         self.own.life
@@ -169,7 +179,8 @@
 
     fn letter(&self, asks: bool, short: &[Heard]) -> Letter {
         let beats = short.iter().map(|h| Beat { ip: h.ip, beat: h.beat, check: h.check() }).collect();
-        Letter { asks, known: self.known.len() as u16, heard: vec![self.own], beats, wants: Vec::new() }
+        let known = self.known.len() as u16;
+        Letter { asks, known, heard: vec![self.own], beats, wants: Vec::new(), owners: self.owners }
     }
 
     /// What the writer of a letter lacks, as far as it shows, and what this one lacks of its sources.
@@ -184,7 +195,8 @@
         if !letter.asks {
             let nothing = asked.is_empty() && wants.is_empty();
             let known = self.known.len() as u16;
-            return (!nothing).then_some(Letter { known, heard: asked, wants, ..Letter::default() });
+            let owners = self.owners;
+            return (!nothing).then_some(Letter { known, heard: asked, wants, owners, ..Letter::default() });
         }
         // Who knows few is told of all in whole: until then it lends what others lend.
         let newcomer = usize::from(letter.known) * 2 < self.known.len();
@@ -240,7 +252,7 @@
         let mut letters: Vec<(IpAddr, Letter)> = to.into_iter().map(|ip| (ip, letter.clone())).collect();
         // Lenders change with who serves: two that each lend the same slots until a letter has gone round broke LIMIT.
         if std::mem::take(&mut self.urgent) {
-            let word = Letter { heard: vec![self.own], ..Letter::default() };
+            let word = Letter { heard: vec![self.own], owners: self.owners, ..Letter::default() };
             let others: Vec<IpAddr> = self.there(now).iter().map(|heard| heard.ip).collect();
             for ip in others {
                 if ip != self.own.ip && letters.iter().all(|(told, _)| *told != ip) {
@@ -483,7 +495,8 @@
     fn what_is_no_letter_is_dropped() {
         let heard = Heard { ip: ip(1), place: 0, life: 1, since: 5, beat: 9 };
         let beats = vec![Beat { ip: ip(2), beat: 7, check: heard.check() }];
-        let letter = Letter { asks: true, known: 3, heard: vec![heard], beats, wants: vec![ip(3)] };
+        let letter =
+            Letter { asks: true, known: 3, heard: vec![heard], beats, wants: vec![ip(3)], owners: (2, 9) };
         let bytes = letter.write();
         for end in 0..bytes.len() {
             assert!(Letter::read(&bytes[..end]).is_none(), "cut at {end}");
--- a/crates/house/src/controller/agents.rs
+++ b/crates/house/src/controller/agents.rs
@@ -77,7 +77,7 @@
                 }
             }
             // These come from controllers alone.
-            Note::News { .. } | Note::Word(_) | Note::Change(_) => {}
+            Note::News { .. } | Note::Word(_) | Note::Change(_) | Note::Owners(_) => {}
         }
     }
 
--- a/crates/house/src/notes.rs
+++ b/crates/house/src/notes.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use tindock_catalogue::{Catalogue, Change};
 pub use tindock_circulation::Listed;
-use tindock_circulation::{Mark, Proxy, Stacks};
+use tindock_circulation::{Mark, Owners, Proxy, Stacks};
 use tindock_control_store::Envelope;
 
 /// Between pages and archives.
@@ -53,6 +53,8 @@
         tag: u64,
         numbers: Vec<(String, u32)>,
     },
+    /// From another page, which hears that this one knows older ones: it may be cut off from the holder.
+    Owners(Owners),
     /// From an archive: another page's address is worth knowing; or a page that leaves.
     Leaving {
         ip: IpAddr,
--- a/crates/house/src/page.rs
+++ b/crates/house/src/page.rs
@@ -10,7 +10,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 use tindock_catalogue::Catalogue;
-use tindock_circulation::{Proxy, Replica, Stacks, Taken};
+use tindock_circulation::{Mark, Proxy, Replica, Stacks, Taken};
 use tindock_gazette::{Letter, Views};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -29,6 +29,8 @@
 const TELLERS: usize = 6;
 /// So long after its start a page that has found no archive of its own zone takes another.
 const NEAR: Duration = Duration::from_millis(300);
+/// The holder's word reaches all within this; who has another one by then is told by those it meets.
+const OWNERS_SPREAD: Duration = Duration::from_millis(1000);
 /// One pull in so many asks who else is there.
 const PULL_GREETS: u32 = 6;
 /// One follow in so many asks for other pages.
@@ -72,6 +74,8 @@
     fresh: bool,
     holder: Option<(SocketAddr, u64)>,
     stacks: Replica,
+    /// The mark of the owners that are known, and since when.
+    owners: (Mark, Duration),
     /// Zones of archives, as they told them; one that did not answer counts as far.
     zones_of: BTreeMap<SocketAddr, u8>,
     place: u8,
@@ -178,6 +182,7 @@
         fresh: false,
         holder: None,
         stacks: Replica::default(),
+        owners: (Mark::default(), Duration::ZERO),
         zones_of: BTreeMap::new(),
         place,
         pulls: 0,
@@ -202,6 +207,7 @@
         let wait = due.saturating_sub(now).max(Duration::from_millis(2));
         match tokio::time::timeout(wait, inbox.recv()).await {
             Ok(Some(Event::Letter(from, letter))) => {
+                page.pass_owners_on(page.start.elapsed(), from, letter.owners);
                 if let Some(answer) = page.views.hear(page.start.elapsed(), &letter) {
                     let _ = datagrams.try_send_to(&answer.write(), SocketAddr::new(from, me.port()));
                 }
@@ -283,8 +289,26 @@
             let zone = places.get(usize::from(proxy.place))?.0.clone();
             Some(Desk { ip: proxy.ip, zone, life: proxy.life })
         };
-        if let Some(owners) = self.stacks.proxies().map(|all| all.iter().filter_map(desk).collect()) {
-            self.tell(&Told::Owners(owners));
+        let Some(owners) = self.stacks.owners() else { return };
+        let mark = owners.mark;
+        let desks = owners.proxies.iter().filter_map(desk).collect();
+        self.tell(&Told::Owners(desks));
+        if mark != self.owners.0 {
+            self.owners = (mark, self.start.elapsed());
+            self.views.know_owners((mark.number, mark.version));
+        }
+    }
+
+    /// Another page knows older owners than this one has known for a while: whatever keeps the holder's word from it, it
+    /// must not go on with those.
+    fn pass_owners_on(&mut self, now: Duration, to: IpAddr, known: (u64, u64)) {
+        let known = Mark { number: known.0, version: known.1 };
+        let (mark, since) = self.owners;
+        if known >= mark || now < since + OWNERS_SPREAD {
+            return;
+        }
+        if let Some(owners) = self.stacks.owners() {
+            self.post.send(SocketAddr::new(to, self.me.port()), &Note::Owners(owners.clone()));
         }
     }
 
@@ -594,13 +618,18 @@
                     self.pull();
                 }
                 Taken::New { ended } => {
-                    let Stacks { entries, whole, proxies, .. } = news;
+                    let Stacks { entries, whole, owners, .. } = news;
                     self.tell(&Told::Stacks { entries, ended, whole });
-                    if proxies.is_some() {
+                    if owners.is_some() {
                         self.tell_owners();
                     }
                 }
             },
+            Note::Owners(owners) => {
+                if self.stacks.take_owners(&owners) {
+                    self.tell_owners();
+                }
+            }
             Note::ControlStore(_)
             | Note::Pull { .. }
             | Note::Follow { .. }
--- a/crates/lending/src/handover.rs
+++ b/crates/lending/src/handover.rs
@@ -20,7 +20,7 @@
 /// An instance that is first heard of so soon after a change of owners may have been lent by another.
 const AFTER_CHANGE: Duration = Duration::from_secs(2);
 /// What was handed over before this process knew that it is the owner is kept so long.
-const EARLY: Duration = Duration::from_secs(3);
+const EARLY: Duration = Duration::from_secs(1);
 /// To whom an instance was handed over is remembered so long, for one that learns of two changes as one.
 const GIVEN: Duration = Duration::from_secs(10);
 /// Bounds of what is kept for that.
--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -46,6 +46,8 @@
 const FENCED: Duration = Duration::from_millis(2000);
 /// Its clients are told to come back after this.
 const CUT_OFF_RETRY: Duration = Duration::from_millis(300);
+/// A call that only silent owners could serve is given up after so long.
+const GIVEN_UP: Duration = Duration::from_millis(800);
 /// An owner that was heard so lately is not probed.
 const PROBED_AFTER: Duration = Duration::from_millis(250);
 /// What a lender said of its room is believed so long.
@@ -157,6 +159,7 @@
     priority: u8,
     aim: Duration,
     end: Duration,
+    came: Duration,
     avoid: u32,
     stage: Stage,
 }
@@ -600,7 +603,7 @@
         }
         let avoid = if avoid.is_empty() { 0 } else { hash(avoid) };
         let stage = Stage::Asking { to: self.me, sent: now, tries: 0, waits: false, hops: 0 };
-        self.calls.insert(seq, Call { kind, priority, aim, end, avoid, stage });
+        self.calls.insert(seq, Call { kind, priority, aim, end, came: now, avoid, stage });
         self.ask(seq, 0);
         self.pump();
         seq
@@ -1299,8 +1302,24 @@
         let asks = |call: &Call| matches!(call.stage, Stage::Asking { to, .. } if silent.contains(&to));
         let lost: Vec<u32> = self.calls.iter().filter(|(_, call)| asks(call)).map(|(seq, _)| *seq).collect();
         for seq in lost {
-            self.ask(seq, 0);
+            self.ask_or_give_up(seq);
+        }
+    }
+
+    /// Where all that could be asked have been silent for long the client is told to come back: it may find a way.
+    fn ask_or_give_up(&mut self, seq: u32) {
+        let Some(call) = self.calls.get(&seq) else { return };
+        let (kind, waited) = (call.kind, self.now.saturating_sub(call.came));
+        let zone = self.zone_for(kind);
+        let silent = self.lender(kind, &zone).is_some_and(|at| self.passed_over.contains_key(&at));
+        if silent && waited >= GIVEN_UP {
+            if let Some(Call { stage: Stage::Asking { to, .. }, .. }) = self.calls.remove(&seq) {
+                self.stray(to, seq, kind, 0);
+            }
+            self.orders.push_back(Order::No { call: seq, after: CUT_OFF_RETRY });
+            return;
         }
+        self.ask(seq, 0);
     }
 
     /// A call has come for what another owns, as far as is known here: the one that asks may know that its process has ended.
--- a/crates/rehearsal/src/controller.rs
+++ b/crates/rehearsal/src/controller.rs
@@ -282,7 +282,7 @@
                     lease.inherit(now, entries, &numbers, tag);
                 }
             }
-            Note::News { .. } | Note::Word(_) => {}
+            Note::News { .. } | Note::Word(_) | Note::Owners(_) => {}
         }
     }
 
--- a/crates/rehearsal/src/notes.rs
+++ b/crates/rehearsal/src/notes.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use tindock_catalogue::Catalogue;
-pub use tindock_circulation::{Listed, Mark, Proxy, Stacks};
+pub use tindock_circulation::{Listed, Mark, Owners, Proxy, Stacks};
 use tindock_control_store::Envelope;
 use tindock_stacks as stacks;
 
@@ -32,6 +32,7 @@
         proxy: Option<Proxy>,
     },
     Stacks(Rc<Stacks>),
+    Owners(Owners),
     Demand(Vec<stacks::Demand>),
     Gone(String),
     Ready(String),
--- a/crates/scale-run/src/distribution.rs
+++ b/crates/scale-run/src/distribution.rs
@@ -42,7 +42,7 @@
         ended: Vec::new(),
         tag: 1,
         numbers: (0..size.functions).map(|number| (Size::function(number), 1)).collect(),
-        proxies: None,
+        owners: None,
     }
 }
 
