Slots: the smaller part of a cut network turns calls away and lends no more

Change: more members silent than in reach, for 0.6 s, counts; those of which nothing is known are asked for a word.

--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -40,10 +40,15 @@
 const SPEAKS: Duration = Duration::from_millis(250);
 /// One that is passed over is asked for a word this often, and lends again once it is heard.
 pub const PASSED_OVER: Duration = Duration::from_millis(500);
-/// Who has heard no word of anybody for so long, though it asked, is cut off from all: it turns its calls away,
-const ISOLATED: Duration = Duration::from_millis(1000);
-/// and lends no more after so long: the others may have new owners by then.
-const FENCED: Duration = Duration::from_millis(2000);
+/// A member that was heard so lately is in reach.
+const IN_REACH: Duration = Duration::from_millis(1000);
+/// Who is in the smaller part of a network for so long turns its calls away,
+const ISOLATED: Duration = Duration::from_millis(600);
+/// and lends no more after so long: the others may have new owners by then. (They are passed over 0.4 s before this counts.)
+const FENCED: Duration = Duration::from_millis(1600);
+/// So many silent members make it likely, and so many others are asked for a word then.
+const LIKELY_ISOLATED: usize = 2;
+const ASKED_FOR_A_WORD: usize = 8;
 /// Its clients are told to come back after this.
 const CUT_OFF_RETRY: Duration = Duration::from_millis(300);
 /// A call that only silent owners could serve is given up after so long.
@@ -209,8 +214,8 @@
     /// Lenders that say nothing, and when they are next asked for a word. Others are asked where there are others; that
     /// changes no owner.
     passed_over: HashMap<SocketAddr, Duration>,
-    /// When anybody was last heard.
-    heard: Duration,
+    /// Since when more members are silent than in reach.
+    isolated: Option<Duration>,
     /// When an owner in this one's zone was last probed for a call that came here.
     probed: HashMap<SocketAddr, Duration>,
     pending: Vec<Pending>,
@@ -278,7 +283,7 @@
             owners: Owners::default(),
             former: Vec::new(),
             passed_over: HashMap::new(),
-            heard: now,
+            isolated: None,
             probed: HashMap::new(),
             pending: Vec::new(),
             early: HashMap::new(),
@@ -491,16 +496,53 @@
         self.owners.owner(kind, zone)
     }
 
-    /// Nobody answers: this process is cut off from all others. One that has ended is nobody to hear of.
-    fn is_isolated(&self) -> bool {
+    /// Members that say nothing, and members in reach; without this process, and those whose processes have ended.
+    fn reach(&self) -> (usize, Vec<SocketAddr>, usize) {
         let others = self.owners.members().iter().filter(|m| m.at != self.me && !self.owners.has_ended(m.at));
-        let enough = others.count().min(2);
-        enough > 0 && self.passed_over.len() >= enough && self.now >= self.heard + ISOLATED
+        let in_reach =
+            |at: &SocketAddr| self.lives.heard(at).is_some_and(|heard| heard + IN_REACH > self.now);
+        let (mut silent, mut unknown, mut heard) = (0, Vec::new(), 0);
+        for other in others {
+            if self.passed_over.contains_key(&other.at) {
+                silent += 1;
+            } else if in_reach(&other.at) {
+                heard += 1;
+            } else {
+                unknown.push(other.at);
+            }
+        }
+        (silent, unknown, heard)
+    }
+
+    /// One that hears fewer members than are silent is likely in the smaller part of a network that was cut. Those of which
+    /// nothing is known are asked for a word first.
+    fn look_for_isolation(&mut self) {
+        if self.passed_over.is_empty() {
+            self.isolated = None;
+            return;
+        }
+        let (silent, unknown, heard) = self.reach();
+        let likely = silent >= LIKELY_ISOLATED.min(silent + unknown.len() + heard);
+        if !likely || silent <= heard {
+            self.isolated = None;
+            return;
+        }
+        if self.isolated.is_none() {
+            self.isolated = Some(self.now);
+            for at in unknown.into_iter().take(ASKED_FOR_A_WORD) {
+                self.say(at, Line::Unwanted { seq: 0, kind: 0, instance: 0 });
+            }
+        }
+    }
+
+    fn is_isolated(&self) -> bool {
+        self.isolated.is_some_and(|since| self.now >= since + ISOLATED)
     }
 
-    /// Cut off for so long that the others may have new owners for what this one owns.
+    /// Isolated for so long that the others may have new owners for what this one owns.
     fn is_fenced(&self) -> bool {
-        self.is_isolated() && self.now >= self.heard + FENCED && !planted(Defect::IsolatedLends)
+        let fenced = self.isolated.is_some_and(|since| self.now >= since + FENCED);
+        fenced && !planted(Defect::IsolatedLends)
     }
 
     /// Puts the instances in this one's care on its shelves. Those that another may have lent until now rest first.
@@ -851,7 +893,6 @@
             self.hear_former(from, letter);
             return true;
         }
-        self.heard = now;
         self.passed_over.remove(&from);
         if self.owners.note_alive(from) {
             self.arrange(Cause::Evidence);
@@ -1411,6 +1452,7 @@
             self.say(at, Line::Unwanted { seq: 0, kind: 0, instance: 0 });
             self.orders.push_back(Order::Probe { owner: at });
         }
+        self.look_for_isolation();
     }
 
     /// Whoever waits here is told to come back.
