--- a/crates/controller/src/agents.rs
+++ b/crates/controller/src/agents.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
+use std::ops::Bound;
 use std::time::Duration;
 
 /// An agent that was not heard for so long is told nothing more.
@@ -39,14 +40,14 @@
 #[derive(Debug)]
 pub struct Agents {
     states: BTreeMap<IpAddr, AgentState>,
-    sample_start: IpAddr,
+    sample_start: Bound<IpAddr>,
 }
 
 impl Agents {
-    /// `sample_start`: where the sample of others begins in the order of addresses. Controllers that begin at different ones
-    /// (each at its own) name different agents.
+    /// `sample_start`: where the first sample of others begins in the order of addresses. Controllers that begin at different
+    /// ones (each at its own) name different agents.
     pub fn new(sample_start: IpAddr) -> Agents {
-        Agents { states: BTreeMap::new(), sample_start }
+        Agents { states: BTreeMap::new(), sample_start: Bound::Included(sample_start) }
     }
 
     /// An agent asks for what it lacks: it has `revision`. What is on its way to it counts as had.
@@ -106,10 +107,21 @@
         recent.map(|(ip, _)| *ip).collect()
     }
 
-    /// Some agents heard lately, for one that asks for others.
-    pub fn sample(&self, now: Duration, asks: IpAddr) -> Vec<IpAddr> {
-        let (start, end) = (self.states.range(self.sample_start..), self.states.range(..self.sample_start));
+    /// Some agents heard lately, for one that asks for others. Each sample goes on where the one before ended: always the same
+    /// few would leave two islands of agents apart, if all of those are in one.
+    pub fn sample(&mut self, now: Duration, asks: IpAddr) -> Vec<IpAddr> {
+        let before = match self.sample_start {
+            Bound::Included(ip) => Bound::Excluded(ip),
+            Bound::Excluded(ip) => Bound::Included(ip),
+            Bound::Unbounded => Bound::Unbounded,
+        };
+        let start = self.states.range((self.sample_start, Bound::Unbounded));
+        let end = self.states.range((Bound::Unbounded, before));
         let others = start.chain(end).filter(|(ip, agent)| **ip != asks && agent.is_recent(now));
-        others.map(|(ip, _)| *ip).take(SAMPLE_SIZE).collect()
+        let sample: Vec<IpAddr> = others.map(|(ip, _)| *ip).take(SAMPLE_SIZE).collect();
+        if let Some(last) = sample.last() {
+            self.sample_start = Bound::Excluded(*last);
+        }
+        sample
     }
 }
--- a/crates/controller/tests/agents.rs
+++ b/crates/controller/tests/agents.rs
@@ -69,3 +69,14 @@
     agents.followed(AGENT_TIMEOUT, ip(900_000));
     assert_eq!(agents.recent(AGENT_TIMEOUT), [ip(900_000)]);
 }
+
+/// Guards against always the same few: two islands of agents, of which one has all of those, would stay apart.
+#[test]
+fn samples_go_round_all_agents() {
+    let mut agents = Agents::new(ip(0));
+    (1..=20).for_each(|n| agents.followed(MS(10), ip(n)));
+    let mut named: Vec<IpAddr> = (0..5).flat_map(|_| agents.sample(MS(20), ip(1))).collect();
+    named.sort();
+    named.dedup();
+    assert_eq!(named, (2..=20).map(ip).collect::<Vec<_>>());
+}
--- a/crates/house/src/controller/agents.rs
+++ b/crates/house/src/controller/agents.rs
@@ -82,14 +82,15 @@
     }
 
     /// How things stand, for one agent; with `greets` also who else is there.
-    fn news(&self, now: Duration, to: IpAddr, greets: bool) -> Note {
+    fn news(&mut self, now: Duration, to: IpAddr, greets: bool) -> Note {
+        let pages = if greets { self.agents.sample(now, to) } else { Vec::new() };
         Note::News {
             holder: self.holder,
             revision: self.control_store.committed().map_or(0, |committed| committed.revision),
             touch: self.is_in_touch(now),
             place: self.place,
             archives: if greets { self.control_store.members() } else { Vec::new() },
-            pages: if greets { self.agents.sample(now, to) } else { Vec::new() },
+            pages,
         }
     }
 
--- a/crates/rehearsal/src/controller.rs
+++ b/crates/rehearsal/src/controller.rs
@@ -286,13 +286,14 @@
         }
     }
 
-    fn news(&self, now: Duration, to: IpAddr) -> Note {
+    fn news(&mut self, now: Duration, to: IpAddr) -> Note {
+        let pages = self.agents.sample(now, to);
         Note::News {
             holder: self.holder,
             revision: self.control_store.committed().map_or(0, |word| word.revision),
             touch: self.is_in_touch(now),
             archives: self.control_store.members(),
-            pages: self.agents.sample(now, to),
+            pages,
         }
     }
 
