Simulator: the last request after a drain is a figure of each report

Need: DRAIN was a yes or no; its worst case is what a search is to drive up. Change: the judge keeps arrivals at draining instances and tells the latest of a machine in touch.

--- a/crates/rehearsal/src/judge.rs
+++ b/crates/rehearsal/src/judge.rs
@@ -160,7 +160,10 @@
     pub brushed: usize,
     /// Arrivals at workers, whether it was the first of its try.
     arrivals: Vec<(Duration, String, bool)>,
-    late: Vec<(Duration, Duration, usize)>,
+    /// Arrivals at instances that the list showed as draining: when, since when it did, and the edge machine.
+    while_draining: Vec<(Duration, Duration, usize)>,
+    /// How long after the list showed a drain the last request came of a machine in touch.
+    pub last_while_draining: Duration,
     /// When the platform was asked for its list, and by which number.
     pub reads: Vec<(Duration, u64)>,
     highest: (u64, Duration),
@@ -200,7 +203,8 @@
             full: Vec::new(),
             brushed: 0,
             arrivals: Vec::new(),
-            late: Vec::new(),
+            while_draining: Vec::new(),
+            last_while_draining: Duration::ZERO,
             reads: Vec::new(),
             highest: (0, Duration::ZERO),
             core_well: Vec::new(),
@@ -352,10 +356,8 @@
             tried.passed = true;
         }
         if let Some(shown) = drains {
-            if now > shown + secs(self.timers.drain) {
-                let edge = self.tries.get(attempt).map_or(0, |t| t.edge);
-                self.late.push((now, shown, edge));
-            }
+            let edge = self.tries.get(attempt).map_or(0, |t| t.edge);
+            self.while_draining.push((now, shown, edge));
         }
     }
 
@@ -583,13 +585,17 @@
     }
 
     fn judge_drain(&mut self) {
-        for (at, shown, edge) in std::mem::take(&mut self.late) {
+        for (at, shown, edge) in std::mem::take(&mut self.while_draining) {
             let calm = !self.troubled(shown, at, Duration::ZERO, |place| place == Where::Platform);
             let contact = secs(self.timers.contact);
             let held_up = self.troubled(at, at, contact, |place| place == Where::WorkerLinks);
-            if calm && !held_up && self.in_touch(edge, at, at) {
-                let what =
-                    format!("an arrival {:.2} s after the list showed the drain", (at - shown).as_secs_f64());
+            if !calm || held_up || !self.in_touch(edge, at, at) {
+                continue;
+            }
+            let after = at.saturating_sub(shown);
+            self.last_while_draining = self.last_while_draining.max(after);
+            if after > secs(self.timers.drain) {
+                let what = format!("an arrival {:.2} s after the list showed the drain", after.as_secs_f64());
                 self.find(Rule::Drain, at, what);
             }
         }
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -103,6 +103,8 @@
     pub reused: usize,
     pub gap: f64,
     pub slowest_ack: f64,
+    /// Seconds from the list's word that an instance drains to the last request that a machine in touch sent there.
+    pub last_while_draining: f64,
     pub events: u64,
     pub loans: Loans,
 }
@@ -154,7 +156,7 @@
         writeln!(
             f,
             "served {:.4}, in aim {:.4}, starts {}, stops {}, turned away in 5 s {} ({} anywhere), brushed {}, reused {}, \
-             longest without a holder {:.2} s, slowest acknowledgement {:.2} s, {} events",
+             longest without a holder {:.2} s, slowest acknowledgement {:.2} s, last request {:.2} s after a drain, {} events",
             self.served,
             self.aim,
             self.starts,
@@ -165,6 +167,7 @@
             self.reused,
             self.gap,
             self.slowest_ack,
+            self.last_while_draining,
             self.events,
         )?;
         let loans = &self.loans;
--- a/crates/rehearsal/src/world/verdict.rs
+++ b/crates/rehearsal/src/world/verdict.rs
@@ -45,6 +45,7 @@
             reused: self.platform.reused,
             gap: gap.as_secs_f64(),
             slowest_ack: slowest.as_secs_f64(),
+            last_while_draining: self.judge.last_while_draining.as_secs_f64(),
             events: self.events,
             loans: self.loans,
         }
