--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -14,12 +14,15 @@
 pub mod owners;
 pub mod pick;
 pub mod planted;
+mod reach;
+mod rooms;
+mod shelving;
 pub mod words;
 
 use departed::Departed;
 use handover::{Cause, Early, Pending};
-use lender::{Book, Loan, Shelf, Verdict, Wish};
 pub use lender::{Entry, Function, Told};
+use lender::{Loan, Shelf, Verdict, Wish};
 use lives::{Lives, Speaker};
 use oorandom::Rand32;
 use over::{CallsOver, Over};
@@ -28,7 +31,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
-use words::{kind as hash, lines_that_fit, Ended, Kind, Letter, Line, LINES};
+use words::{kind as hash, lines_that_fit, Ended, Kind, Letter, Line};
 
 /// An ask or a return is said again after this, and then after twice as long each time: a few round trips across regions.
 const AGAIN: Duration = Duration::from_millis(60);
@@ -496,136 +499,6 @@
         self.owners.owner(kind, zone)
     }
 
-    /// Members that say nothing, and members in reach; without this process, and those whose processes have ended.
-    fn reach(&self) -> (usize, Vec<SocketAddr>, usize) {
-        let others = self.owners.members().iter().filter(|m| m.at != self.me && !self.owners.has_ended(m.at));
-        let in_reach =
-            |at: &SocketAddr| self.lives.heard(at).is_some_and(|heard| heard + IN_REACH > self.now);
-        let (mut silent, mut unknown, mut heard) = (0, Vec::new(), 0);
-        for other in others {
-            if self.passed_over.contains_key(&other.at) {
-                silent += 1;
-            } else if in_reach(&other.at) {
-                heard += 1;
-            } else {
-                unknown.push(other.at);
-            }
-        }
-        (silent, unknown, heard)
-    }
-
-    /// One that hears fewer members than are silent is likely in the smaller part of a network that was cut. Those of which
-    /// nothing is known are asked for a word first.
-    fn look_for_isolation(&mut self) {
-        if self.passed_over.is_empty() {
-            self.isolated = None;
-            return;
-        }
-        let (silent, unknown, heard) = self.reach();
-        let likely = silent >= LIKELY_ISOLATED.min(silent + unknown.len() + heard);
-        if !likely || silent <= heard {
-            self.isolated = None;
-            return;
-        }
-        if self.isolated.is_none() {
-            self.isolated = Some(self.now);
-            for at in unknown.into_iter().take(ASKED_FOR_A_WORD) {
-                self.say(at, Line::Unwanted { seq: 0, kind: 0, instance: 0 });
-            }
-        }
-    }
-
-    fn is_isolated(&self) -> bool {
-        self.isolated.is_some_and(|since| self.now >= since + ISOLATED)
-    }
-
-    /// Isolated for so long that the others may have new owners for what this one owns.
-    fn is_fenced(&self) -> bool {
-        let fenced = self.isolated.is_some_and(|since| self.now >= since + FENCED);
-        fenced && !planted(Defect::IsolatedLends)
-    }
-
-    /// Puts the instances in this one's care on its shelves. Those that another may have lent until now rest first.
-    fn arrange(&mut self, cause: Cause) {
-        let mut kinds: BTreeSet<Kind> = self.shelves.keys().copied().collect();
-        kinds.extend(self.by_kind.keys().copied());
-        self.arrange_kinds(kinds, &cause);
-    }
-
-    fn arrange_kinds(&mut self, kinds: BTreeSet<Kind>, cause: &Cause) {
-        for kind in kinds {
-            let mine = self.owned(kind);
-            if mine.is_empty() && !self.shelves.contains_key(&kind) {
-                continue;
-            }
-            match self.functions.get(&kind).cloned() {
-                Some(function) => self.arrange_shelf(function, mine, cause),
-                None => self.close_shelf(kind),
-            }
-        }
-    }
-
-    /// The instances of a function that this process owns.
-    fn owned(&self, kind: Kind) -> BTreeMap<String, Entry> {
-        if !self.functions.contains_key(&kind) {
-            return BTreeMap::new();
-        }
-        let all = self.by_kind.get(&kind).into_iter().flatten().filter_map(|id| self.entries.get(id));
-        let mine = all.filter(|entry| self.lender(kind, &entry.zone) == Some(self.me));
-        mine.map(|entry| (entry.instance.clone(), entry.clone())).collect()
-    }
-
-    /// Guards calls of a function that left the configuration: they are answered, not forgotten. Nor are its loans: a later
-    /// change may bring it back while they are out.
-    fn close_shelf(&mut self, kind: Kind) {
-        let Some(shelf) = self.shelves.remove(&kind) else { return };
-        for wish in shelf.queue {
-            self.say(wish.from, Line::Later { seq: wish.seq, after: 500 });
-        }
-        for book in shelf.books {
-            self.park(book);
-        }
-    }
-
-    /// Loans are kept for their terms: the instance may come back to this one's care.
-    fn park(&mut self, book: Book) {
-        if !book.loans.is_empty() && !planted(Defect::BooksForgotten) {
-            self.parked.entry(book.entry.instance).or_default().extend(book.loans);
-        }
-    }
-
-    fn arrange_shelf(&mut self, function: Function, mut mine: BTreeMap<String, Entry>, cause: &Cause) {
-        let (now, score, kind, boot) = (self.now, self.score, function.kind, function.boot);
-        let shelf = self.shelves.entry(kind).or_insert_with(|| Shelf::new(function, now).scored(score));
-        let (mut kept, dropped): (Vec<Book>, Vec<Book>) =
-            shelf.books.drain(..).partition(|book| mine.contains_key(&book.entry.instance));
-        for book in &mut kept {
-            if let Some(entry) = mine.remove(&book.entry.instance) {
-                book.entry = entry;
-            }
-        }
-        for book in dropped {
-            self.hand_over(&book);
-            self.park(book);
-        }
-        for entry in mine.into_values() {
-            kept.push(self.new_book(entry, boot, cause));
-        }
-        if let Some(shelf) = self.shelves.get_mut(&kind) {
-            shelf.books = kept;
-        }
-    }
-
-    fn new_book(&mut self, entry: Entry, boot: Duration, cause: &Cause) -> Book {
-        let beginning = self.beginning(&entry, boot, cause);
-        let loans = self.parked.remove(&entry.instance).unwrap_or_default();
-        let early = self.early.remove(&entry.instance);
-        let mut book = Book::new(entry, beginning.rests, loans);
-        book.awaits = beginning.awaits;
-        book.merge(early.map(|early| early.loans).unwrap_or_default());
-        book
-    }
-
     /// A call wants a slot; its number is what `Go` and `No` name. `aim` and `end` are times by the same clock.
     pub fn want(
         &mut self,
@@ -671,12 +544,6 @@
         zones
     }
 
-    /// What was heard of the lender of a zone lately.
-    fn room_at(&self, kind: Kind, zone: &str) -> Option<Room> {
-        let lender = self.lender(kind, zone)?;
-        self.rooms.get(&(kind, lender)).copied().filter(|room| room.heard + ROOM > self.now)
-    }
-
     /// The zone to ask in: the nearest that has instances and room, as far as is known.
     fn zone_for(&self, kind: Kind) -> String {
         let own = self.region(&self.zone);
@@ -701,99 +568,6 @@
         }
     }
 
-    /// The nearest other zone whose lender said lately that it has free slots and that nobody waits there.
-    fn roomy(&self, kind: Kind) -> Option<(String, SocketAddr, u8)> {
-        if !self.rooms.keys().any(|(k, _)| *k == kind) {
-            return None;
-        }
-        let zones = self.zones_of(kind);
-        let open = zones.keys().filter_map(|zone| {
-            let lender = self.lender(kind, zone).filter(|at| *at != self.me)?;
-            let room = self.room_at(kind, zone).filter(|room| room.free > 0 && room.waiting == 0)?;
-            Some((self.way(zone), u8::MAX - room.free, zone.to_string(), lender))
-        });
-        open.min().map(|(_, taken, zone, lender)| (zone, lender, u8::MAX - taken))
-    }
-
-    /// Lenders of this function's other instances.
-    fn peers(&self, kind: Kind) -> BTreeSet<SocketAddr> {
-        let mut zones: Vec<&str> = self.zones_of(kind).into_keys().collect();
-        zones.sort_by_key(|zone| self.way(zone));
-        let lenders = zones.iter().filter_map(|zone| self.lender(kind, zone));
-        lenders.filter(|at| *at != self.me).take(PEERS).collect()
-    }
-
-    /// Tells another lender what there is here, if it has not been told just now.
-    fn say_room(&mut self, kind: Kind, to: SocketAddr, pause: Duration) {
-        let now = self.now;
-        let Some(line) = self.room_line(kind) else { return };
-        let open = matches!(line, Line::Room { free: 1.., waiting: 0, .. });
-        let last = self.said.get(&(kind, to));
-        if last.is_some_and(|(at, was)| now < *at + if *was == open { pause } else { OPEN / 2 }) {
-            return;
-        }
-        if self.said.len() < 65_536 {
-            self.said.insert((kind, to), (now, open));
-        }
-        self.say(to, line);
-    }
-
-    fn room_line(&self, kind: Kind) -> Option<Line> {
-        let shelf = self.shelves.get(&kind).filter(|shelf| shelf.lends())?;
-        let (free, waiting) = room(shelf, self.now);
-        let run = u16::try_from(shelf.run().as_millis()).unwrap_or(u16::MAX);
-        Some(Line::Room { kind, free, waiting, run })
-    }
-
-    /// Calls wait here: the lenders of the function elsewhere are told, and told again when none waits any more. Who has
-    /// room tells those that said so.
-    fn tell_rooms(&mut self, kind: Kind) {
-        let now = self.now;
-        let Some(shelf) = self.shelves.get(&kind) else { return };
-        let waits = !shelf.queue.is_empty();
-        let open = !waits && shelf.free(now) > 0;
-        if waits {
-            self.full.insert(kind);
-            for peer in self.peers(kind) {
-                self.say_room(kind, peer, FULL);
-            }
-        } else if open && self.full.remove(&kind) {
-            for peer in self.peers(kind) {
-                self.say_room(kind, peer, FULL);
-            }
-        }
-        if open && !self.short.is_empty() {
-            let of = self.short.range((kind, LOWEST)..).take_while(|((k, _), _)| *k == kind);
-            let asking: Vec<SocketAddr> = of.map(|((_, at), _)| *at).collect();
-            for peer in asking {
-                self.say_room(kind, peer, OPEN);
-            }
-        }
-    }
-
-    /// Waiting calls go where there is room, if that is better for them.
-    fn hand_on(&mut self, kind: Kind) {
-        let now = self.now;
-        if self.shelves.get(&kind).is_none_or(|shelf| shelf.queue.is_empty()) {
-            return;
-        }
-        let Some((zone, lender, free)) = self.roomy(kind) else { return };
-        let far = self.way(&zone);
-        let Some(shelf) = self.shelves.get_mut(&kind) else { return };
-        let gone = shelf.better_off(now, far, free.into(), HOPS);
-        if let Some(room) = self.rooms.get_mut(&(kind, lender)) {
-            room.free = room.free.saturating_sub(u8::try_from(gone.len()).unwrap_or(u8::MAX));
-        }
-        for wish in gone {
-            self.say(wish.from, Line::Elsewhere { seq: wish.seq, zone: hash(&zone) });
-        }
-    }
-
-    /// What is known of others' room: function, lender, and what it said when.
-    pub fn rooms(&self) -> impl Iterator<Item = (Kind, SocketAddr, &Room)> {
-        self.rooms.iter().map(|((kind, at), room)| (*kind, *at, room))
-    }
-
     fn ask(&mut self, seq: u32, hops: u8) {
         let Some(call) = self.calls.get(&seq) else { return };
         let zone = self.zone_for(call.kind);
@@ -1144,12 +918,6 @@
         }
     }
 
-    fn note_room(&mut self, kind: Kind, from: SocketAddr, free: u8, waiting: u8, run: u16) {
-        if self.rooms.len() < 65_536 {
-            self.rooms.insert((kind, from), Room { heard: self.now, free, waiting, run });
-        }
-    }
-
     fn granted(
         &mut self,
         from: SocketAddr,
@@ -1324,73 +1092,6 @@
         }
     }
 
-    /// Whoever says nothing is asked for nothing while there are others, and it is seen whether its process runs at all. It
-    /// goes on as the owner of what it owns: it may be slow, and lend to all that it hears.
-    fn pass_over(&mut self, silent: Vec<SocketAddr>) {
-        if silent.is_empty() {
-            return;
-        }
-        for &to in &silent {
-            if self.passed_over.insert(to, self.now + PASSED_OVER).is_none() {
-                self.orders.push_back(Order::PassedOver { lender: to });
-                self.orders.push_back(Order::Probe { owner: to });
-            }
-            if planted(Defect::SilenceIsEnd) {
-                self.has_ended(self.now, to);
-            }
-        }
-        // All that was asked of them is asked elsewhere, not each after its own wait.
-        let asks = |call: &Call| matches!(call.stage, Stage::Asking { to, .. } if silent.contains(&to));
-        let lost: Vec<u32> = self.calls.iter().filter(|(_, call)| asks(call)).map(|(seq, _)| *seq).collect();
-        for seq in lost {
-            self.ask_or_give_up(seq);
-        }
-    }
-
-    /// Where all that could be asked have been silent for long the client is told to come back: it may find a way.
-    fn ask_or_give_up(&mut self, seq: u32) {
-        let Some(call) = self.calls.get(&seq) else { return };
-        let (kind, waited) = (call.kind, self.now.saturating_sub(call.came));
-        let zone = self.zone_for(kind);
-        let silent = self.lender(kind, &zone).is_some_and(|at| self.passed_over.contains_key(&at));
-        if silent && waited >= GIVEN_UP {
-            if let Some(Call { stage: Stage::Asking { to, .. }, .. }) = self.calls.remove(&seq) {
-                self.stray(to, seq, kind, 0);
-            }
-            self.orders.push_back(Order::No { call: seq, after: CUT_OFF_RETRY });
-            return;
-        }
-        self.ask(seq, 0);
-    }
-
-    /// A call has come for what another owns, as far as is known here: the one that asks may know that its process has ended.
-    fn probe_owner(&mut self, kind: Kind) {
-        let now = self.now;
-        let Some(owner) = self.lender(kind, &self.zone).filter(|at| *at != self.me) else { return };
-        let heard = self.lives.heard(&owner).is_some_and(|heard| heard + PROBED_AFTER > now);
-        let lately = self.probed.get(&owner).is_some_and(|at| now < *at + PASSED_OVER);
-        if heard || lately {
-            return;
-        }
-        self.probed.retain(|_, at| now < *at + PASSED_OVER);
-        self.probed.insert(owner, now);
-        self.orders.push_back(Order::Probe { owner });
-    }
-
-    /// The zone with room in which a call that would wait here does better, if there is one.
-    fn better(&mut self, kind: Kind, wish: &Wish) -> Option<String> {
-        let now = self.now;
-        let (zone, lender, _) = self.roomy(kind)?;
-        let shelf = self.shelves.get(&kind)?;
-        let wait = shelf.wait(now, wish)?;
-        if !lender::gains(now, wish, wait, shelf.usual(wish.priority), self.way(&zone)) {
-            return None;
-        }
-        let room = self.rooms.get_mut(&(kind, lender))?;
-        room.free = room.free.saturating_sub(1);
-        Some(zone)
-    }
-
     /// Slots that are free go to who waits.
     fn serve(&mut self, kind: Kind) {
         let now = self.now;
@@ -1436,33 +1137,6 @@
         self.pump();
     }
 
-    /// Lenders that are passed over are asked for a word, and are asked for slots again once they are heard.
-    fn probe(&mut self) {
-        let now = self.now;
-        let owners = &self.owners;
-        self.passed_over.retain(|at, _| owners.member(*at).is_some());
-        let due = self.passed_over.iter_mut().filter(|(_, next)| **next <= now);
-        let due: Vec<SocketAddr> = due
-            .map(|(at, next)| {
-                *next = now + PASSED_OVER;
-                *at
-            })
-            .collect();
-        for at in due {
-            self.say(at, Line::Unwanted { seq: 0, kind: 0, instance: 0 });
-            self.orders.push_back(Order::Probe { owner: at });
-        }
-        self.look_for_isolation();
-    }
-
-    /// Whoever waits here is told to come back.
-    fn turn_away(&mut self, kind: Kind) {
-        let waiting = self.shelves.get_mut(&kind).map(|shelf| std::mem::take(&mut shelf.queue));
-        for wish in waiting.unwrap_or_default() {
-            self.say(wish.from, Line::Later { seq: wish.seq, after: ms(CUT_OFF_RETRY) });
-        }
-    }
-
     fn sweep(&mut self, kind: Kind) {
         let now = self.now;
         if self.is_fenced() {
@@ -1625,22 +1299,6 @@
                 .any(|s| !s.queue.is_empty() || s.books.iter().any(|b| !b.entry.ready && b.entry.lends))
     }
 
-    /// A letter that goes anyway takes along what its reader asked for lately.
-    fn add_rooms(&mut self, to: SocketAddr, part: &mut Vec<Line>) {
-        let now = self.now;
-        let asked: Vec<Kind> = self.short.keys().filter(|(_, at)| *at == to).map(|(kind, _)| *kind).collect();
-        for kind in asked {
-            if part.len() >= LINES || self.said.get(&(kind, to)).is_some_and(|(at, _)| now < *at + OPEN) {
-                continue;
-            }
-            if let Some(line) = self.room_line(kind) {
-                let open = matches!(line, Line::Room { free: 1.., waiting: 0, .. });
-                self.said.insert((kind, to), (now, open));
-                part.push(line);
-            }
-        }
-    }
-
     /// The next order, if there is one.
     pub fn pull(&mut self) -> Option<Order> {
         self.pump();
