--- a/crates/fault-matrix/src/command.rs
+++ b/crates/fault-matrix/src/command.rs
@@ -146,7 +146,8 @@
         why: matches.get_one::<String>("why").cloned().unwrap_or_default(),
     };
     let played = play.all(&day_files(&many_paths(matches, "DAY"))?, |played| {
-        println!("{:<40} {}", played.name, played.verdict);
+        let gauges = played.gauges.map(|gauges| format!("; {gauges}")).unwrap_or_default();
+        println!("{:<40} {}{gauges}", played.name, played.verdict);
     })?;
     let bad = played.iter().filter(|played| played.verdict.is_bad()).count();
     let missing = played.iter().filter(|played| !played.verdict.was_played()).count();
--- a/crates/fault-matrix/src/lib.rs
+++ b/crates/fault-matrix/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod draw;
 pub mod error;
 pub mod kinds;
+pub mod mixed;
 pub mod play;
 pub mod sets;
 pub mod site;
--- a/crates/fault-matrix/src/play.rs
+++ b/crates/fault-matrix/src/play.rs
@@ -2,7 +2,7 @@
 
 use crate::error::Error;
 use crate::site::Site;
-use crate::verdict::{Report, Verdict};
+use crate::verdict::{Gauges, Report, Verdict};
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -32,6 +32,8 @@
 pub struct Played {
     pub name: String,
     pub verdict: Verdict,
+    /// Where the bench gave a report.
+    pub gauges: Option<Gauges>,
 }
 
 /// The files of one run.
@@ -91,12 +93,17 @@
         }
         let child = self.start(&files)?;
         let ended = self.wait(child)?;
-        let verdict = match ended {
-            Some(_) if files.report.exists() => Verdict::of(Report::read(&files.report)?),
-            Some(status) => Verdict::NotPlayed(format!("{status}, {}", last_line(&files.output))),
-            None => Verdict::NotPlayed(format!("longer than {} s", self.limit.as_secs())),
+        let report = match &ended {
+            Some(_) if files.report.exists() => Some(Report::read(&files.report)?),
+            _ => None,
         };
-        Ok(Played { name: files.name, verdict })
+        let gauges = report.as_ref().map(Gauges::of);
+        let verdict = match (ended, report) {
+            (_, Some(report)) => Verdict::of(report),
+            (Some(status), None) => Verdict::NotPlayed(format!("{status}, {}", last_line(&files.output))),
+            (None, None) => Verdict::NotPlayed(format!("longer than {} s", self.limit.as_secs())),
+        };
+        Ok(Played { name: files.name, verdict, gauges })
     }
 
     fn start(&self, files: &Files) -> Result<Child, Error> {
--- a/crates/fault-matrix/src/sets.rs
+++ b/crates/fault-matrix/src/sets.rs
@@ -3,6 +3,7 @@
 use crate::day::{Closing, Day, Entry, MARGIN_S};
 use crate::draw::Draw;
 use crate::kinds::{Kind, KindList, Variant};
+use crate::mixed;
 use crate::site::Site;
 use crate::worst;
 
@@ -33,10 +34,23 @@
     Worst,
     /// Worst days and packed ones by turns: a few days that hold as much as they can.
     Compact,
+    /// Several troubles of any kind at any hour, beside hosts that drain.
+    Mixed,
+    /// Long days of hundreds of changes, beside proxies and hosts that come and go.
+    Long,
 }
 
 impl Set {
-    pub const ALL: [Set; 6] = [Set::Singles, Set::Pairs, Set::Repeats, Set::Packed, Set::Worst, Set::Compact];
+    pub const ALL: [Set; 8] = [
+        Set::Singles,
+        Set::Pairs,
+        Set::Repeats,
+        Set::Packed,
+        Set::Worst,
+        Set::Compact,
+        Set::Mixed,
+        Set::Long,
+    ];
 
     pub fn name(self) -> &'static str {
         match self {
@@ -46,6 +60,8 @@
             Set::Packed => "packed",
             Set::Worst => "worst",
             Set::Compact => "compact",
+            Set::Mixed => "mixed",
+            Set::Long => "long",
         }
     }
 
@@ -70,6 +86,8 @@
         Set::Packed => packed(source),
         Set::Worst => worst::days(source, most.unwrap_or(worst::DAYS)),
         Set::Compact => compact(source, most.unwrap_or(COMPACT_DAYS)),
+        Set::Mixed => mixed::mixed(source, most.unwrap_or(mixed::MIXED_DAYS)),
+        Set::Long => mixed::long(source, most.unwrap_or(mixed::LONG_DAYS)),
     };
     days.truncate(most.unwrap_or(usize::MAX));
     days
@@ -119,7 +137,7 @@
 }
 
 /// A moment of the day, well before its end.
-fn moment(day: &Day, draw: &mut Draw) -> f64 {
+pub fn moment(day: &Day, draw: &mut Draw) -> f64 {
     draw.between([4.0 * MARGIN_S, (day.length_s - 8.0).max(5.0 * MARGIN_S)])
 }
 
--- a/crates/fault-matrix/src/verdict.rs
+++ b/crates/fault-matrix/src/verdict.rs
@@ -25,6 +25,37 @@
     /// What happened in the day.
     #[nserde(default)]
     pub events: Vec<Event>,
+    /// What the instances of each service got.
+    #[nserde(default)]
+    pub services: Vec<Service>,
+    #[nserde(default)]
+    pub times: Times,
+}
+
+/// A service, as its instances saw the day.
+#[derive(Debug, Clone, PartialEq, DeJson)]
+pub struct Service {
+    pub name: String,
+    /// Requests that its instances turned away; LIMIT counts those of full ones.
+    #[nserde(default)]
+    pub not_run: u64,
+}
+
+/// Times of the day, in ms.
+#[derive(Debug, Clone, Default, PartialEq, DeJson)]
+pub struct Times {
+    /// From the word that an instance leaves to the last request that reached it: the middle one and the longest.
+    #[nserde(rename = "leaving in force")]
+    pub last_after_leaving: Option<Vec<f64>>,
+}
+
+/// How near a day came to breaking LIMIT and DRAIN. The rules say yes or no; these say how far away a no was.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Gauges {
+    /// Requests turned away by instances of the service that turned most away.
+    pub turned_away: u64,
+    /// The longest time from the word that an instance leaves to the last request that reached it, in ms.
+    pub last_after_leaving_ms: f64,
 }
 
 /// A fault or piece of planned work that came to pass.
@@ -100,6 +131,23 @@
     }
 }
 
+impl Gauges {
+    pub fn of(report: &Report) -> Gauges {
+        let times = report.times.last_after_leaving.iter().flatten();
+        Gauges {
+            turned_away: report.services.iter().map(|service| service.not_run).max().unwrap_or(0),
+            last_after_leaving_ms: times.copied().fold(0.0, f64::max),
+        }
+    }
+}
+
+impl fmt::Display for Gauges {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        let Gauges { turned_away, last_after_leaving_ms } = self;
+        write!(out, "{turned_away} turned away, the last {last_after_leaving_ms:.0} ms after a word of leaving")
+    }
+}
+
 impl Verdict {
     /// Judges a report.
     pub fn of(report: Report) -> Verdict {
