Slots: a refused connection is evidence of an end, no proof; out of touch it is doubted

Cause: a cut that resets connections refuses them on both sides. Each side took over what the other owned, and lent all slots twice for as long as the cut lasted; who believed all others ended was not isolated either, as ended members did not count. Change: the agent tells the proxy whether controllers in touch were heard within 1.2 s. Out of touch, refusals from many count as a cut, not as ends, and the process turns calls away after 0.6 s and lends no more after 0.9 s; in touch it goes on, whoever is silent. A refusal that the holder's list does not confirm in 5 s lapses. Who is fenced is not ready. Excluded: a silent cut (the holder's list and the handover are waited for there).

--- a/crates/fault-matrix/src/verdict.rs
+++ b/crates/fault-matrix/src/verdict.rs
@@ -144,7 +144,10 @@
 impl fmt::Display for Gauges {
     fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
         let Gauges { turned_away, last_after_leaving_ms } = self;
-        write!(out, "{turned_away} turned away, the last {last_after_leaving_ms:.0} ms after a word of leaving")
+        write!(
+            out,
+            "{turned_away} turned away, the last {last_after_leaving_ms:.0} ms after a word of leaving"
+        )
     }
 }
 
--- a/crates/house/src/desk.rs
+++ b/crates/house/src/desk.rs
@@ -195,7 +195,8 @@
     }
 
     pub fn ready(&self) -> bool {
-        !self.leaving && self.catalogue.is_some() && self.stacked
+        // Who may lend no more turns its clients away: the platform sends new ones to others meanwhile.
+        !self.leaving && self.catalogue.is_some() && self.stacked && !self.lending.is_fenced()
     }
 
     /// SIGTERM has come: no connection is kept.
@@ -339,6 +340,7 @@
                 }
             }
             Told::Fresh(fresh) => self.fresh = fresh,
+            Told::InTouch(in_touch) => self.lending.contact(now, in_touch),
         }
         if !self.ready_said && self.ready() {
             self.ready_said = true;
@@ -479,7 +481,7 @@
         {
             let mut state = shared.borrow_mut();
             let now = state.now();
-            info!("lender {} has ended: it refuses connections", owner.ip());
+            info!("lender {} refuses connections", owner.ip());
             state.lending.has_ended(now, owner);
         }
         pump(&shared);
@@ -520,6 +522,8 @@
         {
             let mut state = shared.borrow_mut();
             state.fresh = false;
+            let now = state.now();
+            state.lending.contact(now, false);
             if !state.leaving {
                 warn!("page's link broke; going on with revision {}", state.revision());
             }
--- a/crates/house/src/notes.rs
+++ b/crates/house/src/notes.rs
@@ -101,6 +101,8 @@
     },
     /// Whether the configuration in hand is known to be the newest, so that a 404 can be said.
     Fresh(bool),
+    /// Whether controllers that are in touch with one another were heard lately: on which side of a cut this machine is.
+    InTouch(bool),
 }
 
 /// From the desk to its page.
--- a/crates/house/src/page.rs
+++ b/crates/house/src/page.rs
@@ -20,6 +20,8 @@
 const PULL: Duration = Duration::from_millis(700);
 /// One that has said nothing for so long is left for another.
 const SILENT: Duration = Duration::from_millis(1500);
+/// Controllers that were heard so lately are in reach: longer than a pull and its answer take.
+const IN_TOUCH: Duration = Duration::from_millis(1200);
 /// The same for a page that knows nothing yet: after a loss of everything each tenth of a second counts.
 const EAGER: Duration = Duration::from_millis(80);
 /// The same while the archive answers, but is not in touch with the others yet.
@@ -72,6 +74,7 @@
     follows: u32,
     confirmed: Option<Duration>,
     fresh: bool,
+    in_touch: bool,
     holder: Option<(SocketAddr, u64)>,
     stacks: Replica,
     /// The mark of the owners that are known, and since when.
@@ -180,6 +183,7 @@
         follows: 0,
         confirmed: None,
         fresh: false,
+        in_touch: false,
         holder: None,
         stacks: Replica::default(),
         owners: (Mark::default(), Duration::ZERO),
@@ -424,6 +428,11 @@
             self.fresh = fresh;
             self.tell(&Told::Fresh(fresh));
         }
+        let in_touch = self.heard > Duration::ZERO && now < self.heard + IN_TOUCH;
+        if in_touch != self.in_touch {
+            self.in_touch = in_touch;
+            self.tell(&Told::InTouch(in_touch));
+        }
         let places = self.settings.places();
         let desks: Vec<Desk> = self
             .views
@@ -477,6 +486,7 @@
                     self.tell(&Told::Stacks { entries, ended: Vec::new(), whole: true });
                 }
                 self.tell(&Told::Fresh(self.fresh));
+                self.tell(&Told::InTouch(self.in_touch));
             }
             Event::Tells(Tells::Life(life)) if !leaving => self.serves(now, life),
             Event::Tells(Tells::Life(_)) => {}
--- a/crates/lending/src/handover.rs
+++ b/crates/lending/src/handover.rs
@@ -119,15 +119,20 @@
         self.orders.extend(left.map(|owner| Order::Probe { owner }));
     }
 
-    /// The process at this address has ended: connections to it are refused.
+    /// Connections to the process at this address are refused.
     pub fn has_ended(&mut self, now: Duration, owner: SocketAddr) {
         self.now = now;
-        if self.owners.note_ended(owner) {
+        let news = self.owners.note_refusal(now, owner);
+        self.look_for_isolation();
+        if news && self.owners.has_ended(owner) {
             self.lives.ended(self.awake, owner);
-            self.arrange(Cause::Evidence);
-            self.tell_new_lenders(&Default::default());
+            self.owners_changed();
             self.ask_anew(|_, to| to == owner);
         }
+        let is_member = self.owners.member(owner).is_some();
+        if is_member && !self.owners.has_ended(owner) {
+            return self.pump();
+        }
         for shelf in self.shelves.values_mut() {
             for book in shelf.books.iter_mut().filter(|book| book.awaits == Some(owner)) {
                 book.stop_waiting(now + HEARING);
@@ -136,6 +141,12 @@
         self.pump();
     }
 
+    /// Other members count as ended than before.
+    pub(crate) fn owners_changed(&mut self) {
+        self.arrange(Cause::Evidence);
+        self.tell_new_lenders(&Default::default());
+    }
+
     /// A book that another owns from now on.
     pub(crate) fn hand_over(&mut self, book: &Book) {
         let entry = &book.entry;
--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -45,10 +45,10 @@
 pub const PASSED_OVER: Duration = Duration::from_millis(500);
 /// A member that was heard so lately is in reach.
 const IN_REACH: Duration = Duration::from_millis(1000);
-/// Who is in the smaller part of a network for so long turns its calls away,
+/// Who is in the smaller part of a network for so long, and out of touch with the controllers, turns its calls away,
 const ISOLATED: Duration = Duration::from_millis(600);
 /// and lends no more after so long: the others may have new owners by then. (They are passed over 0.4 s before this counts.)
-const FENCED: Duration = Duration::from_millis(1600);
+const FENCED: Duration = Duration::from_millis(900);
 /// So many silent members make it likely, and so many others are asked for a word then.
 const LIKELY_ISOLATED: usize = 2;
 const ASKED_FOR_A_WORD: usize = 8;
@@ -217,8 +217,12 @@
     /// Lenders that say nothing, and when they are next asked for a word. Others are asked where there are others; that
     /// changes no owner.
     passed_over: HashMap<SocketAddr, Duration>,
-    /// Since when more members are silent than in reach.
+    /// Since when more members are unreachable than were heard.
     isolated: Option<Duration>,
+    /// The agent reaches the controllers.
+    in_touch: bool,
+    /// When members of which nothing is known were last asked for a word.
+    asked_for_a_word: Duration,
     /// When an owner in this one's zone was last probed for a call that came here.
     probed: HashMap<SocketAddr, Duration>,
     pending: Vec<Pending>,
@@ -287,6 +291,8 @@
             former: Vec::new(),
             passed_over: HashMap::new(),
             isolated: None,
+            in_touch: false,
+            asked_for_a_word: Duration::ZERO,
             probed: HashMap::new(),
             pending: Vec::new(),
             early: HashMap::new(),
--- a/crates/lending/src/owners.rs
+++ b/crates/lending/src/owners.rs
@@ -1,18 +1,41 @@
 //! Who owns the slots of an instance: of the members of its zone the one with the highest random weight. All who have the
 //! same members name the same owner. The members are those that the holder of the lease published; a member that is silent
-//! stays one, and only one whose process is known to have ended is left out here before the next members come.
+//! stays one, and only one whose connections are refused is left out here before the next members come. That is evidence
+//! of its process's end and no proof: a firewall refuses as well, for both sides of a cut. So it counts only while this
+//! process may be on the side of the holder, and not for longer than the holder takes to publish an end.
 
+use crate::planted::{planted, Defect};
 use crate::words::Kind;
 use crate::Member;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A process that has ended is off the holder's list by then: 2.2 s, a new holder's beginning, and the way.
+const REFUSAL_COUNTS: Duration = Duration::from_secs(5);
+/// One that is still on it is not thought to have ended again before this.
+const REFUSAL_KEPT: Duration = Duration::from_secs(15);
+
+/// Connections to a member were refused.
+struct Refusal {
+    life: u32,
+    since: Duration,
+}
+
+impl Refusal {
+    fn counts(&self, now: Duration) -> bool {
+        now < self.since + REFUSAL_COUNTS
+    }
+}
 
 /// The members as this process knows them.
 #[derive(Default)]
 pub struct Owners {
     members: Vec<Member>,
-    /// Members whose process has ended, with the life that did.
-    ended: HashMap<SocketAddr, u32>,
+    refusals: HashMap<SocketAddr, Refusal>,
+    /// This process is likely cut off from the holder, so that refusals prove nothing.
+    doubted: bool,
+    now: Duration,
 }
 
 impl Owners {
@@ -26,23 +49,50 @@
 
     /// Other members. Returns the former ones.
     pub fn replace(&mut self, members: Vec<Member>) -> Vec<Member> {
-        self.ended.retain(|at, life| members.iter().any(|member| member.at == *at && member.life == *life));
+        self.refusals.retain(|at, refusal| {
+            members.iter().any(|member| member.at == *at && member.life == refusal.life)
+        });
         std::mem::replace(&mut self.members, members)
     }
 
+    /// Time passes, and refusals are doubted or not; true if other members count as ended now.
+    pub fn weigh(&mut self, now: Duration, doubted: bool) -> bool {
+        let doubted = doubted && !planted(Defect::RefusalIsProof);
+        let before = self.refusals.keys().filter(|at| self.has_ended(**at)).count();
+        (self.now, self.doubted) = (now, doubted);
+        let after = self.refusals.keys().filter(|at| self.has_ended(**at)).count();
+        self.refusals.retain(|_, refusal| now < refusal.since + REFUSAL_KEPT);
+        before != after
+    }
+
+    /// Connections to it are refused, and it was not heard since.
+    pub fn refuses(&self, at: SocketAddr) -> bool {
+        self.refusals.contains_key(&at)
+    }
+
+    pub fn any_refuses(&self) -> bool {
+        !self.refusals.is_empty()
+    }
+
+    /// Its process counts as ended.
     pub fn has_ended(&self, at: SocketAddr) -> bool {
-        self.ended.contains_key(&at)
+        let counts = |refusal: &Refusal| refusal.counts(self.now) || planted(Defect::RefusalIsProof);
+        !self.doubted && self.refusals.get(&at).is_some_and(counts)
     }
 
-    /// The process of a member has ended; true if that is news.
-    pub fn note_ended(&mut self, at: SocketAddr) -> bool {
+    /// Connections to a member are refused; true if that is news of the life that it is known by.
+    pub fn note_refusal(&mut self, now: Duration, at: SocketAddr) -> bool {
         let Some(life) = self.member(at).map(|member| member.life) else { return false };
-        self.ended.insert(at, life) != Some(life)
+        if self.refusals.get(&at).is_some_and(|known| known.life == life) {
+            return false;
+        }
+        self.refusals.insert(at, Refusal { life, since: now });
+        true
     }
 
     /// A member speaks, whatever was thought of it; true if that is news.
     pub fn note_alive(&mut self, at: SocketAddr) -> bool {
-        self.ended.remove(&at).is_some()
+        self.refusals.remove(&at).is_some()
     }
 
     /// The owner of the instances of this function in this zone.
--- a/crates/lending/src/planted.rs
+++ b/crates/lending/src/planted.rs
@@ -36,6 +36,8 @@
     SilenceIsEnd,
     /// An owner that hears nobody goes on lending.
     IsolatedLends,
+    /// A refused connection proves the end of a process, on whichever side of a cut this one is.
+    RefusalIsProof,
     /// A slot that comes back is freed twice.
     FreedTwice,
     /// Letters of a life that another has followed are taken for the present one's.
--- a/crates/lending/src/reach.rs
+++ b/crates/lending/src/reach.rs
@@ -8,55 +8,93 @@
     LIKELY_ISOLATED, PASSED_OVER, PROBED_AFTER,
 };
 use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What is known of the other members.
+#[derive(Default)]
+struct Reach {
+    /// They say nothing, or their connections are refused.
+    unreachable: usize,
+    /// Neither heard lately nor asked for anything.
+    unknown: Vec<SocketAddr>,
+    heard: usize,
+}
 
 impl Lending {
-    /// Members that say nothing, and members in reach; without this process, and those whose processes have ended.
-    pub(crate) fn reach(&self) -> (usize, Vec<SocketAddr>, usize) {
-        let others = self.owners.members().iter().filter(|m| m.at != self.me && !self.owners.has_ended(m.at));
-        let in_reach =
-            |at: &SocketAddr| self.lives.heard(at).is_some_and(|heard| heard + IN_REACH > self.now);
-        let (mut silent, mut unknown, mut heard) = (0, Vec::new(), 0);
-        for other in others {
-            if self.passed_over.contains_key(&other.at) {
-                silent += 1;
-            } else if in_reach(&other.at) {
-                heard += 1;
+    /// Members without this process.
+    fn reach(&self) -> Reach {
+        let mut reach = Reach::default();
+        for at in self.owners.members().iter().map(|member| member.at).filter(|at| *at != self.me) {
+            let heard = self.lives.heard(&at).is_some_and(|heard| heard + IN_REACH > self.now);
+            if self.owners.refuses(at) || self.passed_over.contains_key(&at) {
+                reach.unreachable += 1;
+            } else if heard {
+                reach.heard += 1;
             } else {
-                unknown.push(other.at);
+                reach.unknown.push(at);
             }
         }
-        (silent, unknown, heard)
+        reach
+    }
+
+    /// The agent beside this process hears of controllers that are in touch with one another, or does not any more.
+    pub fn contact(&mut self, now: Duration, in_touch: bool) {
+        self.now = now;
+        if self.in_touch != in_touch {
+            self.in_touch = in_touch;
+            self.look_for_isolation();
+            self.pump();
+        }
     }
 
-    /// One that hears fewer members than are silent is likely in the smaller part of a network that was cut. Those of which
-    /// nothing is known are asked for a word first.
+    /// A process that reaches fewer members than not is likely in the smaller part of a network that was cut. Where its agent
+    /// reaches the controllers it is on the side of the holder of the lease, who names the owners: then it goes on, however
+    /// few members are with it.
     pub(crate) fn look_for_isolation(&mut self) {
-        if self.passed_over.is_empty() {
+        let now = self.now;
+        if self.passed_over.is_empty() && !self.owners.any_refuses() {
             self.isolated = None;
+            if self.owners.weigh(now, false) {
+                self.owners_changed();
+            }
             return;
         }
-        let (silent, unknown, heard) = self.reach();
-        let likely = silent >= LIKELY_ISOLATED.min(silent + unknown.len() + heard);
-        if !likely || silent <= heard {
+        let Reach { unreachable, unknown, heard } = self.reach();
+        let members = unreachable + unknown.len() + heard;
+        let smaller = unreachable >= LIKELY_ISOLATED.min(members) && unreachable > heard;
+        if !smaller {
             self.isolated = None;
+        } else if self.isolated.is_none() {
+            self.isolated = Some(now);
+        }
+        if !self.in_touch {
+            self.ask_for_a_word(unknown);
+        }
+        if self.owners.weigh(now, smaller && !self.in_touch) {
+            self.owners_changed();
+        }
+    }
+
+    /// Members of which nothing is known show by an answer, or by a refused connection, on which side they are.
+    fn ask_for_a_word(&mut self, unknown: Vec<SocketAddr>) {
+        if self.now < self.asked_for_a_word + PASSED_OVER {
             return;
         }
-        if self.isolated.is_none() {
-            self.isolated = Some(self.now);
-            for at in unknown.into_iter().take(ASKED_FOR_A_WORD) {
-                self.say(at, Line::Unwanted { seq: 0, kind: 0, instance: 0 });
-            }
+        self.asked_for_a_word = self.now;
+        for at in unknown.into_iter().take(ASKED_FOR_A_WORD) {
+            self.say(at, Line::Unwanted { seq: 0, kind: 0, instance: 0 });
+            self.orders.push_back(Order::Probe { owner: at });
         }
     }
 
     pub(crate) fn is_isolated(&self) -> bool {
-        self.isolated.is_some_and(|since| self.now >= since + ISOLATED)
+        !self.in_touch && self.isolated.is_some_and(|since| self.now >= since + ISOLATED)
     }
 
     /// Isolated for so long that the others may have new owners for what this one owns.
-    pub(crate) fn is_fenced(&self) -> bool {
+    pub fn is_fenced(&self) -> bool {
         let fenced = self.isolated.is_some_and(|since| self.now >= since + FENCED);
-        fenced && !planted(Defect::IsolatedLends)
+        fenced && !self.in_touch && !planted(Defect::IsolatedLends)
     }
 
     /// Whoever waits here is told to come back.
--- a/crates/rehearsal/src/desk.rs
+++ b/crates/rehearsal/src/desk.rs
@@ -359,6 +359,11 @@
         self.fresh = fresh;
     }
 
+    pub fn contact(&mut self, now: Duration, in_touch: bool) {
+        self.lending.contact(now, in_touch);
+        self.pump(now);
+    }
+
     fn may_use(&self, listed: &Listed) -> bool {
         let slots = self.catalogue.as_ref().and_then(|held| {
             let service = held.0.services.iter().find(|s| s.name == listed.service)?;
--- a/crates/rehearsal/src/page.rs
+++ b/crates/rehearsal/src/page.rs
@@ -19,6 +19,7 @@
 /// One follow in so many asks for other pages.
 const GREETS: u32 = 4;
 const FRESH: f64 = 0.5;
+const IN_TOUCH: Duration = Duration::from_millis(1200);
 
 /// To the desk beside it.
 pub enum Told {
@@ -27,6 +28,7 @@
     Owners(Vec<(IpAddr, String, u32)>),
     Stacks { entries: Vec<Listed>, ended: Vec<String> },
     Fresh(bool),
+    InTouch(bool),
 }
 
 pub enum Out {
@@ -51,6 +53,7 @@
     follows: u32,
     confirmed: Option<Duration>,
     fresh: bool,
+    in_touch: bool,
     holder: Option<(SocketAddr, u64)>,
     stacks: Replica,
     /// The mark of the owners that are known, and since when.
@@ -91,6 +94,7 @@
             follows: 0,
             confirmed: None,
             fresh: false,
+            in_touch: false,
             holder: None,
             stacks: Replica::default(),
             owners: (Mark::default(), Duration::ZERO),
@@ -166,6 +170,11 @@
             self.fresh = fresh;
             self.tell(Told::Fresh(fresh));
         }
+        let in_touch = self.heard > Duration::ZERO && now < self.heard + IN_TOUCH;
+        if in_touch != self.in_touch {
+            self.in_touch = in_touch;
+            self.tell(Told::InTouch(in_touch));
+        }
         let desks: Vec<(IpAddr, String, u32)> = self
             .views
             .there(now)
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -749,6 +749,7 @@
                         Told::Desks(_) | Told::Owners(_) => {}
                         Told::Stacks { entries, ended } => running.desk.stacks(local, &entries, &ended),
                         Told::Fresh(fresh) => running.desk.fresh(fresh),
+                        Told::InTouch(in_touch) => running.desk.contact(local, in_touch),
                     },
                     page::Out::Note { to, note } => {
                         let me = SocketAddr::new(ip, PEER_PORT);
--- a/crates/scale-run/src/hollow.rs
+++ b/crates/scale-run/src/hollow.rs
@@ -168,6 +168,7 @@
                 Told::Owners(_) => ("owners", None),
                 Told::Stacks { .. } => ("instances", None),
                 Told::Fresh(_) => ("freshness", None),
+                Told::InTouch(_) => ("contact", None),
             };
             let mut board = locked(&self.board);
             board.heard(kind, bytes);
