Slots: before the holder names owners a process owns in its own zone alone; a claim rests

Cause: after a loss of everything owners were drawn from the agents' letters until the holder's list came (0.8 s). And a former owner that had not learned of a change ignored the new one's claim, and lent on after the new one's wait. Change: provisional members own in their own zone only and hear for 0.4 s; a call without a known owner waits (0.8 s at most) and tells no shortage; who is claimed from lends the instance no more for 1.2 s. The first list comes 0.12 s after the last agent.

--- a/crates/controller/src/proxies.rs
+++ b/crates/controller/src/proxies.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 use tindock_circulation::{Mark, Owners, Proxy};
 
-/// Without a predecessor's list the first one waits so long for the agents to follow.
+/// Without a predecessor's list the first one waits until no further agent has come for so long: after a loss of everything they
+/// all come within a few tenths of a second, and nothing is served before it.
+const NO_MORE_COME: Duration = Duration::from_millis(120);
+/// It waits no longer than this.
 const FIRST_LIST_AFTER: Duration = Duration::from_millis(1500);
 /// An agent follows once a second; one that was not heard for so long is gone, or cut off.
 const SILENT_AFTER: Duration = Duration::from_millis(2200);
@@ -28,6 +31,8 @@
     /// As they were last told.
     told: Option<Owners>,
     first_due: Duration,
+    /// When an agent last came that was not known.
+    newcomer: Duration,
     looked: Duration,
 }
 
@@ -39,6 +44,7 @@
             known: before.iter().flat_map(|owners| &owners.proxies).map(heard).collect(),
             told: before.cloned(),
             first_due: now + FIRST_LIST_AFTER,
+            newcomer: now,
             looked: now,
         }
     }
@@ -47,8 +53,21 @@
     pub fn follows(&mut self, now: Duration, proxy: Proxy) {
         if proxy.life == 0 {
             self.known.remove(&proxy.ip);
-        } else if self.known.len() < MAX_PROXIES || self.known.contains_key(&proxy.ip) {
-            self.known.insert(proxy.ip, Known { proxy, heard: now });
+            return;
+        }
+        if self.known.len() < MAX_PROXIES || self.known.contains_key(&proxy.ip) {
+            let before = self.known.insert(proxy.ip, Known { proxy, heard: now });
+            if before.is_none() {
+                self.newcomer = now;
+            }
+        }
+    }
+
+    /// When the first list is told, where the holder before this one left none.
+    fn first_list_due(&self) -> Duration {
+        match self.known.is_empty() {
+            true => self.first_due,
+            false => self.first_due.min(self.newcomer + NO_MORE_COME),
         }
     }
 
@@ -59,7 +78,7 @@
         if pause > STOOD_STILL {
             self.known.values_mut().for_each(|known| known.heard += pause);
         }
-        if self.told.is_none() && now < self.first_due {
+        if self.told.is_none() && now < self.first_list_due() {
             return false;
         }
         self.known.retain(|_, known| now < known.heard + SILENT_AFTER);
@@ -83,7 +102,7 @@
     /// When a look may find a change without any further input.
     pub fn next_due(&self) -> Duration {
         let silent = self.known.values().map(|known| known.heard + SILENT_AFTER).min();
-        let first = self.told.is_none().then_some(self.first_due);
+        let first = self.told.is_none().then(|| self.first_list_due());
         silent.into_iter().chain(first).min().unwrap_or(Duration::MAX)
     }
 }
--- a/crates/controller/tests/proxies.rs
+++ b/crates/controller/tests/proxies.rs
@@ -47,6 +47,30 @@
     assert_eq!(run(&mut proxies, 1000, 5000, &all), vec![all.to_vec()]);
 }
 
+/// Guards against a service that stands still for longer than it must after a loss of everything: nothing is lent before the
+/// first list.
+#[test]
+fn a_first_list_comes_once_no_more_agents_come() {
+    let mut proxies = Proxies::new(ms(0), None);
+    assert_eq!(proxies.next_due(), ms(1500));
+    for (n, at) in [(1, 100), (2, 150), (3, 300)] {
+        assert_eq!(changed(&mut proxies, ms(at)), None);
+        proxies.follows(ms(at), proxy(n, 7));
+    }
+    // Following again is no coming.
+    proxies.follows(ms(400), proxy(1, 7));
+    assert_eq!(changed(&mut proxies, ms(549)), None);
+    assert_eq!(proxies.next_due(), ms(550));
+    assert_eq!(changed(&mut proxies, ms(550)).map(|list| list.len()), Some(3));
+    // However many go on coming.
+    let mut proxies = Proxies::new(ms(0), None);
+    let first = (0..30).find(|n| {
+        proxies.follows(ms(100 * u64::from(*n)), proxy(*n + 1, 7));
+        changed(&mut proxies, ms(100 * u64::from(*n))).is_some()
+    });
+    assert_eq!(first, Some(15));
+}
+
 #[test]
 fn a_successor_goes_on_with_the_list() {
     let before = [proxy(1, 7), proxy(2, 8), proxy(3, 9)];
--- a/crates/house/src/desk.rs
+++ b/crates/house/src/desk.rs
@@ -320,12 +320,14 @@
                 self.desks = desks.len().max(1);
                 // Only until the holder of the lease has told who owns.
                 if self.owners.is_none() {
-                    self.members(now, desks);
+                    let members = self.members_of(desks);
+                    self.lending.provisional_members(now, members);
                 }
             }
             Told::Owners(desks) => {
                 self.owners = Some(desks.len().max(1));
-                self.members(now, desks);
+                let members = self.members_of(desks);
+                self.lending.members(now, members);
             }
             Told::Stacks { entries, mut ended, whole } => {
                 self.stacked = true;
@@ -349,7 +351,7 @@
         true
     }
 
-    fn members(&mut self, now: Duration, desks: Vec<Other>) {
+    fn members_of(&self, desks: Vec<Other>) -> Vec<Member> {
         let port = self.settings.lending().port();
         let member = |desk: Other| Member {
             at: SocketAddr::new(desk.ip, port),
@@ -357,8 +359,7 @@
             zone: desk.zone,
             life: desk.life,
         };
-        let members: Vec<Member> = desks.into_iter().map(member).collect();
-        self.lending.members(now, members);
+        desks.into_iter().map(member).collect()
     }
 
     /// Of the configuration in force; 0 without one.
--- a/crates/lending/src/handover.rs
+++ b/crates/lending/src/handover.rs
@@ -17,6 +17,11 @@
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Without a former owner to wait for, requesters are given so long to tell what they hold.
 const HEARING: Duration = Duration::from_millis(200);
+/// The same while the members are those that were heard of: those of a zone hear of each other within this.
+const PROVISIONAL_HEARING: Duration = Duration::from_millis(400);
+/// A former owner that is claimed from, and has not learned of a change, lends the instance no more for so long. By then it has
+/// learned of it, or the claim was by one that is behind.
+const DISPUTED: Duration = Duration::from_millis(1200);
 /// An instance that is first heard of so soon after a change of owners may have been lent by another.
 const AFTER_CHANGE: Duration = Duration::from_secs(2);
 /// What was handed over before this process knew that it is the owner is kept so long.
@@ -70,7 +75,8 @@
     pub(crate) fn beginning(&self, entry: &Entry, boot: Duration, cause: &Cause) -> Beginning {
         let now = self.now;
         let at_once = Beginning { rests: Duration::ZERO, awaits: None };
-        let hearing = Beginning { rests: now + HEARING, awaits: None };
+        let span = if self.owners.is_provisional() { PROVISIONAL_HEARING } else { HEARING };
+        let hearing = Beginning { rests: now + span, awaits: None };
         // One that has just begun has been lent by nobody. One that began before this process did may have been.
         let young = entry.since > Duration::ZERO;
         let fresh = young && !entry.ready && now < entry.since + boot.mul_f64(0.5);
@@ -220,7 +226,7 @@
     pub(crate) fn claimed(&mut self, from: SocketAddr, kind: Kind, instance: String) {
         let entry = self.entries.get(&instance);
         if entry.is_some_and(|entry| self.lender(kind, &entry.zone) == Some(self.me)) {
-            return;
+            return self.rest_disputed(kind, &instance);
         }
         if let Some(owner) = self.next_to_ask(from, kind, &instance) {
             return self.say(from, Line::GaveTo { kind, instance, owner });
@@ -232,6 +238,17 @@
         self.say(from, Line::HandsOver { kind, instance, loans, complete: true });
     }
 
+    /// Another claims what this one owns as far as it knows. One of the two is behind, and the claimer lends after its wait.
+    fn rest_disputed(&mut self, kind: Kind, instance: &str) {
+        if planted(Defect::ClaimsIgnored) {
+            return;
+        }
+        let Some(shelf) = self.shelves.get_mut(&kind) else { return };
+        if let Some(book) = shelf.books.iter_mut().find(|book| book.entry.instance == instance) {
+            book.rest_until(self.now + DISPUTED);
+        }
+    }
+
     /// The one that is waited for has handed the instance over to another before.
     pub(crate) fn gave_to(&mut self, from: SocketAddr, kind: Kind, instance: &str, owner: SocketAddr) {
         let Some(shelf) = self.shelves.get_mut(&kind) else { return };
--- a/crates/lending/src/lender.rs
+++ b/crates/lending/src/lender.rs
@@ -767,6 +767,11 @@
         }
     }
 
+    /// It lends nothing before then.
+    pub fn rest_until(&mut self, then: Duration) {
+        self.rests = self.rests.max(then);
+    }
+
     pub fn rests_until(&self) -> Duration {
         self.rests
     }
--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -346,12 +346,23 @@
         self.pump();
     }
 
-    /// Who lends and borrows, this one among them if it does.
-    pub fn members(&mut self, now: Duration, mut members: Vec<Member>) {
+    /// Who lends and borrows, as the holder of the lease published it; this one among them if it does.
+    pub fn members(&mut self, now: Duration, members: Vec<Member>) {
+        let published = self.owners.set_provisional(false);
+        self.replace_members(now, members, published);
+    }
+
+    /// Members that were heard of while the holder of the lease has published none.
+    pub fn provisional_members(&mut self, now: Duration, members: Vec<Member>) {
+        let withdrawn = self.owners.set_provisional(true);
+        self.replace_members(now, members, withdrawn);
+    }
+
+    fn replace_members(&mut self, now: Duration, mut members: Vec<Member>, in_any_case: bool) {
         self.now = now;
         members.sort_by_key(|m| m.at);
         members.dedup_by_key(|m| m.at);
-        if members == self.owners.members() {
+        if !in_any_case && members == self.owners.members() {
             return;
         }
         let known = |m: &&Member| self.owners.member(m.at).is_some_and(|old| old.life == m.life);
@@ -367,9 +378,18 @@
         self.probe_former_owners();
         self.tell_new_lenders(&fresh);
         self.ask_owners();
+        self.ask_first_owners();
         self.pump();
     }
 
+    /// Calls that came before any owner was known.
+    fn ask_first_owners(&mut self) {
+        let unasked = |call: &Call| matches!(call.stage, Stage::Asking { tries: 0, .. });
+        let unasked: Vec<u32> =
+            self.calls.iter().filter(|(_, call)| unasked(call)).map(|(seq, _)| *seq).collect();
+        unasked.into_iter().for_each(|seq| self.ask(seq, 0));
+    }
+
     /// Calls that were asked of one that owns nothing of their function any more are asked of the owners.
     fn ask_owners(&mut self) {
         let asked = self.calls.values().filter_map(|call| match call.stage {
@@ -557,7 +577,7 @@
             let far = if zone == self.zone { 0 } else { 2 + 2 * u32::from(self.region(zone) != own) };
             let starting = if ready { 0 } else { 8 };
             let full = self.room_at(kind, zone).is_some_and(|room| room.free == 0 || room.waiting > 0);
-            let silent = self.lender(kind, zone).is_some_and(|at| self.passed_over.contains_key(&at));
+            let silent = self.lender(kind, zone).is_none_or(|at| self.passed_over.contains_key(&at));
             far + starting + if full { 5 } else { 0 } + if silent { 30 } else { 0 }
         };
         let zones = self.zones_of(kind);
@@ -582,7 +602,8 @@
 
     fn ask_in(&mut self, seq: u32, zone: &str, hops: u8) {
         let Some(call) = self.calls.get(&seq) else { return };
-        let to = self.lender(call.kind, zone).unwrap_or(self.me);
+        // Before any owner is known a call waits for one; it is no sign of a lack of instances.
+        let Some(to) = self.lender(call.kind, zone) else { return };
         if to != self.me && self.is_isolated() {
             // No word would come: the client may find one that is not cut off.
             self.calls.remove(&seq);
@@ -1192,6 +1213,12 @@
                         over.push(seq);
                         continue;
                     }
+                    if *tries == 0 {
+                        if now >= call.came + GIVEN_UP {
+                            over.push(seq);
+                        }
+                        continue;
+                    }
                     // What is known to wait is asked after now and then; once that is not answered, as often as any.
                     let known = *waits && *tries == 1;
                     let pause = if known { AGAIN_WAITING } else { AGAIN * (1 << (*tries - 1).min(3)) };
--- a/crates/lending/src/owners.rs
+++ b/crates/lending/src/owners.rs
@@ -35,6 +35,9 @@
     refusals: HashMap<SocketAddr, Refusal>,
     /// This process is likely cut off from the holder, so that refusals prove nothing.
     doubted: bool,
+    /// These are the members that were heard of, and not those that the holder published: who begins hears of those of its own
+    /// zone first, and of the others in an order of chance.
+    provisional: bool,
     now: Duration,
 }
 
@@ -95,8 +98,22 @@
         self.refusals.remove(&at).is_some()
     }
 
-    /// The owner of the instances of this function in this zone.
+    /// Whether the members were heard of, and not published; true if that is another word than before.
+    pub fn set_provisional(&mut self, provisional: bool) -> bool {
+        let provisional = provisional && !planted(Defect::FirstHeardOwns);
+        std::mem::replace(&mut self.provisional, provisional) != provisional
+    }
+
+    pub fn is_provisional(&self) -> bool {
+        self.provisional
+    }
+
+    /// The owner of the instances of this function in this zone. Where the members are provisional, only one of the zone itself:
+    /// that none is known there says nothing.
     pub fn owner(&self, kind: Kind, zone: &str) -> Option<SocketAddr> {
+        if self.provisional && !self.members.iter().any(|member| member.zone == zone) {
+            return None;
+        }
         owner_among(self.members.iter().filter(|member| !self.has_ended(member.at)), kind, zone)
     }
 
--- a/crates/lending/src/planted.rs
+++ b/crates/lending/src/planted.rs
@@ -36,6 +36,10 @@
     SilenceIsEnd,
     /// An owner that hears nobody goes on lending.
     IsolatedLends,
+    /// A former owner that has not learned of a change lends on while another claims what it owns.
+    ClaimsIgnored,
+    /// Before the holder has published any members, one that knows nobody in a zone owns its instances.
+    FirstHeardOwns,
     /// A refused connection proves the end of a process, on whichever side of a cut this one is.
     RefusalIsProof,
     /// A slot that comes back is freed twice.
--- a/crates/rehearsal/src/desk.rs
+++ b/crates/rehearsal/src/desk.rs
@@ -284,14 +284,18 @@
     pub fn desks(&mut self, now: Duration, desks: &[(IpAddr, String, u32)]) {
         self.desks = desks.len().max(1);
         if self.owners.is_none() {
-            self.members(now, desks);
+            let members = self.members_of(now, desks);
+            self.lending.provisional_members(now, members);
+            self.pump(now);
         }
     }
 
     /// Those among which owners of slots are chosen.
     pub fn owners(&mut self, now: Duration, desks: &[(IpAddr, String, u32)]) {
         self.owners = Some(desks.len().max(1));
-        self.members(now, desks);
+        let members = self.members_of(now, desks);
+        self.lending.members(now, members);
+        self.pump(now);
     }
 
     /// A process at an owner's address refuses connections.
@@ -300,7 +304,7 @@
         self.pump(now);
     }
 
-    fn members(&mut self, now: Duration, desks: &[(IpAddr, String, u32)]) {
+    fn members_of(&mut self, now: Duration, desks: &[(IpAddr, String, u32)]) -> Vec<Member> {
         let before = std::mem::replace(&mut self.others, desks.iter().map(|desk| desk.0).collect());
         self.others.sort();
         if self.sharing == Sharing::Fixed && self.others != before {
@@ -329,8 +333,7 @@
         if self.planted == Some(Planted::LendersDoubled) || self.sharing.single() {
             members.retain(|member| member.at == self.me);
         }
-        self.lending.members(now, members);
-        self.pump(now);
+        members
     }
 
     pub fn stacks(&mut self, now: Duration, entries: &[Listed], ended: &[String]) {
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -1142,7 +1142,7 @@
         let now = self.now;
         for n in 0..self.edges.len() {
             if let Some(running) = self.edges[n].running.as_mut() {
-                running.desk.desks(now - running.born, &all);
+                running.desk.owners(now - running.born, &all);
             }
         }
     }
