Slots: a third of the members unreachable, out of touch, is a cut

Change: out of touch with the controllers, a third of the members unreachable (two at least) ends lending. Price: with all controllers down, a third of the proxies lost stops the rest until either is back.

--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -53,12 +53,14 @@
 pub const PASSED_OVER: Duration = Duration::from_millis(500);
 /// A member that was heard so lately is in reach.
 const IN_REACH: Duration = Duration::from_millis(1000);
-/// Who is in the smaller part of a network for so long, and out of touch with the controllers, turns its calls away,
+/// Who is in one part of a cut network for so long, and out of touch with the controllers, turns its calls away,
 const ISOLATED: Duration = Duration::from_millis(600);
 /// and lends no more after so long: the others may have new owners by then. (They are passed over 0.4 s before this counts.)
 const FENCED: Duration = Duration::from_millis(900);
-/// So many silent members make it likely, and so many others are asked for a word then.
+/// So many unreachable members make a cut likely, if they are one in so many,
 const LIKELY_ISOLATED: usize = 2;
+const CUT_SHARE: usize = 3;
+/// and so many others are asked for a word then.
 const ASKED_FOR_A_WORD: usize = 8;
 /// Its clients are told to come back after this.
 const CUT_OFF_RETRY: Duration = Duration::from_millis(300);
--- a/crates/lending/src/reach.rs
+++ b/crates/lending/src/reach.rs
@@ -4,8 +4,8 @@
 use crate::planted::{planted, Defect};
 use crate::words::{Kind, Line};
 use crate::{
-    ms, Call, Lending, Order, Stage, ASKED_FOR_A_WORD, CUT_OFF_RETRY, FENCED, GIVEN_UP, IN_REACH, ISOLATED,
-    LIKELY_ISOLATED, PASSED_OVER, PROBED_AFTER,
+    ms, Call, Lending, Order, Stage, ASKED_FOR_A_WORD, CUT_OFF_RETRY, CUT_SHARE, FENCED, GIVEN_UP, IN_REACH,
+    ISOLATED, LIKELY_ISOLATED, PASSED_OVER, PROBED_AFTER,
 };
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -47,9 +47,10 @@
         }
     }
 
-    /// A process that reaches fewer members than not is likely in the smaller part of a network that was cut. Where its agent
-    /// reaches the controllers it is on the side of the holder of the lease, who names the owners: then it goes on, however
-    /// few members are with it.
+    /// A process that does not reach many of the members is likely in one part of a network that was cut. Where its agent reaches
+    /// the controllers it is on the side of the holder of the lease, who names the owners: then it goes on, however few members
+    /// are with it. Most of the members is no better sign than a third: the list that it has may be an old one, which lacks those
+    /// on the other side.
     pub(crate) fn look_for_isolation(&mut self) {
         let now = self.now;
         if self.passed_over.is_empty() && !self.owners.any_refuses() {
@@ -61,8 +62,8 @@
         }
         let Reach { unreachable, unknown, heard } = self.reach();
         let members = unreachable + unknown.len() + heard;
-        let smaller = unreachable >= LIKELY_ISOLATED.min(members) && unreachable > heard;
-        if !smaller {
+        let cut = unreachable >= LIKELY_ISOLATED.min(members) && unreachable * CUT_SHARE >= members;
+        if !cut {
             self.isolated = None;
         } else if self.isolated.is_none() {
             self.isolated = Some(now);
@@ -70,7 +71,7 @@
         if !self.in_touch {
             self.ask_for_a_word(unknown);
         }
-        if self.owners.weigh(now, smaller && !self.in_touch) {
+        if self.owners.weigh(now, cut && !self.in_touch) {
             self.owners_changed();
         }
     }
--- a/crates/lending/tests/refusing_cut.rs
+++ b/crates/lending/tests/refusing_cut.rs
@@ -205,6 +205,7 @@
 #[case::three_of_eight(8, 3)]
 #[case::one_of_eight(8, 1)]
 #[case::half_of_six(6, 3)]
+#[case::five_of_eight(8, 5)]
 fn two_sides_of_a_cut_that_resets_do_not_both_lend(#[case] schedulers: u8, #[case] behind: u8) {
     let mut fleet = Fleet::new(schedulers, behind);
     fleet.run(Duration::from_secs(13));
