Slots: members asked for a word in vain count as unreachable

Cause: a part whose calls all went to one silent owner knew of one unreachable member; the others were never asked.

--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -231,8 +231,10 @@
     isolated: Option<Duration>,
     /// The agent reaches the controllers.
     in_touch: bool,
-    /// When members of which nothing is known were last asked for a word.
-    asked_for_a_word: Duration,
+    /// Members of which nothing is known, that were asked for a word, since when.
+    asked_for_a_word: BTreeMap<SocketAddr, Duration>,
+    /// When the last of them were.
+    asked_last: Duration,
     /// When an owner in this one's zone was last probed for a call that came here.
     probed: HashMap<SocketAddr, Duration>,
     pending: Vec<Pending>,
@@ -302,7 +304,8 @@
             passed_over: HashMap::new(),
             isolated: None,
             in_touch: false,
-            asked_for_a_word: Duration::ZERO,
+            asked_for_a_word: BTreeMap::new(),
+            asked_last: Duration::ZERO,
             probed: HashMap::new(),
             pending: Vec::new(),
             early: HashMap::new(),
--- a/crates/lending/src/reach.rs
+++ b/crates/lending/src/reach.rs
@@ -15,8 +15,10 @@
 struct Reach {
     /// They say nothing, or their connections are refused.
     unreachable: usize,
-    /// Neither heard lately nor asked for anything.
+    /// Neither heard lately nor asked for a slot; those that are asked for a word in vain are unreachable as well.
     unknown: Vec<SocketAddr>,
+    /// Of these, those that have not been asked for long enough.
+    unknown_still: usize,
     heard: usize,
 }
 
@@ -25,12 +27,18 @@
     fn reach(&self) -> Reach {
         let mut reach = Reach::default();
         for at in self.owners.members().iter().map(|member| member.at).filter(|at| *at != self.me) {
-            let heard = self.lives.heard(&at).is_some_and(|heard| heard + IN_REACH > self.now);
+            let heard = self.lives.heard(&at);
+            let asked =
+                self.asked_for_a_word.get(&at).filter(|asked| heard.is_none_or(|heard| heard < **asked));
             if self.owners.refuses(at) || self.passed_over.contains_key(&at) {
                 reach.unreachable += 1;
-            } else if heard {
+            } else if heard.is_some_and(|heard| heard + IN_REACH > self.now) {
                 reach.heard += 1;
+            } else if asked.is_some_and(|asked| self.now >= *asked + PASSED_OVER) {
+                reach.unreachable += 1;
+                reach.unknown.push(at);
             } else {
+                reach.unknown_still += 1;
                 reach.unknown.push(at);
             }
         }
@@ -55,21 +63,23 @@
         let now = self.now;
         if self.passed_over.is_empty() && !self.owners.any_refuses() {
             self.isolated = None;
+            self.asked_for_a_word.clear();
             if self.owners.weigh(now, false) {
                 self.owners_changed();
             }
             return;
         }
-        let Reach { unreachable, unknown, heard } = self.reach();
-        let members = unreachable + unknown.len() + heard;
+        let Reach { unreachable, unknown, unknown_still, heard } = self.reach();
+        let members = unreachable + unknown_still + heard;
         let cut = unreachable >= LIKELY_ISOLATED.min(members) && unreachable * CUT_SHARE >= members;
         if !cut {
             self.isolated = None;
         } else if self.isolated.is_none() {
             self.isolated = Some(now);
         }
-        if !self.in_touch {
-            self.ask_for_a_word(unknown);
+        match self.in_touch {
+            true => self.asked_for_a_word.clear(),
+            false => self.ask_for_a_word(unknown),
         }
         if self.owners.weigh(now, cut && !self.in_touch) {
             self.owners_changed();
@@ -78,11 +88,16 @@
 
     /// Members of which nothing is known show by an answer, or by a refused connection, on which side they are.
     fn ask_for_a_word(&mut self, unknown: Vec<SocketAddr>) {
-        if self.now < self.asked_for_a_word + PASSED_OVER {
+        if self.now < self.asked_last + PASSED_OVER {
             return;
         }
-        self.asked_for_a_word = self.now;
-        for at in unknown.into_iter().take(ASKED_FOR_A_WORD) {
+        self.asked_last = self.now;
+        self.asked_for_a_word.retain(|at, _| unknown.contains(at));
+        // Those that were not asked yet come first.
+        let (new, old): (Vec<_>, Vec<_>) =
+            unknown.into_iter().partition(|at| !self.asked_for_a_word.contains_key(at));
+        for at in new.into_iter().chain(old).take(ASKED_FOR_A_WORD) {
+            self.asked_for_a_word.entry(at).or_insert(self.now);
             self.say(at, Line::Unwanted { seq: 0, kind: 0, instance: 0 });
             self.orders.push_back(Order::Probe { owner: at });
         }
--- a/crates/lending/tests/reach.rs
+++ b/crates/lending/tests/reach.rs
@@ -148,6 +148,21 @@
     assert_eq!(cut.call_own(), Came::Slot);
 }
 
+/// Guards against a part of a network whose calls go to one silent owner alone: the others, whom nobody asks, are asked for a
+/// word, and count as unreachable as well.
+#[test]
+fn members_that_nobody_asked_show_on_which_side_they_are() {
+    let mut cut = Cut::new(&[]);
+    for _ in 0..40 {
+        cut.want("f2");
+        cut.pass(ms(100));
+    }
+    assert_eq!(cut.call_own(), Came::Refused);
+    cut.in_reach = vec![3, 4, 5];
+    cut.pass(ms(1500));
+    assert_eq!(cut.call_own(), Came::Slot);
+}
+
 #[test]
 fn one_that_lends_on_is_found() {
     PLANTED.set(Some(Defect::IsolatedLends));
