--- a/crates/fault-matrix/tests/drawing.rs
+++ b/crates/fault-matrix/tests/drawing.rs
@@ -147,6 +147,34 @@
     assert!(cut.how.contains("leader") && cut.for_s.unwrap() >= 18.0);
 }
 
+fn count(day: &Day, kind: &str) -> usize {
+    day.entries.iter().filter(|entry| entry.kind == kind).count()
+}
+
+#[test]
+fn a_mixed_day_holds_drains_and_several_troubles() {
+    let days = drawn(Set::Mixed, 1);
+    assert_eq!(days.len(), 40);
+    for day in &days {
+        assert!(count(day, "worker_drain") >= 1 && day.entries.len() >= 7, "{}", day.text());
+        let fronts: usize =
+            ["node_cut", "node_freeze", "node_kill"].iter().map(|kind| count(day, kind)).sum();
+        assert!(fronts >= 1, "{}", day.text());
+    }
+    let closed = days.iter().filter(|day| day.closing.is_some()).count();
+    assert!((4..=20).contains(&closed), "{closed}");
+}
+
+#[test]
+fn a_long_day_holds_changes_and_proxies_and_hosts_that_come_and_go() {
+    for day in drawn(Set::Long, 1) {
+        let changes = day.entries.iter().find(|entry| entry.kind == "config_storm").unwrap();
+        assert!(changes.count.unwrap() >= 150 && day.length_s >= 40.0, "{}", day.text());
+        let all = ["add_nodes", "roll_term", "worker_drain"].iter().all(|kind| count(&day, kind) >= 1);
+        assert!(all, "{}", day.text());
+    }
+}
+
 #[test]
 fn long_days_hold_three_hundred_changes() {
     for day in drawn(Set::Worst, 1).iter().filter(|day| day.name.starts_with("worst-long")) {
--- a/crates/fault-matrix/tests/results.rs
+++ b/crates/fault-matrix/tests/results.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 use std::collections::BTreeSet;
 use tindock_fault_matrix::summary::{kinds_of, markdown, Run};
-use tindock_fault_matrix::verdict::{Report, Verdict};
+use tindock_fault_matrix::verdict::{Gauges, Report, Verdict};
 
 #[rstest]
 #[case::kept(r#"{"G": 0.5, "fault": null, "short": [], "breaks": {}, "first": []}"#, "kept, worth 0.500")]
@@ -20,6 +20,20 @@
     assert_eq!(Verdict::of(Report::deserialize_json(report).unwrap()).to_string(), told);
 }
 
+/// A rule that is kept may be kept by a little: the figures behind it are told for each day.
+#[rstest]
+#[case::none(r#"{"G": 0.5, "times": {"config acked": null, "leaving in force": null}}"#, 0, 0.0)]
+#[case::both(
+    r#"{"G": 0.5, "services": [{"name": "a", "told": "x", "arrivals": 9, "not_run": 3}, {"name": "b", "not_run": 7}],
+        "times": {"leaving in force": [497, 1765]}}"#,
+    7,
+    1765.0
+)]
+fn a_report_tells_how_near_a_day_came(#[case] report: &str, #[case] turned_away: u64, #[case] last_ms: f64) {
+    let gauges = Gauges::of(&Report::deserialize_json(report).unwrap());
+    assert_eq!(gauges, Gauges { turned_away, last_after_leaving_ms: last_ms });
+}
+
 #[rstest]
 #[case::empty("")]
 #[case::no_worth("{}")]
