Tests: two premises put right, and the first list's figures

It waits for 2 s now; the assertion stands. (3) The new test of the first list still had the figures of 250 ms.

--- a/crates/controller/tests/proxies.rs
+++ b/crates/controller/tests/proxies.rs
@@ -53,15 +53,15 @@
 fn a_first_list_comes_once_no_more_agents_come() {
     let mut proxies = Proxies::new(ms(0), None);
     assert_eq!(proxies.next_due(), ms(1500));
-    for (n, at) in [(1, 100), (2, 150), (3, 300)] {
+    for (n, at) in [(1, 100), (2, 150), (3, 250)] {
         assert_eq!(changed(&mut proxies, ms(at)), None);
         proxies.follows(ms(at), proxy(n, 7));
     }
     // Following again is no coming.
-    proxies.follows(ms(400), proxy(1, 7));
-    assert_eq!(changed(&mut proxies, ms(549)), None);
-    assert_eq!(proxies.next_due(), ms(550));
-    assert_eq!(changed(&mut proxies, ms(550)).map(|list| list.len()), Some(3));
+    proxies.follows(ms(300), proxy(1, 7));
+    assert_eq!(changed(&mut proxies, ms(369)), None);
+    assert_eq!(proxies.next_due(), ms(370));
+    assert_eq!(changed(&mut proxies, ms(370)).map(|list| list.len()), Some(3));
     // However many go on coming.
     let mut proxies = Proxies::new(ms(0), None);
     let first = (0..30).find(|n| {
--- a/crates/rehearsal/tests/sharing.rs
+++ b/crates/rehearsal/tests/sharing.rs
@@ -6,8 +6,11 @@
 const RUSH: &str = include_str!("../scenarios/rush.txt");
 const FULL: &str = include_str!("../scenarios/burst-full.txt");
 
+/// One seed in some forty has tens of refusals on loan, from a burst that meets no memory: three seeds are too few for a mean.
+const SEEDS: u64 = 12;
+
 fn played(text: &str, sharing: Sharing) -> Vec<Report> {
-    (1..=3).map(|seed| play_sharing(text, seed, None, sharing).unwrap()).collect()
+    (1..=SEEDS).map(|seed| play_sharing(text, seed, None, sharing).unwrap()).collect()
 }
 
 fn mean(reports: &[Report], what: impl Fn(&Report) -> f64) -> f64 {
--- a/crates/scheduler/tests/control_edges.rs
+++ b/crates/scheduler/tests/control_edges.rs
@@ -12,6 +12,8 @@
 const SIZE: Size = Size { controllers: 3, edges: 1 };
 /// `convergence_ms` of the settings.
 const CONVERGENCE: Duration = Duration::from_secs(3);
+/// A controller that heard nobody for so long knows that it is alone; its contact lasts 1.6 s.
+const KNOWN_ALONE: Duration = Duration::from_secs(2);
 
 /// Waits until all proxies have this variant in force and none of the others; what they answer instead.
 async fn all_serve_only(
@@ -169,10 +171,13 @@
     let cluster = Cluster::start(PROGRAM, SIZE).await?;
     let edge = cluster.edges().remove(0);
     all_serve_only(std::slice::from_ref(&edge), 0, &[1, 2], WITHIN).await.map_err(Fault::TimedOut)?;
+    let frozen = Instant::now();
     let queue = cluster.falls_behind(2).await?;
     cluster.confirm(&[0, 1], &text(2, 1)).await?;
     cluster.confirm(&[0, 1], &text(3, 2)).await?;
     cluster.kill_edge(&edge).await?;
+    // Sooner it may take itself for in touch: its text is no older then than contact may be.
+    sleep(KNOWN_ALONE.saturating_sub(frozen.elapsed())).await;
     cluster.freeze(0);
     cluster.freeze(1);
     drop(queue);
