--- a/crates/house/src/client.rs
+++ b/crates/house/src/client.rs
@@ -1,6 +1,7 @@
 //! Client connections: requests in, each request's one answer out.
 
 use crate::desk::{pump, Shared, Slot, SUMMED};
+use crate::open_calls::{CallId, Stage};
 use crate::workers::{self, Failure, Outcome};
 use spdlog::{info, warn};
 use std::cell::Cell;
@@ -53,7 +54,8 @@
         open.set(open.get() + 1);
         let (shared, open) = (shared.clone(), open.clone());
         tokio::task::spawn_local(async move {
-            let mut client = Client { shared, stream, buffer: Vec::new() };
+            let connected = shared.borrow().now();
+            let mut client = Client { shared, stream, buffer: Vec::new(), connected };
             let _ = client.serve().await;
             open.set(open.get() - 1);
         });
@@ -65,6 +67,8 @@
     shared: Shared,
     stream: TcpStream,
     buffer: Vec<u8>,
+    /// When it was accepted, by the proxy's clock.
+    connected: Duration,
 }
 
 /// What an attempt comes to. A promise that it has not run is made of a [`Refusal`] alone.
@@ -121,9 +125,9 @@
             let Some(head) = self.read_head(&bounds).await? else { return Ok(()) };
             let came = Instant::now();
             let shared = self.shared.clone();
-            shared.borrow().count_call(1);
-            let stays = self.request(head, came, &bounds).await;
-            shared.borrow().count_call(-1);
+            let call = shared.borrow_mut().begin_call(self.connected);
+            let stays = self.request(call, head, came, &bounds).await;
+            shared.borrow_mut().open_calls.end(call);
             if !stays? {
                 return Ok(());
             }
@@ -180,9 +184,16 @@
     }
 
     /// One request, its head read. True if the connection stays.
-    async fn request(&mut self, head: RequestHead, came: Instant, bounds: &Bounds) -> std::io::Result<bool> {
+    async fn request(
+        &mut self,
+        call: CallId,
+        head: RequestHead,
+        came: Instant,
+        bounds: &Bounds,
+    ) -> std::io::Result<bool> {
         let Some(body) = self.read_body(&head, bounds).await? else { return Ok(false) };
-        let result = self.attempt(&head, &body, came).await;
+        let result = self.attempt(call, &head, &body, came).await;
+        self.shared.borrow_mut().enter_stage(call, Stage::Answering);
         let close = head.close || self.shared.borrow().is_leaving();
         let id = head.attempt_id.as_deref();
         let (status, after) = match result {
@@ -230,7 +241,7 @@
     }
 
     /// The route and the times of a request, or why it goes nowhere.
-    fn plan(&self, head: &RequestHead, came: Instant) -> Result<Plan, Final> {
+    fn plan(&self, open: CallId, head: &RequestHead, came: Instant) -> Result<Plan, Final> {
         let mut state = self.shared.borrow_mut();
         let Some(held) = state.configuration() else {
             return Err(refused_unsent(RETRY_AFTER_NO_CONFIGURATION));
@@ -250,6 +261,7 @@
             return Err(Final::NoRoute);
         };
         let kind = kind(&service.name);
+        state.open_calls.found(open, &service.name);
         let now = state.now();
         state.budget.request(now, kind);
         let deadline_ms = head.deadline_ms.unwrap_or(u32::MAX).min(route.timeout_ms);
@@ -261,9 +273,9 @@
     }
 
     /// From the route to the one answer.
-    async fn attempt(&mut self, head: &RequestHead, body: &[u8], came: Instant) -> Final {
+    async fn attempt(&mut self, open: CallId, head: &RequestHead, body: &[u8], came: Instant) -> Final {
         let Some(id) = head.attempt_id.as_deref() else { return Final::NoAttemptId };
-        let plan = match self.plan(head, came) {
+        let plan = match self.plan(open, head, came) {
             Ok(plan) => plan,
             Err(end) => return end,
         };
@@ -279,6 +291,7 @@
                 Ok(permit) => permit,
                 Err(end) => return end,
             };
+            self.shared.borrow_mut().enter_stage(open, Stage::WaitingForSlot);
             let (call, slot) = self.slot(&plan, &avoid).await;
             let (instance, at) = match slot {
                 Some(Slot::Go { instance, at }) => (instance, at),
@@ -291,6 +304,7 @@
                     return Final::Left;
                 }
             };
+            self.shared.borrow_mut().enter_stage(open, Stage::AtWorker);
             let shared = self.shared.clone();
             let request =
                 workers::Request { instance: &instance, at, head, body, attempt_id: id, end: plan.end };
--- a/crates/house/src/desk.rs
+++ b/crates/house/src/desk.rs
@@ -3,12 +3,13 @@
 
 use crate::budget::Budget;
 use crate::notes::{Demand, Desk as Other, Listed, Tells, Told};
+use crate::open_calls::{CallId, OpenCalls, Stage, TakenWhileLeaving};
 use crate::post::{frame, read_frame};
 use crate::settings::{seconds, Settings};
 use crate::workers::{self, Workers};
 use crate::{client, loans, readiness};
 use spdlog::{info, warn};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,6 +32,8 @@
 const TELL: Duration = Duration::from_millis(250);
 /// What happens often is said in the log at most this often.
 pub const SUMMED: Duration = Duration::from_secs(5);
+/// Of the requests that a process ends with, so many are logged one by one.
+const MAX_UNANSWERED_LOGGED: usize = 10;
 
 /// A slot, or none in time.
 pub enum Slot {
@@ -61,7 +64,11 @@
     /// the greater, so that those who see few don't spend others' parts.
     desks: usize,
     owners: Option<usize>,
-    calls: Cell<usize>,
+    /// Clients' requests in hand.
+    pub open_calls: OpenCalls,
+    /// When SIGTERM came.
+    terminated: Option<Duration>,
+    taken_while_leaving: TakenWhileLeaving,
     wake: Rc<Notify>,
     /// Further tries withheld since this was last said in the log.
     withheld: HashMap<Kind, u32>,
@@ -111,7 +118,9 @@
         chance: oorandom::Rand32::new(seed),
         desks: 1,
         owners: None,
-        calls: Cell::new(0),
+        open_calls: OpenCalls::default(),
+        terminated: None,
+        taken_while_leaving: TakenWhileLeaving::default(),
         wake: wake.clone(),
         withheld: HashMap::new(),
         full_said: Duration::ZERO,
@@ -140,8 +149,9 @@
     {
         let mut state = shared.borrow_mut();
         state.leaving = true;
+        state.terminated = Some(state.now());
         state.tell(&Tells::Leaving);
-        info!("SIGTERM: leaving, {} calls open", state.calls.get());
+        info!("SIGTERM: leaving, {} calls open", state.open_calls.len());
     }
     let began = Instant::now();
     // The platform misses readiness twice before it sends nobody here: until then new connections come.
@@ -154,18 +164,29 @@
         if began.elapsed() >= closes && !shared.borrow().closing {
             close(&shared);
         }
-        let open = shared.borrow().calls.get();
+        let open = shared.borrow().open_calls.len();
         if began.elapsed() >= last || (began.elapsed() >= stays && open == 0) {
-            let after = began.elapsed().as_secs_f64();
-            match open {
-                0 => info!("ended {after:.1} s after SIGTERM, 0 calls unanswered"),
-                open => warn!("ended {after:.1} s after SIGTERM, {open} calls unanswered"),
-            }
+            say_ended(&shared.borrow(), began.elapsed());
             return;
         }
     }
 }
 
+/// What the log keeps of the end, so that it is seen which requests were given up, and how they had come.
+fn say_ended(state: &State, after: Duration) {
+    let now = state.now();
+    let (open, after) = (state.open_calls.len(), after.as_secs_f64());
+    if open == 0 {
+        info!("ended {after:.1} s after SIGTERM, 0 calls unanswered; {}", state.taken_while_leaving);
+        return;
+    }
+    warn!("ended {after:.1} s after SIGTERM, {open} calls unanswered; {}", state.taken_while_leaving);
+    let terminated = state.terminated.unwrap_or(now);
+    for call in state.open_calls.iter().take(MAX_UNANSWERED_LOGGED) {
+        warn!("{}", call.unanswered(terminated, now));
+    }
+}
+
 /// Every call that waits for a slot is turned away, and so is every one that comes now.
 fn close(shared: &Shared) {
     {
@@ -233,9 +254,19 @@
         self.chance.rand_u32()
     }
 
-    /// Requests in hand, for the log and the end.
-    pub fn count_call(&self, by: isize) {
-        self.calls.set(self.calls.get().saturating_add_signed(by));
+    /// A request's head has been read from a connection that was accepted then.
+    pub fn begin_call(&mut self, connected: Duration) -> CallId {
+        let now = self.now();
+        if let Some(terminated) = self.terminated {
+            self.taken_while_leaving.note(now.saturating_sub(terminated), connected < terminated);
+        }
+        self.open_calls.begin(connected, now)
+    }
+
+    /// A request has come to another stage.
+    pub fn enter_stage(&mut self, call: CallId, stage: Stage) {
+        let now = self.now();
+        self.open_calls.enter(call, stage, now);
     }
 
     /// Whether the budget allows another send of a request that has reached a worker; what it withholds is counted.
--- a/crates/house/src/lib.rs
+++ b/crates/house/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod desk;
 pub mod loans;
 pub mod notes;
+pub mod open_calls;
 pub mod opening;
 pub mod operator;
 pub mod page;
