--- /dev/null
+++ b/crates/scheduler/tests/leaving.rs
@@ -0,0 +1,136 @@
+//! A proxy that got SIGTERM, as a process: what it takes on until its end, it answers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tindock_soak::connection::{Connection, Ending, Outgoing};
+use tindock_standins::clients::Class;
+use tindock_standins::demo::{classes, Shape, Stage};
+use tindock_standins::fleet::Role;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout, Instant};
+
+const GRACE: Duration = Duration::from_secs(4);
+/// A request each so often, on kept connections and on new ones in turn.
+const GAP: Duration = Duration::from_millis(60);
+/// Works for half to one and a half of it: a request that is taken late in the grace period cannot be done in it.
+const LONG_WORK: Duration = Duration::from_millis(900);
+const SHORT_WORK: Duration = Duration::from_millis(20);
+const DEADLINE: Duration = Duration::from_secs(8);
+const KEPT_CONNECTIONS: usize = 60;
+const WARM_UP: usize = 12;
+/// After SIGKILL is due a process is not there any more.
+const GONE_WITHIN: Duration = Duration::from_secs(1);
+
+/// Long and short work on one function.
+fn long_and_short() -> [Class; 2] {
+    let [first, second, ..] = &classes()[..] else { panic!("the demo has four classes") };
+    let of = |class: &Class, work| Class { work, deadline: DEADLINE, ..class.clone() };
+    [of(first, LONG_WORK), of(second, SHORT_WORK)]
+}
+
+async fn sends(mut connection: Connection, class: Class, id: String) -> (Ending, Connection) {
+    let target = format!("{}{id}", class.path);
+    let body = vec![b'a'; class.body_bytes];
+    let outgoing =
+        Outgoing { class: &class, attempt_id: &id, target: &target, body: &body, deadline: DEADLINE };
+    (connection.send(outgoing).await, connection)
+}
+
+async fn keeps(to: SocketAddr, classes: &[Class; 2]) -> Vec<Connection> {
+    let mut kept = Vec::new();
+    for n in 0..KEPT_CONNECTIONS {
+        let connection = Connection::open(to).await.expect("it listens");
+        let (ending, connection) = sends(connection, classes[1].clone(), format!("kept-{n}")).await;
+        if Connection::stays(&ending) {
+            kept.push(connection);
+        }
+    }
+    kept
+}
+
+/// Until the function has instances enough for long work, and its usual time is known.
+async fn warms_up(to: SocketAddr, class: &Class) {
+    for round in 0..2 {
+        let mut open = JoinSet::new();
+        for n in 0..WARM_UP {
+            let connection = Connection::open(to).await.expect("it listens");
+            open.spawn(sends(connection, class.clone(), format!("warm-{round}-{n}")));
+        }
+        open.join_all().await;
+    }
+}
+
+/// How requests ended that were sent from SIGTERM to the process's end, with when they were sent.
+async fn requests_until_the_end(
+    to: SocketAddr,
+    classes: &[Class; 2],
+    mut kept: Vec<Connection>,
+) -> Vec<(Duration, Ending)> {
+    let (began, mut open, mut endings) = (Instant::now(), JoinSet::new(), Vec::new());
+    for n in 0.. {
+        sleep(GAP).await;
+        let sent = began.elapsed();
+        if sent > GRACE + GONE_WITHIN {
+            break;
+        }
+        let connection = match n % 2 {
+            0 => kept.pop().filter(|connection| !connection.is_closed()),
+            _ => None,
+        };
+        let connection = match connection {
+            Some(connection) => connection,
+            None => match Connection::open(to).await {
+                Some(connection) => connection,
+                None => continue,
+            },
+        };
+        let class = classes[usize::from(n % 3 == 2)].clone();
+        open.spawn(async move { (sent, sends(connection, class, format!("late-{n}")).await.0) });
+    }
+    while let Some(ended) = open.join_next().await {
+        endings.push(ended.expect("it does not panic"));
+    }
+    endings.sort_by_key(|(sent, _)| *sent);
+    endings
+}
+
+#[tokio::test]
+async fn a_leaving_proxy_answers_all_that_it_takes_on_until_its_end() {
+    let program = env!("CARGO_BIN_EXE_tindock").into();
+    let shape = Shape { grace: GRACE, again: None, ..Shape::demo(53) };
+    let stage = Stage::open_as(program, shape).await.unwrap_or_else(|fault| panic!("{fault}"));
+    let machine = stage.fleet.machines(Role::Desk)[0].clone();
+    let to = stage.fleet.doors()[0].data_plane;
+    let classes = long_and_short();
+    warms_up(to, &classes[0]).await;
+    let kept = keeps(to, &classes).await;
+
+    assert!(stage.fleet.term(&machine, Role::Desk) && stage.fleet.term(&machine, Role::Page));
+    let endings = requests_until_the_end(to, &classes, kept).await;
+    let ended = !stage.fleet.runs(&machine, Role::Desk);
+    let log = stage.fleet.log(&machine, Role::Desk);
+    let findings = stage.ledger.findings();
+    timeout(Duration::from_secs(20), stage.close(Ok(()))).await.expect("in time").expect("it ends");
+
+    let lost: Vec<_> = endings
+        .iter()
+        .filter(|(_, ending)| {
+            matches!(ending, Ending::ClosedUnanswered | Ending::CutShort | Ending::DeadlinePassed)
+        })
+        .collect();
+    let mut statuses: BTreeMap<u16, usize> = BTreeMap::new();
+    for (_, ending) in &endings {
+        if let Ending::Answered(answer) = ending {
+            *statuses.entry(answer.status).or_default() += 1;
+        }
+    }
+    assert!(lost.is_empty(), "{} of {}: {lost:#?}\n{statuses:?}\n{log}", lost.len(), endings.len());
+    assert_eq!(findings, []);
+    assert!(ended, "it outlives its grace period: {log}");
+    // Early in the grace period requests are served, late ones are told to come again elsewhere.
+    assert!(statuses.get(&200) >= Some(&10), "{statuses:?}");
+    assert!(statuses.get(&503) >= Some(&10), "{statuses:?}");
+    // What has been sent to a worker is worked on to its end.
+    assert_eq!(statuses.get(&502).or(statuses.get(&504)), None, "{statuses:?}");
+}
--- /dev/null
+++ b/crates/soak/src/connection.rs
@@ -0,0 +1,99 @@
+//! A client's connection to a proxy, used until it is closed. It tells apart how a request ended: answered, closed without
+//! an answer after it had been read, reset, or not at all.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use tindock_standins::clients::Class;
+use tindock_standins::wire::{read_answer, request, Answer, Broken};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{timeout, timeout_at, Instant};
+
+/// A new connection is given so long to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How a request ended, as its client saw it.
+#[derive(Debug)]
+pub enum Ending {
+    Answered(Answer),
+    /// The connection was closed in order before any byte of an answer: who closes so has read all that was sent.
+    ClosedUnanswered,
+    /// It ended in the midst of an answer.
+    CutShort,
+    /// It was reset before any byte of an answer: who ends with unread bytes resets, so the request was not read.
+    Reset,
+    /// Bytes that are no answer.
+    Garbled,
+    /// No answer until the client's deadline.
+    DeadlinePassed,
+}
+
+/// A request as it goes out.
+#[derive(Debug, Clone)]
+pub struct Outgoing<'a> {
+    pub class: &'a Class,
+    pub attempt_id: &'a str,
+    pub target: &'a str,
+    pub body: &'a [u8],
+    pub deadline: Duration,
+}
+
+/// A client's connection.
+pub struct Connection {
+    stream: TcpStream,
+    early: Vec<u8>,
+    /// The proxy's address.
+    pub to: SocketAddr,
+    pub opened: Instant,
+}
+
+impl Connection {
+    /// None where nobody listens, or it does not come up in time.
+    pub async fn open(to: SocketAddr) -> Option<Connection> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await.ok()?.ok()?;
+        let _ = stream.set_nodelay(true);
+        Some(Connection { stream, early: Vec::new(), to, opened: Instant::now() })
+    }
+
+    /// Whether the proxy has closed it, as far as this client has heard.
+    pub fn is_closed(&self) -> bool {
+        let mut byte = [0; 1];
+        !matches!(self.stream.try_read(&mut byte), Err(why) if why.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
+    /// Whether it may be used again after this ending.
+    pub fn stays(ending: &Ending) -> bool {
+        matches!(ending, Ending::Answered(answer) if !answer.headers.closes())
+    }
+
+    /// Sends one request and waits for its end.
+    pub async fn send(&mut self, outgoing: Outgoing<'_>) -> Ending {
+        let class = outgoing.class;
+        let deadline_ms = outgoing.deadline.as_millis().to_string();
+        let work_ms = class.work.as_millis().to_string();
+        let answer_bytes = class.answer_bytes.to_string();
+        let headers = [
+            ("Host", class.hostname.as_str()),
+            ("Attempt-Id", outgoing.attempt_id),
+            ("Deadline-Ms", &deadline_ms),
+            ("Standin-Work-Ms", &work_ms),
+            ("Standin-Answer-Bytes", &answer_bytes),
+        ];
+        let bytes = request(&class.method, outgoing.target, &headers, outgoing.body);
+        let until = Instant::now() + outgoing.deadline;
+        match timeout_at(until, self.exchange(&bytes, &class.method)).await {
+            Err(_) => Ending::DeadlinePassed,
+            Ok(Ok(answer)) => Ending::Answered(answer),
+            Ok(Err(Broken::Reset)) => Ending::Reset,
+            Ok(Err(Broken::Ended)) => Ending::ClosedUnanswered,
+            Ok(Err(Broken::Cut)) => Ending::CutShort,
+            Ok(Err(Broken::Garbled)) => Ending::Garbled,
+        }
+    }
+
+    async fn exchange(&mut self, bytes: &[u8], method: &str) -> Result<Answer, Broken> {
+        // Who closes while the request goes out has not read it.
+        self.stream.write_all(bytes).await.map_err(|_| Broken::Reset)?;
+        read_answer(&mut self.stream, &mut self.early, method).await
+    }
+}
--- a/crates/standins/src/demo.rs
+++ b/crates/standins/src/demo.rs
@@ -211,51 +211,106 @@
     classes.iter().map(route).collect()
 }
 
+/// How large a stage is, and what runs on it.
+#[derive(Debug, Clone)]
+pub struct Shape {
+    /// Of the stand-ins.
+    pub seed: u64,
+    pub zones: Vec<String>,
+    /// Edge machines in each zone.
+    pub edges: usize,
+    /// Core machines, over the zones in turn.
+    pub cores: usize,
+    /// Machines for workers, over the zones in turn.
+    pub hosts: usize,
+    pub host_memory_mb: u32,
+    /// From SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// After so long a process that has ended is started again; None: it is not.
+    pub again: Option<Duration>,
+    pub functions: Vec<Function>,
+    pub classes: Vec<Class>,
+}
+
+impl Shape {
+    /// The demo's.
+    pub fn demo(seed: u64) -> Shape {
+        Shape {
+            seed,
+            zones: ZONES.iter().map(|zone| zone.to_string()).collect(),
+            edges: 1,
+            cores: 3,
+            hosts: 6,
+            host_memory_mb: 4096,
+            grace: Duration::from_secs(2),
+            again: Some(Duration::from_millis(500)),
+            functions: functions(),
+            classes: classes(),
+        }
+    }
+}
+
 /// Everything that is up: the system's programs and those who stand in around it.
 pub struct Stage {
     pub fleet: Fleet,
     pub platform: Platform,
     pub ledger: Ledger,
     pub zones: Vec<String>,
+    /// Kinds of requests; each is tried in each zone before the stage counts as up.
+    pub classes: Vec<Class>,
+    pub functions: Vec<Function>,
     /// How long it took until the configuration was taken, and with it until a request was served.
     pub taken: Duration,
     pub served: Duration,
 }
 
 impl Stage {
-    /// Starts all and waits until a request is served.
+    /// Starts the demo's stage and waits until a request is served.
     pub async fn open(program: PathBuf, seed: u64) -> Result<Stage, Fault> {
+        Stage::open_as(program, Shape::demo(seed)).await
+    }
+
+    /// Starts all and waits until a request is served.
+    pub async fn open_as(program: PathBuf, shape: Shape) -> Result<Stage, Fault> {
         let began = Instant::now();
         let net = Net::free(std::process::id()).map_err(Fault::NoAddress)?;
-        let zones: Vec<String> = ZONES.iter().map(|zone| zone.to_string()).collect();
+        let zones = shape.zones;
         let ledger = Ledger::default();
         let host = |n: usize| Host {
             name: format!("w-{}", n + 1),
             zone: zones[n % zones.len()].clone(),
             ip: net.host(n),
-            memory_mb: 4096,
+            memory_mb: shape.host_memory_mb,
         };
-        let hosts = (0..6).map(host).collect();
-        let mut offered = platform::Options::new(net.provider(), functions(), hosts);
-        offered.seed = seed;
+        let hosts = (0..shape.hosts).map(host).collect();
+        let mut offered = platform::Options::new(net.provider(), shape.functions.clone(), hosts);
+        offered.seed = shape.seed;
         let (provider, terms) = (net.provider(), offered.clone());
         let platform = Platform::start(offered, ledger.clone()).await.map_err(Fault::Platform)?;
         let plan = Plan {
             program,
             folder: folder().map_err(|(path, why)| Fault::Fleet(fleet::Fault::File(path, why)))?,
             zones: zones.clone(),
-            edges: 1,
-            cores: 3,
-            grace: Duration::from_secs(2),
+            edges: shape.edges,
+            cores: shape.cores,
+            grace: shape.grace,
             drain: terms.drain,
             rate_per_s: terms.rate_per_s,
             duty_rate_s: terms.duty_rate_s,
             max_lag: terms.max_lag,
-            again: Some(Duration::from_millis(500)),
+            again: shape.again,
         };
         let fleet = Fleet::start(plan, net, provider).map_err(Fault::Fleet)?;
-        let mut stage =
-            Stage { fleet, platform, ledger, zones, taken: Duration::ZERO, served: Duration::ZERO };
+        let mut stage = Stage {
+            fleet,
+            platform,
+            ledger,
+            zones,
+            classes: shape.classes,
+            functions: shape.functions,
+            taken: Duration::ZERO,
+            served: Duration::ZERO,
+        };
         stage.taken = match stage.configure().await {
             Ok(()) => began.elapsed(),
             Err(fault) => return stage.close(Err(fault)).await,
@@ -268,7 +323,7 @@
     }
 
     async fn configure(&self) -> Result<(), Fault> {
-        let text = configuration(1, &routes(&classes()), &functions());
+        let text = configuration(1, &routes(&self.classes), &self.functions);
         let operator = Operator { controllers: self.fleet.controllers(), first: 0 };
         operator.replace(&text, COMING_UP).await.map(|_| ()).map_err(Fault::Operator)
     }
@@ -279,7 +334,7 @@
         let clients = self.clients(self.zones.len(), 0xf157);
         let mut open = JoinSet::new();
         let mut number = 0;
-        for class in classes() {
+        for class in &self.classes {
             for user in 0..self.zones.len() {
                 number += 1000;
                 let (clients, class) = (clients.clone(), class.clone());
