Proxy: after SIGTERM requests are taken on only if they fit into the time left

Cause: a leaving proxy took every request until 1.3 s before its end, and handed it to a worker without asking whether the work can be done by then; at its end it closed the connections of what was at work.

Change: crates/lifecycle, without I/O, holds the states of a process (starting, ready, leaving, closing, breaking off, ended) and the division of the grace period. - A request is taken on, waits for a slot, and goes to a worker only while its longest run, as measured on its route (mean and four deviations, as RFC 6298) or as the route's target latency promises, ends in time. Else it is told at once that it has not run (503, Retry-After, close). - 3 s after SIGTERM (at most half of the grace period) nothing new is taken on, and idle connections are closed; the process ends as soon as nothing is in hand. - What is at a worker 0.5 s before SIGKILL is answered 502, and the process stays until the answers are written. - A second SIGTERM changes nothing. The agent's end follows the same times.

--- a/crates/house/src/client.rs
+++ b/crates/house/src/client.rs
@@ -1,6 +1,6 @@
 //! Client connections: requests in, each request's one answer out.
 
-use crate::desk::{pump, Shared, Slot, SUMMED};
+use crate::desk::{pump, Shared, Slot, Work, RETRY_AFTER_LEAVING, SUMMED};
 use crate::open_calls::{CallId, Stage};
 use crate::workers::{self, Failure, Outcome};
 use spdlog::{info, warn};
@@ -10,10 +10,11 @@
 use tindock_catalogue::{Route, RouteKind};
 use tindock_folio::{request_head, write_answer, write_own, Body, Framing, Read, RequestHead};
 use tindock_lending::words::{kind, Ended, Kind};
+use tindock_lifecycle::Phase;
 use tindock_upstream::{Attempt, Conclusion, Refusal, Repeatability, SendPermit, WorkerAnswer};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
 
 /// An answer comes this long before the client stops waiting.
@@ -27,7 +28,6 @@
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(60);
-const RETRY_AFTER_CLOSING: Duration = Duration::from_millis(50);
 const RETRY_AFTER_NO_ROUTE: Duration = Duration::from_millis(300);
 const RETRY_AFTER_NO_CONFIGURATION: Duration = Duration::from_millis(500);
 /// A full instance is said in the log at most this often.
@@ -54,8 +54,8 @@
         open.set(open.get() + 1);
         let (shared, open) = (shared.clone(), open.clone());
         tokio::task::spawn_local(async move {
-            let connected = shared.borrow().now();
-            let mut client = Client { shared, stream, buffer: Vec::new(), connected };
+            let (connected, phases) = (shared.borrow().now(), shared.borrow().phases());
+            let mut client = Client { shared, stream, buffer: Vec::new(), connected, phases };
             let _ = client.serve().await;
             open.set(open.get() - 1);
         });
@@ -69,6 +69,17 @@
     buffer: Vec<u8>,
     /// When it was accepted, by the proxy's clock.
     connected: Duration,
+    /// Of this process, from its start to its end.
+    phases: watch::Receiver<Phase>,
+}
+
+/// Why work on a request ended before its own end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Interrupted {
+    /// The client hung up.
+    ClientLeft,
+    /// This process ends, and what is unanswered is broken off.
+    BrokenOff,
 }
 
 /// What an attempt comes to. A promise that it has not run is made of a [`Refusal`] alone.
@@ -96,6 +107,15 @@
     }
 }
 
+impl From<Interrupted> for Final {
+    fn from(interrupted: Interrupted) -> Final {
+        match interrupted {
+            Interrupted::ClientLeft => Final::Left,
+            Interrupted::BrokenOff => Final::Unknown { late: false },
+        }
+    }
+}
+
 /// A request of which nothing has been sent to anybody.
 fn refused_unsent(after: Duration) -> Final {
     Attempt::new(Repeatability::NonIdempotent, 1).conclude(after, false).into()
@@ -114,7 +134,7 @@
     kind: Kind,
     route: Route,
     aim: Duration,
-    end: Duration,
+    work: Work,
 }
 
 impl Client {
@@ -161,11 +181,18 @@
             }
             let left =
                 first.map_or(bounds.idle_timeout, |at| bounds.header_timeout.saturating_sub(at.elapsed()));
-            match timeout(left, self.stream.read_buf(&mut self.buffer)).await {
-                Ok(Ok(1..)) => {
-                    first.get_or_insert_with(Instant::now);
-                }
-                _ => return Ok(None),
+            let read = timeout(left, self.stream.read_buf(&mut self.buffer));
+            // A request that has begun to come is read on, to be answered.
+            let is_idle = first.is_none();
+            tokio::select! {
+                biased;
+                read = read => match read {
+                    Ok(Ok(1..)) => {
+                        first.get_or_insert_with(Instant::now);
+                    }
+                    _ => return Ok(None),
+                },
+                () = reaches(&mut self.phases, Phase::Closing), if is_idle => return Ok(None),
             }
         }
     }
@@ -269,7 +296,12 @@
         let came = state.since_start(came);
         let aim = came + Duration::from_millis(route.target_latency_ms.into());
         let end = came + allowed.saturating_sub(MARGIN.min(allowed / 4));
-        Ok(Plan { kind, route, aim, end })
+        let work = Work { longest: state.longest_run(&route), end };
+        if state.admits(now, work).is_err() {
+            state.taken_while_leaving.refused += 1;
+            return Err(refused_unsent(RETRY_AFTER_LEAVING));
+        }
+        Ok(Plan { kind, route, aim, work })
     }
 
     /// From the route to the one answer.
@@ -294,25 +326,32 @@
             self.shared.borrow_mut().enter_stage(open, Stage::WaitingForSlot);
             let (call, slot) = self.slot(&plan, &avoid).await;
             let (instance, at) = match slot {
-                Some(Slot::Go { instance, at }) => (instance, at),
-                Some(Slot::No { after }) => {
-                    let late = self.shared.borrow().now() >= plan.end;
+                Ok(Slot::Go { instance, at }) => (instance, at),
+                Ok(Slot::No { after }) => {
+                    let late = self.shared.borrow().now() >= plan.work.end;
                     return permit.unused().conclude(after.unwrap_or(retry_after), late).into();
                 }
-                None => {
+                Err(interrupted) => {
                     self.settle(call, Ended::Idle);
-                    return Final::Left;
+                    return interrupted.into();
                 }
             };
             self.shared.borrow_mut().enter_stage(open, Stage::AtWorker);
             let shared = self.shared.clone();
             let request =
-                workers::Request { instance: &instance, at, head, body, attempt_id: id, end: plan.end };
-            let Some(outcome) = self.unless_left(workers::send(&shared, permit, request)).await else {
-                // Its connection to the worker is closed with it, and most workers drop what they had.
-                self.settle(call, Ended::Silent);
-                return Final::Left;
+                workers::Request { instance: &instance, at, head, body, attempt_id: id, work: plan.work };
+            let began = Instant::now();
+            let outcome = match self.unless_interrupted(workers::send(&shared, permit, request)).await {
+                Ok(outcome) => outcome,
+                Err(interrupted) => {
+                    // Its connection to the worker is closed with it, and most workers drop what they had.
+                    self.settle(call, Ended::Silent);
+                    return interrupted.into();
+                }
             };
+            if outcome.has_run() {
+                shared.borrow_mut().measure_run(&plan.route, began.elapsed());
+            }
             self.settle(call, outcome.ended());
             let (next, failure) = match outcome {
                 Outcome::Answer(answer) => return Final::Answer(answer),
@@ -339,13 +378,14 @@
         let again = attempt.workers_reached() > 0;
         let permit = match attempt.permit() {
             Ok(permit) => permit,
-            Err(attempt) => return Err(attempt.conclude(retry_after, now >= plan.end).into()),
+            Err(attempt) => return Err(attempt.conclude(retry_after, now >= plan.work.end).into()),
         };
-        if now >= plan.end {
+        if now >= plan.work.end {
             return Err(permit.unused().conclude(retry_after, true).into());
         }
-        if state.is_closing() {
-            return Err(permit.unused().conclude(RETRY_AFTER_CLOSING, false).into());
+        if state.may_begin(now, plan.work).is_err() {
+            state.taken_while_leaving.refused += 1;
+            return Err(permit.unused().conclude(RETRY_AFTER_LEAVING, false).into());
         }
         if again && !state.may_repeat(now, plan.kind) {
             return Err(permit.unused().conclude(retry_after, false).into());
@@ -353,16 +393,16 @@
         Ok(permit)
     }
 
-    /// A slot at a worker, with the number of the search for it; none if the client has left meanwhile.
-    async fn slot(&mut self, plan: &Plan, avoid: &str) -> (u32, Option<Slot>) {
+    /// A slot at a worker, with the number of the search for it.
+    async fn slot(&mut self, plan: &Plan, avoid: &str) -> (u32, Result<Slot, Interrupted>) {
         let (call, slot) = {
             let mut state = self.shared.borrow_mut();
             let (sender, slot) = oneshot::channel();
-            let call = state.want(plan.kind, plan.route.priority, plan.aim, plan.end, avoid, sender);
+            let call = state.want(plan.kind, plan.route.priority, plan.aim, plan.work, avoid, sender);
             (call, slot)
         };
         pump(&self.shared);
-        let slot = self.unless_left(slot).await;
+        let slot = self.unless_interrupted(slot).await;
         (call, slot.map(|slot| slot.unwrap_or(Slot::No { after: None })))
     }
 
@@ -378,22 +418,36 @@
         pump(&self.shared);
     }
 
-    /// None if the client hangs up first. What it sends early is kept, up to a bound.
-    async fn unless_left<T>(&mut self, work: impl std::future::Future<Output = T>) -> Option<T> {
+    /// The work's outcome, unless the client hangs up or this process breaks off first. What the client sends early is
+    /// kept, up to a bound.
+    async fn unless_interrupted<T>(
+        &mut self,
+        work: impl std::future::Future<Output = T>,
+    ) -> Result<T, Interrupted> {
         tokio::pin!(work);
         loop {
-            if self.buffer.len() > MAX_EARLY_BYTES {
-                return Some(work.await);
-            }
+            let may_read = self.buffer.len() <= MAX_EARLY_BYTES;
             tokio::select! {
                 biased;
-                done = &mut work => return Some(done),
-                read = self.stream.read_buf(&mut self.buffer) => {
+                done = &mut work => return Ok(done),
+                () = reaches(&mut self.phases, Phase::BreakingOff) => {
+                    self.shared.borrow_mut().taken_while_leaving.broken_off += 1;
+                    return Err(Interrupted::BrokenOff);
+                }
+                read = self.stream.read_buf(&mut self.buffer), if may_read => {
                     if !matches!(read, Ok(1..)) {
-                        return None;
+                        return Err(Interrupted::ClientLeft);
                     }
                 }
             }
         }
     }
 }
+
+/// Until this process is in this phase or a later one.
+async fn reaches(phases: &mut watch::Receiver<Phase>, phase: Phase) {
+    if phases.wait_for(|now| *now >= phase).await.is_err() {
+        // The process has ended, and all its tasks with it.
+        std::future::pending::<()>().await;
+    }
+}
--- a/crates/house/src/desk.rs
+++ b/crates/house/src/desk.rs
@@ -14,18 +14,23 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tindock_catalogue::{Catalogue, Finder, Limits};
+use tindock_catalogue::{Catalogue, Finder, Limits, Route};
 use tindock_lending::words::{kind, Ended, Kind};
 use tindock_lending::{Entry, Function, Lending, Member, Order, Told as Spoken};
+use tindock_lifecycle::{GracePeriod, Lifecycle, Phase, Refused, RunTimes};
 use tindock_upstream::Connection;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::time::timeout;
 
 /// Asks, queues and dials are looked at this often while there is something in hand, else at rest.
 const TICK: Duration = Duration::from_millis(25);
 const REST: Duration = Duration::from_millis(100);
+/// After SIGTERM it is looked this often whether something is due.
+const LEAVING_TICK: Duration = Duration::from_millis(20);
+/// Who is turned away by a leaving proxy finds another at once.
+pub const RETRY_AFTER_LEAVING: Duration = Duration::from_millis(50);
 /// An owner that says nothing is given so long to refuse a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// What lenders tell the scaler, at most this often.
@@ -41,6 +46,40 @@
     No { after: Option<Duration> },
 }
 
+/// Names a route whatever the revision of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RouteKey(u64);
+
+impl RouteKey {
+    pub fn of(route: &Route) -> RouteKey {
+        RouteKey(
+            crate::archive::hash(&route.hostname) ^ crate::archive::hash(&route.path_prefix).rotate_left(1),
+        )
+    }
+}
+
+/// How long a request may be at its worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    /// As measured on its route, or promised by it.
+    pub longest: Duration,
+    /// It is given up then, by the proxy's clock.
+    pub end: Duration,
+}
+
+impl Work {
+    /// If it begins now, it is over after so long at the latest.
+    pub fn longest_from(&self, now: Duration) -> Duration {
+        self.longest.min(self.end.saturating_sub(now))
+    }
+}
+
+/// A call that waits for a slot.
+struct Waiting {
+    slot: oneshot::Sender<Slot>,
+    work: Work,
+}
+
 pub struct State {
     pub settings: Settings,
     start: Instant,
@@ -49,14 +88,16 @@
     /// Zones in the order in which their numbers are told.
     places: Vec<(String, String)>,
     lending: Lending,
-    waiting: HashMap<u32, oneshot::Sender<Slot>>,
+    waiting: HashMap<u32, Waiting>,
     pub workers: Workers,
     pub budget: Budget,
     fresh: bool,
     stacked: bool,
-    leaving: bool,
-    /// The end is near: nothing waits for a slot any more.
-    closing: bool,
+    lifecycle: Lifecycle,
+    /// Tells the clients' connections of the phases after SIGTERM.
+    phases: watch::Sender<Phase>,
+    /// How long requests of each route are at their workers.
+    run_times: RunTimes<RouteKey>,
     tells: mpsc::Sender<Vec<u8>>,
     socket: Rc<UdpSocket>,
     chance: oorandom::Rand32,
@@ -66,9 +107,7 @@
     owners: Option<usize>,
     /// Clients' requests in hand.
     pub open_calls: OpenCalls,
-    /// When SIGTERM came.
-    terminated: Option<Duration>,
-    taken_while_leaving: TakenWhileLeaving,
+    pub taken_while_leaving: TakenWhileLeaving,
     wake: Rc<Notify>,
     /// Further tries withheld since this was last said in the log.
     withheld: HashMap<Kind, u32>,
@@ -111,15 +150,15 @@
         ),
         fresh: false,
         stacked: false,
-        leaving: false,
-        closing: false,
+        lifecycle: Lifecycle::new(GracePeriod::new(seconds(settings.timers.grace_s))),
+        phases: watch::Sender::new(Phase::Starting),
+        run_times: RunTimes::default(),
         tells,
         socket: socket.clone(),
         chance: oorandom::Rand32::new(seed),
         desks: 1,
         owners: None,
         open_calls: OpenCalls::default(),
-        terminated: None,
         taken_while_leaving: TakenWhileLeaving::default(),
         wake: wake.clone(),
         withheld: HashMap::new(),
@@ -145,62 +184,63 @@
 
 /// SIGTERM: not ready, slots are others' to lend, what was read is answered, and the end comes before `grace_s`.
 async fn leave(shared: Shared) {
-    let grace = seconds(shared.borrow().settings.timers.grace_s);
     {
         let mut state = shared.borrow_mut();
-        state.leaving = true;
-        state.terminated = Some(state.now());
+        let now = state.now();
+        state.lifecycle.terminate(now);
         state.tell(&Tells::Leaving);
         info!("SIGTERM: leaving, {} calls open", state.open_calls.len());
     }
-    let began = Instant::now();
-    // The platform misses readiness twice before it sends nobody here: until then new connections come.
-    let stays = grace.mul_f64(0.5);
-    let last = grace.saturating_sub(Duration::from_millis(500));
-    // Calls that wait for a slot even then are told so while there is time to hear it: they have not run.
-    let closes = grace.saturating_sub(Duration::from_millis(1300)).max(grace.mul_f64(0.5));
     loop {
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        if began.elapsed() >= closes && !shared.borrow().closing {
-            close(&shared);
+        turn_away_what_does_not_fit(&shared);
+        {
+            let state = shared.borrow();
+            let now = state.now();
+            state.tell_phase(now);
+            if state.lifecycle.may_end(now, state.open_calls.len()) {
+                return say_ended(&state);
+            }
         }
-        let open = shared.borrow().open_calls.len();
-        if began.elapsed() >= last || (began.elapsed() >= stays && open == 0) {
-            say_ended(&shared.borrow(), began.elapsed());
-            return;
+        tokio::time::sleep(LEAVING_TICK).await;
+    }
+}
+
+/// Calls that wait for a slot are told as soon as there is no time left for their work: they have not run.
+fn turn_away_what_does_not_fit(shared: &Shared) {
+    {
+        let mut state = shared.borrow_mut();
+        let now = state.now();
+        let lifecycle = state.lifecycle.clone();
+        let too_late = |waiting: &Waiting| lifecycle.may_begin(now, waiting.work.longest_from(now)).is_err();
+        let calls: Vec<u32> =
+            state.waiting.iter().filter(|(_, waiting)| too_late(waiting)).map(|(call, _)| *call).collect();
+        for call in calls {
+            if let Some(waiting) = state.waiting.remove(&call) {
+                let _ = waiting.slot.send(Slot::No { after: Some(RETRY_AFTER_LEAVING) });
+            }
+            state.lending.settle(now, call, Ended::Idle);
+            state.taken_while_leaving.refused += 1;
         }
     }
+    pump(shared);
 }
 
 /// What the log keeps of the end, so that it is seen which requests were given up, and how they had come.
-fn say_ended(state: &State, after: Duration) {
+fn say_ended(state: &State) {
     let now = state.now();
-    let (open, after) = (state.open_calls.len(), after.as_secs_f64());
-    if open == 0 {
-        info!("ended {after:.1} s after SIGTERM, 0 calls unanswered; {}", state.taken_while_leaving);
+    let terminated = state.lifecycle.terminated().unwrap_or(now);
+    let after = now.saturating_sub(terminated).as_secs_f64();
+    let (open, taken) = (state.open_calls.len(), state.taken_while_leaving);
+    if open == 0 && taken.broken_off == 0 {
+        info!("ended {after:.1} s after SIGTERM, 0 calls unanswered; {taken}");
         return;
     }
-    warn!("ended {after:.1} s after SIGTERM, {open} calls unanswered; {}", state.taken_while_leaving);
-    let terminated = state.terminated.unwrap_or(now);
+    warn!("ended {after:.1} s after SIGTERM, {open} calls unanswered; {taken}");
     for call in state.open_calls.iter().take(MAX_UNANSWERED_LOGGED) {
         warn!("{}", call.unanswered(terminated, now));
     }
 }
 
-/// Every call that waits for a slot is turned away, and so is every one that comes now.
-fn close(shared: &Shared) {
-    {
-        let mut state = shared.borrow_mut();
-        state.closing = true;
-        let now = state.now();
-        for (call, waits) in std::mem::take(&mut state.waiting) {
-            let _ = waits.send(Slot::No { after: Some(Duration::from_millis(50)) });
-            state.lending.settle(now, call, Ended::Idle);
-        }
-    }
-    pump(shared);
-}
-
 impl State {
     pub fn now(&self) -> Duration {
         self.start.elapsed()
@@ -217,17 +257,45 @@
 
     pub fn ready(&self) -> bool {
         // Who may lend no more turns its clients away: the platform sends new ones to others meanwhile.
-        !self.leaving && self.catalogue.is_some() && self.stacked && !self.lending.is_fenced()
+        !self.lifecycle.is_leaving() && self.catalogue.is_some() && self.stacked && !self.lending.is_fenced()
     }
 
     /// SIGTERM has come: no connection is kept.
     pub fn is_leaving(&self) -> bool {
-        self.leaving
+        self.lifecycle.is_leaving()
     }
 
-    /// The end is near: nothing waits for a slot any more.
-    pub fn is_closing(&self) -> bool {
-        self.closing
+    /// Whether a request that has just been read is taken on.
+    pub fn admits(&self, now: Duration, work: Work) -> Result<(), Refused> {
+        self.lifecycle.admits(now, work.longest_from(now))
+    }
+
+    /// Whether a request that was taken on may go to a worker now.
+    pub fn may_begin(&self, now: Duration, work: Work) -> Result<(), Refused> {
+        self.lifecycle.may_begin(now, work.longest_from(now))
+    }
+
+    /// The phases to come.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phases.subscribe()
+    }
+
+    fn tell_phase(&self, now: Duration) {
+        let phase = self.lifecycle.phase(now);
+        self.phases.send_if_modified(|told| std::mem::replace(told, phase) != phase);
+    }
+
+    /// The longest that a request of this route is at its worker: measured, or the time in which the operator wants it
+    /// answered.
+    pub fn longest_run(&self, route: &Route) -> Duration {
+        let promised = Duration::from_millis(route.target_latency_ms.into());
+        self.run_times.longest(&RouteKey::of(route), promised)
+    }
+
+    /// A worker has answered a request of this route after so long.
+    pub fn measure_run(&mut self, route: &Route, took: Duration) {
+        let now = self.now();
+        self.run_times.measure(now, RouteKey::of(route), took);
     }
 
     /// The configuration in force, with its index.
@@ -257,7 +325,7 @@
     /// A request's head has been read from a connection that was accepted then.
     pub fn begin_call(&mut self, connected: Duration) -> CallId {
         let now = self.now();
-        if let Some(terminated) = self.terminated {
+        if let Some(terminated) = self.lifecycle.terminated() {
             self.taken_while_leaving.note(now.saturating_sub(terminated), connected < terminated);
         }
         self.open_calls.begin(connected, now)
@@ -284,13 +352,13 @@
         kind: Kind,
         priority: u8,
         aim: Duration,
-        end: Duration,
+        work: Work,
         avoid: &str,
         slot: oneshot::Sender<Slot>,
     ) -> u32 {
         let now = self.now();
-        let call = self.lending.want(now, kind, priority, aim, end, avoid);
-        self.waiting.insert(call, slot);
+        let call = self.lending.want(now, kind, priority, aim, work.end, avoid);
+        self.waiting.insert(call, Waiting { slot, work });
         self.wake.notify_one();
         call
     }
@@ -377,6 +445,7 @@
         }
         if !self.ready_said && self.ready() {
             self.ready_said = true;
+            self.lifecycle.became_ready();
             info!("ready first, {} ms after the start: revision {}", now.as_millis(), self.revision());
         }
         true
@@ -453,8 +522,10 @@
                 let _ = state.socket.try_send_to(&bytes, to);
             }
             Order::Go { call, instance, at } => {
-                let taken =
-                    state.waiting.remove(&call).is_some_and(|w| w.send(Slot::Go { instance, at }).is_ok());
+                let taken = state
+                    .waiting
+                    .remove(&call)
+                    .is_some_and(|w| w.slot.send(Slot::Go { instance, at }).is_ok());
                 if !taken {
                     // Its client has gone meanwhile.
                     let now = state.now();
@@ -463,7 +534,7 @@
             }
             Order::No { call, after } => {
                 if let Some(waits) = state.waiting.remove(&call) {
-                    let _ = waits.send(Slot::No { after: Some(after) });
+                    let _ = waits.slot.send(Slot::No { after: Some(after) });
                 }
             }
             Order::Dial { instance, at } => {
@@ -530,7 +601,7 @@
         };
         let _ = stream.set_nodelay(true);
         let (mut from, mut to) = stream.into_split();
-        if !shared.borrow().leaving && to.write_all(&frame(&Tells::Life(life))).await.is_err() {
+        if !shared.borrow().is_leaving() && to.write_all(&frame(&Tells::Life(life))).await.is_err() {
             continue;
         }
         let said = async {
@@ -556,7 +627,7 @@
             state.fresh = false;
             let now = state.now();
             state.lending.contact(now, false);
-            if !state.leaving {
+            if !state.is_leaving() {
                 warn!("page's link broke; going on with revision {}", state.revision());
             }
         }
--- a/crates/house/src/open_calls.rs
+++ b/crates/house/src/open_calls.rs
@@ -106,6 +106,10 @@
     pub on_new_connections: u32,
     /// How long after SIGTERM the last one was taken.
     pub latest: Duration,
+    /// Told to go elsewhere, as there was no time for them.
+    pub refused: u32,
+    /// Answered without their worker's answer when time was over.
+    pub broken_off: u32,
 }
 
 impl TakenWhileLeaving {
@@ -121,7 +125,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let latest = self.latest.as_secs_f64();
         write!(f, "taken after SIGTERM: {} on kept connections, ", self.on_kept_connections)?;
-        write!(f, "{} on new ones, the last {latest:.2} s after it", self.on_new_connections)
+        write!(f, "{} on new ones, the last {latest:.2} s after it; ", self.on_new_connections)?;
+        write!(f, "{} refused, {} broken off", self.refused, self.broken_off)
     }
 }
 
--- a/crates/house/src/page.rs
+++ b/crates/house/src/page.rs
@@ -12,6 +12,7 @@
 use tindock_catalogue::Catalogue;
 use tindock_circulation::{Mark, Proxy, Replica, Stacks, Taken};
 use tindock_gazette::{Letter, Views};
+use tindock_lifecycle::GracePeriod;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::mpsc;
@@ -221,7 +222,8 @@
                 let now = page.start.elapsed();
                 info!("SIGTERM: leaving, with the desk");
                 page.serves(now, 0);
-                leaving = Some(now + crate::settings::seconds((page.settings.timers.grace_s - 0.4).max(0.2)));
+                let grace = GracePeriod::new(crate::settings::seconds(page.settings.timers.grace_s));
+                leaving = Some(now + grace.end());
             }
             Ok(Some(event)) => {
                 let gone = matches!(event, Event::DeskGone);
--- a/crates/house/src/workers.rs
+++ b/crates/house/src/workers.rs
@@ -1,6 +1,6 @@
 //! Sends requests to workers: carries bytes between upstream connections and the deciders of `tindock-upstream`.
 
-use crate::desk::State;
+use crate::desk::{State, Work};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -44,6 +44,8 @@
     NotConnected,
     /// By this proxy's word, which came meanwhile, the worker leaves.
     Leaving,
+    /// This process ends before the worker would be done.
+    NoTimeLeft,
     /// The worker turned the request away.
     NotExecuted { after: Option<Duration> },
     /// Another instance has the address.
@@ -67,9 +69,14 @@
             Failure::NotConnected | Failure::Lost { late: true } => Ended::Silent,
             Failure::Leaving => Ended::Leaving,
             Failure::NotExecuted { .. } => Ended::Full,
-            Failure::Lost { late: false } => Ended::Idle,
+            Failure::Lost { late: false } | Failure::NoTimeLeft => Ended::Idle,
         }
     }
+
+    /// Whether a worker has worked on it to the end.
+    pub fn has_run(&self) -> bool {
+        matches!(self, Outcome::Answer(_) | Outcome::Failed { failure: Failure::FailedAnswer, .. })
+    }
 }
 
 pub async fn connect(at: SocketAddr, within: Duration) -> std::io::Result<TcpStream> {
@@ -90,8 +97,8 @@
     pub head: &'a RequestHead,
     pub body: &'a [u8],
     pub attempt_id: &'a str,
-    /// Its answer is read until then, by the proxy's clock.
-    pub end: Duration,
+    /// Its answer is read until the end of that.
+    pub work: Work,
 }
 
 /// Sends the request to the instance and reads its answer.
@@ -104,7 +111,11 @@
     if !shared.borrow().may_send_to(request.instance) {
         return Outcome::Failed { attempt: permit.unused(), failure: Failure::Leaving };
     }
-    let left = request.end.saturating_sub(shared.borrow().now());
+    let now = shared.borrow().now();
+    if shared.borrow().may_begin(now, request.work).is_err() {
+        return Outcome::Failed { attempt: permit.unused(), failure: Failure::NoTimeLeft };
+    }
+    let left = request.work.end.saturating_sub(now);
     if left < MIN_TIME_LEFT {
         return Outcome::Failed { attempt: permit.unused(), failure: Failure::NotConnected };
     }
@@ -142,7 +153,7 @@
     if let Some(connection) = kept {
         return Ok(connection);
     }
-    let within = CONNECT_TIMEOUT.min(request.end.saturating_sub(now));
+    let within = CONNECT_TIMEOUT.min(request.work.end.saturating_sub(now));
     match connect(request.at, within).await {
         Ok(stream) => Ok(Connection::new(stream)),
         Err(why) if why.kind() == std::io::ErrorKind::ConnectionRefused => Err(Failure::Refused),
--- /dev/null
+++ b/crates/lifecycle/src/grace.rs
@@ -0,0 +1,50 @@
+//! The grace period between SIGTERM and SIGKILL, and how it is divided.
+
+use std::time::Duration;
+
+/// Those who send work look for readiness each second, and take two misses in a row as a no: after three seconds all who
+/// look know that this process leaves.
+const NEWS_OF_LEAVING: Duration = Duration::from_secs(3);
+/// Before SIGKILL, for what is broken off then: time to answer it, and to end.
+const LAST_ANSWERS: Duration = Duration::from_millis(500);
+/// An answer needs so long from a worker to the client.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
+/// Times after SIGTERM, in this order: admission ends, work has to be done, the rest is broken off, the process ends,
+/// SIGKILL comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GracePeriod {
+    length: Duration,
+}
+
+impl GracePeriod {
+    /// A grace period of this length, as the settings tell it.
+    pub fn new(length: Duration) -> GracePeriod {
+        GracePeriod { length }
+    }
+
+    /// Until then newcomers are taken on: it takes others so long to learn that this process leaves.
+    pub fn admission(&self) -> Duration {
+        NEWS_OF_LEAVING.min(self.length / 2)
+    }
+
+    /// Until then work has to be done, so that its answer goes out in time.
+    pub fn work(&self) -> Duration {
+        self.break_off().saturating_sub(ANSWER_MARGIN.min(self.length / 20))
+    }
+
+    /// What is unanswered then is broken off, and answered.
+    pub fn break_off(&self) -> Duration {
+        self.length - self.reserve()
+    }
+
+    /// The process ends then at the latest.
+    pub fn end(&self) -> Duration {
+        self.length - self.reserve() / 2
+    }
+
+    /// A short grace period is not spent on its end alone.
+    fn reserve(&self) -> Duration {
+        LAST_ANSWERS.min(self.length / 4)
+    }
+}
--- /dev/null
+++ b/crates/lifecycle/src/lib.rs
@@ -0,0 +1,140 @@
+//! The states of a process from its start to its end, and what it may take on in each, without I/O.
+//!
+//! After SIGTERM a process has its grace period. What it takes on then must be known to be done within it: a piece of work
+//! is admitted if the time that it may take, as measured ([`run_time`]) or promised, fits into what is left until
+//! unanswered work is broken off ([`grace`]). What is not admitted is refused at once, and what is broken off is answered.
+//!
+//! Times are by the process's own steady clock, from its start.
+
+pub mod grace;
+pub mod run_time;
+
+pub use grace::GracePeriod;
+pub use run_time::{RunTime, RunTimes};
+
+use std::time::Duration;
+
+/// Where a process stands between its start and its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It does not yet know what it needs for its work.
+    Starting,
+    /// It takes on all work.
+    Ready,
+    /// SIGTERM has come; those who send work do not all know it yet. Work that fits is taken on.
+    Leaving,
+    /// Nothing new is taken on; what is in hand is finished.
+    Closing,
+    /// What is still unanswered is broken off and answered.
+    BreakingOff,
+    /// The process is to end now.
+    Ended,
+}
+
+/// Why a piece of work is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// Nothing new is taken on any more.
+    Closing,
+    /// It may take longer than there is time.
+    TooLong,
+}
+
+/// What a signal to end changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Terminated {
+    /// The process leaves from now on.
+    Leaving,
+    /// It left already: the first signal's times hold.
+    Already,
+}
+
+/// The life of one process.
+#[derive(Clone, Debug)]
+pub struct Lifecycle {
+    grace: GracePeriod,
+    is_ready: bool,
+    terminated: Option<Duration>,
+}
+
+impl Lifecycle {
+    /// A process that starts.
+    pub fn new(grace: GracePeriod) -> Lifecycle {
+        Lifecycle { grace, is_ready: false, terminated: None }
+    }
+
+    /// It knows what it needs for its work, for the first time.
+    pub fn became_ready(&mut self) {
+        self.is_ready = true;
+    }
+
+    /// SIGTERM has come. A further one changes nothing.
+    pub fn terminate(&mut self, now: Duration) -> Terminated {
+        if self.terminated.is_some() {
+            return Terminated::Already;
+        }
+        self.terminated = Some(now);
+        Terminated::Leaving
+    }
+
+    /// When SIGTERM came.
+    pub fn terminated(&self) -> Option<Duration> {
+        self.terminated
+    }
+
+    /// Whether SIGTERM has come.
+    pub fn is_leaving(&self) -> bool {
+        self.terminated.is_some()
+    }
+
+    pub fn phase(&self, now: Duration) -> Phase {
+        let Some(terminated) = self.terminated else {
+            return if self.is_ready { Phase::Ready } else { Phase::Starting };
+        };
+        let since = now.saturating_sub(terminated);
+        match since {
+            since if since < self.grace.admission() => Phase::Leaving,
+            since if since < self.grace.break_off() => Phase::Closing,
+            since if since < self.grace.end() => Phase::BreakingOff,
+            _ => Phase::Ended,
+        }
+    }
+
+    /// Whether a request that has just come in is taken on, whatever it is.
+    pub fn admits_newcomers(&self, now: Duration) -> bool {
+        self.phase(now) <= Phase::Leaving
+    }
+
+    /// Whether work that has been taken on may begin now, if it is done after `longest` at the latest.
+    pub fn may_begin(&self, now: Duration, longest: Duration) -> Result<(), Refused> {
+        match self.latest_begin(longest) {
+            Some(latest) if now > latest => Err(Refused::TooLong),
+            _ => Ok(()),
+        }
+    }
+
+    /// Whether work that has just come in is taken on, if it is done after `longest` at the latest.
+    pub fn admits(&self, now: Duration, longest: Duration) -> Result<(), Refused> {
+        if !self.admits_newcomers(now) {
+            return Err(Refused::Closing);
+        }
+        self.may_begin(now, longest)
+    }
+
+    /// When work that is done after `longest` at the latest has to begin; none before SIGTERM.
+    pub fn latest_begin(&self, longest: Duration) -> Option<Duration> {
+        let terminated = self.terminated?;
+        let work = self.grace.work();
+        // What would not fit even at SIGTERM itself has no time at all any more.
+        Some((terminated + work).saturating_sub(longest))
+    }
+
+    /// Whether the process may end, with so much in hand.
+    pub fn may_end(&self, now: Duration, in_hand: usize) -> bool {
+        match self.phase(now) {
+            Phase::Starting | Phase::Ready | Phase::Leaving => false,
+            Phase::Closing | Phase::BreakingOff => in_hand == 0,
+            Phase::Ended => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lifecycle/src/run_time.rs
@@ -0,0 +1,80 @@
+//! How long a kind of work takes at most, as far as that is known from work that was done: a smoothed mean with a smoothed
+//! mean deviation, as RFC 6298 has it for retransmission timers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The weight of a new measurement in the mean and in the deviation.
+const MEAN_STEP: f64 = 1.0 / 8.0;
+const DEVIATION_STEP: f64 = 1.0 / 4.0;
+/// Deviations above the mean that work is expected to stay within.
+const DEVIATIONS: f64 = 4.0;
+/// Fewer measurements than this tell nothing of the longest.
+const MIN_MEASUREMENTS: u32 = 3;
+/// Kinds of work that are kept; beyond that the one least measured lately gives way.
+const MAX_KINDS: usize = 20_000;
+
+/// Measurements of one kind of work.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RunTime {
+    mean: f64,
+    deviation: f64,
+    measurements: u32,
+    measured: Duration,
+}
+
+impl RunTime {
+    /// Work has taken so long.
+    pub fn measure(&mut self, now: Duration, took: Duration) {
+        let took = took.as_secs_f64();
+        if self.measurements == 0 {
+            self.mean = took;
+            self.deviation = took / 2.0;
+        } else {
+            self.deviation += DEVIATION_STEP * ((took - self.mean).abs() - self.deviation);
+            self.mean += MEAN_STEP * (took - self.mean);
+        }
+        self.measurements = self.measurements.saturating_add(1);
+        self.measured = now;
+    }
+
+    /// Work takes hardly ever longer; none while too little is known.
+    pub fn longest(&self) -> Option<Duration> {
+        (self.measurements >= MIN_MEASUREMENTS)
+            .then(|| Duration::from_secs_f64(self.mean + DEVIATIONS * self.deviation))
+    }
+}
+
+/// Measurements by kind of work.
+#[derive(Clone, Debug)]
+pub struct RunTimes<K> {
+    kinds: BTreeMap<K, RunTime>,
+}
+
+impl<K> Default for RunTimes<K> {
+    fn default() -> RunTimes<K> {
+        RunTimes { kinds: BTreeMap::new() }
+    }
+}
+
+impl<K: Ord + Clone> RunTimes<K> {
+    /// Work of this kind has taken so long.
+    pub fn measure(&mut self, now: Duration, kind: K, took: Duration) {
+        if self.kinds.len() >= MAX_KINDS && !self.kinds.contains_key(&kind) {
+            self.forget_oldest();
+        }
+        self.kinds.entry(kind).or_default().measure(now, took);
+    }
+
+    /// The longest that work of this kind takes: measured, else as promised.
+    pub fn longest(&self, kind: &K, promised: Duration) -> Duration {
+        self.kinds.get(kind).and_then(RunTime::longest).unwrap_or(promised)
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self.kinds.iter().min_by_key(|(_, run)| run.measured).map(|(kind, _)| kind.clone());
+        if let Some(oldest) = oldest {
+            self.kinds.remove(&oldest);
+        }
+    }
+}
--- a/crates/scheduler/tests/leaving.rs
+++ b/crates/scheduler/tests/leaving.rs
@@ -7,6 +7,7 @@
 use tindock_standins::clients::Class;
 use tindock_standins::demo::{classes, Shape, Stage};
 use tindock_standins::fleet::Role;
+use tindock_standins::ledger::Ledger;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -29,19 +30,20 @@
     [of(first, LONG_WORK), of(second, SHORT_WORK)]
 }
 
-async fn sends(mut connection: Connection, class: Class, id: String) -> (Ending, Connection) {
+async fn sends(ledger: Ledger, mut connection: Connection, class: Class, id: String) -> (Ending, Connection) {
     let target = format!("{}{id}", class.path);
     let body = vec![b'a'; class.body_bytes];
     let outgoing =
         Outgoing { class: &class, attempt_id: &id, target: &target, body: &body, deadline: DEADLINE };
-    (connection.send(outgoing).await, connection)
+    (connection.send(&ledger, outgoing).await, connection)
 }
 
-async fn keeps(to: SocketAddr, classes: &[Class; 2]) -> Vec<Connection> {
+async fn keeps(ledger: &Ledger, to: SocketAddr, classes: &[Class; 2]) -> Vec<Connection> {
     let mut kept = Vec::new();
     for n in 0..KEPT_CONNECTIONS {
         let connection = Connection::open(to).await.expect("it listens");
-        let (ending, connection) = sends(connection, classes[1].clone(), format!("kept-{n}")).await;
+        let (ending, connection) =
+            sends(ledger.clone(), connection, classes[1].clone(), format!("kept-{n}")).await;
         if Connection::stays(&ending) {
             kept.push(connection);
         }
@@ -50,12 +52,12 @@
 }
 
 /// Until the function has instances enough for long work, and its usual time is known.
-async fn warms_up(to: SocketAddr, class: &Class) {
+async fn warms_up(ledger: &Ledger, to: SocketAddr, class: &Class) {
     for round in 0..2 {
         let mut open = JoinSet::new();
         for n in 0..WARM_UP {
             let connection = Connection::open(to).await.expect("it listens");
-            open.spawn(sends(connection, class.clone(), format!("warm-{round}-{n}")));
+            open.spawn(sends(ledger.clone(), connection, class.clone(), format!("warm-{round}-{n}")));
         }
         open.join_all().await;
     }
@@ -63,6 +65,7 @@
 
 /// How requests ended that were sent from SIGTERM to the process's end, with when they were sent.
 async fn requests_until_the_end(
+    ledger: &Ledger,
     to: SocketAddr,
     classes: &[Class; 2],
     mut kept: Vec<Connection>,
@@ -86,7 +89,8 @@
             },
         };
         let class = classes[usize::from(n % 3 == 2)].clone();
-        open.spawn(async move { (sent, sends(connection, class, format!("late-{n}")).await.0) });
+        let sends = sends(ledger.clone(), connection, class, format!("late-{n}"));
+        open.spawn(async move { (sent, sends.await.0) });
     }
     while let Some(ended) = open.join_next().await {
         endings.push(ended.expect("it does not panic"));
@@ -103,11 +107,11 @@
     let machine = stage.fleet.machines(Role::Desk)[0].clone();
     let to = stage.fleet.doors()[0].data_plane;
     let classes = long_and_short();
-    warms_up(to, &classes[0]).await;
-    let kept = keeps(to, &classes).await;
+    warms_up(&stage.ledger, to, &classes[0]).await;
+    let kept = keeps(&stage.ledger, to, &classes).await;
 
     assert!(stage.fleet.term(&machine, Role::Desk) && stage.fleet.term(&machine, Role::Page));
-    let endings = requests_until_the_end(to, &classes, kept).await;
+    let endings = requests_until_the_end(&stage.ledger, to, &classes, kept).await;
     let ended = !stage.fleet.runs(&machine, Role::Desk);
     let log = stage.fleet.log(&machine, Role::Desk);
     let findings = stage.ledger.findings();
--- a/crates/soak/src/connection.rs
+++ b/crates/soak/src/connection.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tindock_standins::clients::Class;
-use tindock_standins::wire::{read_answer, request, Answer, Broken};
+use tindock_standins::ledger::{Asked, Ledger};
+use tindock_standins::wire::{hash, read_answer, request, Answer, Broken};
+use tindock_standins::workers::print;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at, Instant};
@@ -29,7 +31,7 @@
 }
 
 /// A request as it goes out.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub struct Outgoing<'a> {
     pub class: &'a Class,
     pub attempt_id: &'a str,
@@ -66,8 +68,24 @@
         matches!(ending, Ending::Answered(answer) if !answer.headers.closes())
     }
 
-    /// Sends one request and waits for its end.
-    pub async fn send(&mut self, outgoing: Outgoing<'_>) -> Ending {
+    /// Sends one request, waits for its end, and notes both in the ledger.
+    pub async fn send(&mut self, ledger: &Ledger, outgoing: Outgoing<'_>) -> Ending {
+        let class = outgoing.class;
+        let asked = Asked {
+            request: hash(&[outgoing.attempt_id.as_bytes()]),
+            repeatable: class.repeatable,
+            service: class.service.clone(),
+            print: print(&class.method, outgoing.target, outgoing.body),
+        };
+        ledger.asked(outgoing.attempt_id, asked);
+        let ending = self.send_unnoted(outgoing).await;
+        if let Ending::Answered(answer) = &ending {
+            ledger.answered(outgoing.attempt_id, answer.status);
+        }
+        ending
+    }
+
+    async fn send_unnoted(&mut self, outgoing: Outgoing<'_>) -> Ending {
         let class = outgoing.class;
         let deadline_ms = outgoing.deadline.as_millis().to_string();
         let work_ms = class.work.as_millis().to_string();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -17,6 +17,6 @@
 pub mod platform;
 pub mod report;
 pub mod wire;
-mod workers;
+pub mod workers;
 
 pub use demo::{command, demo, run};
