Simulator: leaving proxies play the lifecycle; the judge's LOST as the users have it now

The judge let a cut pass if the worker was at work in the second half of the grace period; by the newest rules it has to be in the last sixth, and the request sent within 3 s of SIGTERM. The simulated proxy keeps its states and admission in crates/lifecycle as the real one does.

Planted defect TimeLeftIgnored (the old admission and end) is found.

--- a/crates/rehearsal/src/desk.rs
+++ b/crates/rehearsal/src/desk.rs
@@ -14,6 +14,7 @@
 };
 use tindock_lending::words::{kind, Ended, Kind};
 use tindock_lending::{Entry, Function, Lending, Member, Order, Told};
+use tindock_lifecycle::{GracePeriod, Lifecycle, Phase, RunTimes};
 use tindock_stacks::Demand;
 
 const TICK: Duration = Duration::from_millis(25);
@@ -21,6 +22,7 @@
 const TELL: Duration = Duration::from_millis(250);
 const MARGIN: Duration = Duration::from_millis(60);
 const ROUNDS: usize = 6;
+const RETRY_AFTER_LEAVING: Duration = Duration::from_millis(50);
 const KEPT: Duration = Duration::from_secs(3);
 
 /// Bounds of heads and bodies, and surplus answers before a connection is given up.
@@ -137,6 +139,12 @@
 
 struct Hand {
     attempt: usize,
+    /// The route's prefix.
+    route: String,
+    /// As long as it may be at its worker.
+    longest: Duration,
+    /// When it last went to a worker.
+    began: Duration,
     head: RequestHead,
     body: Vec<u8>,
     kind: Kind,
@@ -161,6 +169,13 @@
     came: Vec<u8>,
 }
 
+impl Hand {
+    /// If it goes to a worker now, it is over after so long at the latest.
+    fn longest_from(&self, now: Duration) -> Duration {
+        self.longest.min(self.end.saturating_sub(now))
+    }
+}
+
 pub struct Desk {
     pub lending: Lending,
     regions: Vec<(String, String)>,
@@ -176,8 +191,9 @@
     budget: Budget,
     fresh: bool,
     stacked: bool,
-    pub leaving: bool,
-    closing: bool,
+    lifecycle: Lifecycle,
+    /// How long requests of each route are at their workers.
+    run_times: RunTimes<String>,
     pub life: u32,
     desks: usize,
     owners: Option<usize>,
@@ -200,7 +216,7 @@
         regions: &[(String, String)],
         life: u32,
         seed: u64,
-        budget: Budget,
+        (budget, grace): (Budget, GracePeriod),
         (planted, sharing, ranking): (Option<Planted>, Sharing, Ranking),
     ) -> Desk {
         let me = SocketAddr::new(ip, LEND_PORT);
@@ -217,8 +233,8 @@
             budget,
             fresh: false,
             stacked: false,
-            leaving: false,
-            closing: false,
+            lifecycle: Lifecycle::new(grace),
+            run_times: RunTimes::default(),
             life,
             desks: 1,
             owners: None,
@@ -235,11 +251,21 @@
     }
 
     pub fn ready(&self) -> bool {
-        !self.leaving && self.catalogue.is_some() && self.stacked
+        !self.lifecycle.is_leaving() && self.catalogue.is_some() && self.stacked
+    }
+
+    /// SIGTERM.
+    pub fn terminate(&mut self, now: Duration) {
+        self.lifecycle.terminate(now);
     }
 
-    pub fn idle(&self) -> bool {
-        self.hands.is_empty()
+    /// A look at what is due after SIGTERM; whether the process may end.
+    pub fn leave(&mut self, now: Duration) -> bool {
+        self.turn_away_what_does_not_fit(now);
+        if self.lifecycle.phase(now) >= Phase::BreakingOff {
+            self.break_off(now);
+        }
+        self.lifecycle.may_end(now, self.hands.len())
     }
 
     /// Tries in hand.
@@ -488,9 +514,17 @@
         };
         let kind = kind(&service.name);
         self.budget.request(now, kind);
+        let promised = Duration::from_millis(route.target_latency_ms.into());
+        let longest = match self.planted {
+            Some(Planted::TimeLeftIgnored) => Duration::ZERO,
+            _ => self.run_times.longest(&route.path_prefix, promised),
+        };
         let allowed =
             Duration::from_millis(u64::from(head.deadline_ms.unwrap_or(u32::MAX).min(route.timeout_ms)));
         let hand = Hand {
+            route: route.path_prefix.clone(),
+            longest,
+            began: now,
             kind,
             priority: route.priority,
             aim: now + Duration::from_millis(route.target_latency_ms.into()),
@@ -514,9 +548,14 @@
             head,
             body,
         };
+        let admitted = self.planted == Some(Planted::TimeLeftIgnored)
+            || self.lifecycle.admits(now, hand.longest_from(now)).is_ok();
         let id = self.next;
         self.next += 1;
         self.hands.insert(id, hand);
+        if !admitted {
+            return self.give_up(id, RETRY_AFTER_LEAVING, false);
+        }
         self.round(now, id);
         self.pump(now);
     }
@@ -527,8 +566,8 @@
         if late || hand.rounds >= ROUNDS {
             return self.give_up(id, pause, late);
         }
-        if self.closing {
-            return self.give_up(id, Duration::from_millis(50), false);
+        if self.lifecycle.may_begin(now, hand.longest_from(now)).is_err() {
+            return self.give_up(id, RETRY_AFTER_LEAVING, false);
         }
         hand.rounds += 1;
         let spent = |budget: &mut Budget, hand: &Hand, desks: usize| {
@@ -578,7 +617,11 @@
         if left < Duration::from_millis(5) {
             return self.outcome(now, id, token, Outcome::Unsent { refused: false });
         }
+        if self.lifecycle.may_begin(now, hand.longest_from(now)).is_err() {
+            return self.outcome(now, id, token, Outcome::Unsent { refused: false });
+        }
         hand.stage = Stage::Sent;
+        hand.began = now;
         hand.came.clear();
         let mut bytes = Vec::new();
         let instance = if self.planted == Some(Planted::NoTarget) { "" } else { &hand.instance };
@@ -670,6 +713,7 @@
         self.lending.settle(now, seq, outcome.ended());
         match outcome {
             Outcome::Answer(answer) => {
+                self.run_times.measure(now, hand.route.clone(), now.saturating_sub(hand.began));
                 // A promise that this worker did not make is none of ours to hand on.
                 let promise = matches!(answer.0.status, 408 | 421 | 429 | 503);
                 if answer.0.status < 500 && !promise {
@@ -715,7 +759,7 @@
 
     /// The bytes of an answer, to its client.
     fn own(&mut self, attempt: usize, head: Option<&RequestHead>, answer: &Answer) {
-        let close = self.leaving || head.is_none();
+        let close = self.lifecycle.is_leaving() || head.is_none();
         let id = head.and_then(|head| head.attempt_id.as_deref());
         let mut bytes = Vec::new();
         match answer {
@@ -729,18 +773,37 @@
         self.out.push_back(Out::Back { attempt, bytes, close });
     }
 
-    /// Late in the grace period: every call that waits for a slot is turned away, and so is every one
-    /// that comes now.
-    pub fn close(&mut self, now: Duration) {
-        if std::mem::replace(&mut self.closing, true) {
-            return;
-        }
-        let waiting = self.hands.iter().filter(|(_, hand)| matches!(hand.stage, Stage::Waits));
+    /// Calls that wait for a slot are told as soon as there is no time left for their work.
+    fn turn_away_what_does_not_fit(&mut self, now: Duration) {
+        let too_late = |hand: &Hand| {
+            matches!(hand.stage, Stage::Waits)
+                && self.lifecycle.may_begin(now, hand.longest_from(now)).is_err()
+        };
+        let waiting = self.hands.iter().filter(|(_, hand)| too_late(hand));
         let waiting: Vec<(u64, u32)> = waiting.map(|(id, hand)| (*id, hand.seq)).collect();
         for (id, seq) in waiting {
             self.by_seq.remove(&seq);
             self.lending.settle(now, seq, Ended::Idle);
-            self.give_up(id, Duration::from_millis(50), false);
+            self.give_up(id, RETRY_AFTER_LEAVING, false);
+        }
+        self.pump(now);
+    }
+
+    /// What is still unanswered is answered without its worker's answer.
+    fn break_off(&mut self, now: Duration) {
+        let all: Vec<u64> = self.hands.keys().copied().collect();
+        for id in all {
+            let Some(hand) = self.hands.get(&id) else { continue };
+            self.by_seq.remove(&hand.seq);
+            if let (Stage::Sent, Some(at)) = (&hand.stage, hand.at) {
+                self.out.push_back(Out::Hangup { attempt: hand.attempt, at });
+            }
+            self.lending.settle(now, hand.seq, Ended::Silent);
+            if self.planted == Some(Planted::TimeLeftIgnored) {
+                self.out.extend(self.hands.remove(&id).map(|hand| Out::Drop { attempt: hand.attempt }));
+                continue;
+            }
+            self.finish(id, Answer::MayHaveRun { late: false });
         }
         self.pump(now);
     }
--- a/crates/rehearsal/src/judge.rs
+++ b/crates/rehearsal/src/judge.rs
@@ -175,6 +175,9 @@
     denied: Vec<(Duration, usize, u16)>,
 }
 
+/// A request that is sent so long after SIGTERM may still be unlucky with its worker; a later one is not to be taken on.
+const SENT_EARLY: Duration = Duration::from_secs(3);
+
 fn secs(s: f64) -> Duration {
     Duration::from_secs_f64(s.max(0.0))
 }
@@ -515,10 +518,12 @@
                     && at <= stop.2 + grace + Duration::from_secs(1)
             };
             if let Some((.., stop)) = self.stops.iter().find(within) {
-                let half = *stop + grace / 2;
-                let at_work =
-                    tried.work.is_some_and(|(_, end)| at >= half && end.is_none_or(|end| end > half));
-                if !at_work {
+                let last_sixth = *stop + grace.mul_f64(5.0 / 6.0);
+                let is_at_work =
+                    |end: Option<Duration>| at >= last_sixth && end.is_none_or(|end| end > last_sixth);
+                let at_work = tried.work.is_some_and(|(_, end)| is_at_work(end));
+                let early = tried.sent <= *stop + SENT_EARLY;
+                if !(at_work && early) {
                     let what = format!("try {attempt} on {} ended without an answer", asked.path);
                     found.push((at, format!("{what}, {:.2} s after a SIGTERM", (at - *stop).as_secs_f64())));
                 }
--- a/crates/rehearsal/src/planted.rs
+++ b/crates/rehearsal/src/planted.rs
@@ -30,6 +30,8 @@
     PromiseHandedOn,
     /// An edge machine that is to stop ends at once, with all that is in hand.
     LeavesAtOnce,
+    /// A machine that is to stop takes on what its time is too short for, and ends without answering it.
+    TimeLeftIgnored,
     /// A new configuration closes the connections of all clients that wait.
     HangsUpOnWord,
     /// A request with a body is taken for an improper one.
@@ -47,7 +49,7 @@
 }
 
 impl Planted {
-    pub const ALL: [Planted; 21] = [
+    pub const ALL: [Planted; 22] = [
         Planted::SlotsIgnored,
         Planted::LendersDoubled,
         Planted::GrantsDoubled,
@@ -62,6 +64,7 @@
         Planted::SealIgnored,
         Planted::PromiseHandedOn,
         Planted::LeavesAtOnce,
+        Planted::TimeLeftIgnored,
         Planted::HangsUpOnWord,
         Planted::BodiesDenied,
         Planted::QueryDropped,
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -26,6 +26,7 @@
 use std::time::Duration;
 use tindock_control_store::{DiskState, MemberSettings, Stored};
 use tindock_gazette::Letter;
+use tindock_lifecycle::GracePeriod;
 
 /// Machines' dates at the start, ms: well beyond any life of a process.
 const DATE: u64 = 1_700_000_000_000;
@@ -223,8 +224,8 @@
     pub(crate) born: Duration,
     pub(crate) page: Page,
     pub(crate) desk: Desk,
-    /// Ends by itself, at the latest then.
-    pub(crate) leaves: Option<(Duration, Duration)>,
+    /// SIGTERM has come.
+    pub(crate) leaves: bool,
 }
 
 pub(crate) struct Edge {
@@ -1074,8 +1075,9 @@
                 });
                 page.serves(Duration::ZERO, life);
                 let plan = (self.planted, self.sharing, self.ranking);
-                let desk = Desk::new(edge.ip, &zone, &places, life, seed, budget, plan);
-                edge.running = Some(Running { born: now, page, desk, leaves: None });
+                let grace = GracePeriod::new(secs(timers.grace));
+                let desk = Desk::new(edge.ip, &zone, &places, life, seed, (budget, grace), plan);
+                edge.running = Some(Running { born: now, page, desk, leaves: false });
                 self.see_all();
                 self.settle_edge(n);
             }
@@ -1134,7 +1136,7 @@
         }
         let zones = &self.zones;
         let there = self.edges.iter().filter_map(|edge| {
-            let running = edge.running.as_ref().filter(|running| running.leaves.is_none())?;
+            let running = edge.running.as_ref().filter(|running| !running.leaves)?;
             let zone = zones.get(edge.zone).map(|zone| zone.0.clone())?;
             Some((edge.ip, zone, running.desk.life))
         });
--- a/crates/rehearsal/src/world/acts.rs
+++ b/crates/rehearsal/src/world/acts.rs
@@ -354,36 +354,25 @@
         let name = edge.name.clone();
         let Some(running) = edge.running.as_mut() else { return };
         let local = now - running.born;
-        match running.leaves {
-            None => {
-                running.leaves =
-                    Some((now + grace / 2, now + grace.saturating_sub(Duration::from_millis(500))));
-                running.desk.leaving = true;
-                running.page.serves(local, 0);
-                if self.planted == Some(Planted::LeavesAtOnce) {
-                    running.leaves = Some((now, now));
-                }
-                self.see_all();
-                let after = self.edges[n].restarts_after.unwrap_or_default();
-                self.judge.stopped(n, life, now, now + grace + after);
-                self.tell_span((grace / 2 + after).as_secs_f64(), format!("{name} is stopped"));
-                self.later(Duration::from_millis(50), Event::Ends { edge: n, life });
-            }
-            Some((stays, last)) => {
-                // House: calls that wait for a slot even then are told so while there is time to hear it.
-                if now + Duration::from_millis(800) >= last.max(stays + Duration::from_millis(800)) {
-                    running.desk.close(local);
-                }
-                if now >= last || now >= stays && running.desk.idle() {
-                    let after = self.edges[n].restarts_after.take().unwrap_or_default();
-                    self.tell(format!("{name} has ended"));
-                    self.edge_down(n, Power::Refuses);
-                    self.later(after, Event::Start(Node::Edge(n)));
-                } else {
-                    self.later(Duration::from_millis(50), Event::Ends { edge: n, life });
-                }
-            }
+        if !running.leaves {
+            running.leaves = true;
+            running.desk.terminate(local);
+            running.page.serves(local, 0);
+            self.see_all();
+            let after = self.edges[n].restarts_after.unwrap_or_default();
+            self.judge.stopped(n, life, now, now + grace + after);
+            self.tell_span((grace / 2 + after).as_secs_f64(), format!("{name} is stopped"));
+            return self.later(Duration::from_millis(50), Event::Ends { edge: n, life });
+        }
+        let ends = running.desk.leave(local) || self.planted == Some(Planted::LeavesAtOnce);
+        self.settle_edge(n);
+        if !ends {
+            return self.later(Duration::from_millis(50), Event::Ends { edge: n, life });
         }
+        let after = self.edges[n].restarts_after.take().unwrap_or_default();
+        self.tell(format!("{name} has ended"));
+        self.edge_down(n, Power::Refuses);
+        self.later(after, Event::Start(Node::Edge(n)));
     }
 
     pub(super) fn calm(&mut self, calm: Calm) {
--- a/crates/rehearsal/tests/planted.rs
+++ b/crates/rehearsal/tests/planted.rs
@@ -42,6 +42,11 @@
 #[case(Planted::SealIgnored, Rule::Mixed, "at 4 spoil unsealed 0.2 for 4")]
 #[case(Planted::PromiseHandedOn, Rule::Refused, "at 4 spoil failed 0.2 for 4")]
 #[case(Planted::LeavesAtOnce, Rule::Lost, "at 4 roll edge-a-1 for 1")]
+#[case(
+    Planted::TimeLeftIgnored,
+    Rule::Lost,
+    "route fare on log once rate 10 aim 5000 deadline 8000 timeout 8000 work 1500 priority 0\nat 4 roll edge* gap 1.3 for 0.3"
+)]
 #[case(Planted::HangsUpOnWord, Rule::Lost, "at 4 config touch")]
 #[case(Planted::DisksForgotten, Rule::Lost, "at 4 kill core* for 1")]
 #[case(Planted::DisksForgotten, Rule::Recover, "timers recovery 2\nat 4 kill core*,edge* for 1")]
