--- a/crates/fault-matrix/src/lib.rs
+++ b/crates/fault-matrix/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod kinds;
 pub mod mixed;
 pub mod play;
+pub mod restarts;
 pub mod sets;
 pub mod site;
 pub mod summary;
--- a/crates/fault-matrix/src/sets.rs
+++ b/crates/fault-matrix/src/sets.rs
@@ -4,6 +4,7 @@
 use crate::draw::Draw;
 use crate::kinds::{Kind, KindList, Variant};
 use crate::mixed;
+use crate::restarts;
 use crate::site::Site;
 use crate::worst;
 
@@ -38,10 +39,12 @@
     Mixed,
     /// Long days of hundreds of changes, beside proxies and hosts that come and go.
     Long,
+    /// Rounds of restarts that overlap, beside hundreds of changes and hardly any trouble.
+    Restarts,
 }
 
 impl Set {
-    pub const ALL: [Set; 8] = [
+    pub const ALL: [Set; 9] = [
         Set::Singles,
         Set::Pairs,
         Set::Repeats,
@@ -50,6 +53,7 @@
         Set::Compact,
         Set::Mixed,
         Set::Long,
+        Set::Restarts,
     ];
 
     pub fn name(self) -> &'static str {
@@ -62,6 +66,7 @@
             Set::Compact => "compact",
             Set::Mixed => "mixed",
             Set::Long => "long",
+            Set::Restarts => "restarts",
         }
     }
 
@@ -88,6 +93,7 @@
         Set::Compact => compact(source, most.unwrap_or(COMPACT_DAYS)),
         Set::Mixed => mixed::mixed(source, most.unwrap_or(mixed::MIXED_DAYS)),
         Set::Long => mixed::long(source, most.unwrap_or(mixed::LONG_DAYS)),
+        Set::Restarts => restarts::restarts(source, most.unwrap_or(restarts::RESTART_DAYS)),
     };
     days.truncate(most.unwrap_or(usize::MAX));
     days
