Controller, scheduler: what comes after SIGTERM is answered in time, or refused

Calls that come after SIGTERM are told at once who else to ask; those in hand are decided within 1 s or answered as unclear, and the end waits until the answers are out, at most as long as the grace period. Its states are the lifecycle's. - Scheduler in service (tindock run): a task that came after SIGTERM was given to a worker whatever its workload needs, and broken off 3.3 s after SIGTERM at the latest, answered with a 500 (red with the check taken out). It is shed now, with a time to come back, where its workload's measured time in hand does not fit.

--- a/crates/house/src/controller/calls.rs
+++ b/crates/house/src/controller/calls.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 
 const NO_MAJORITY: &str = "no majority in touch";
+const LEAVING: &str = "this controller ends";
 /// Where the control store names no time.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -72,7 +73,7 @@
 
     /// The number of a call for the control store; none if it was answered at once.
     fn open_call(&mut self, now: Duration, call: OpenCall) -> Option<u64> {
-        if self.is_cut_off(now) {
+        if self.lifecycle.is_leaving() || self.is_cut_off(now) {
             let reply = Reply::Unavailable(self.unavailable(now, RETRY_AFTER));
             self.finish(now, call, reply);
             return None;
@@ -141,6 +142,7 @@
     /// Why a call cannot be answered now, and who may be asked in place of this controller.
     fn unavailable(&self, now: Duration, retry_after: Duration) -> Unavailable {
         let why = match (self.control_store.ready(), self.is_in_touch(now)) {
+            _ if self.lifecycle.is_leaving() => LEAVING,
             (false, _) => "not ready yet",
             (true, false) => NO_MAJORITY,
             (true, true) => "no majority has it on disk yet",
@@ -157,9 +159,13 @@
 
     /// Calls in hand when contact is lost are answered at once, as unclear: the operator may ask elsewhere.
     pub(super) fn release_calls(&mut self, now: Duration) {
-        if self.calls.open.is_empty() || !self.is_cut_off(now) {
-            return;
+        if self.is_cut_off(now) {
+            self.answer_all_unclear(now);
         }
+    }
+
+    /// Answers all calls in hand: what they asked for may or may not come about.
+    pub(super) fn answer_all_unclear(&mut self, now: Duration) {
         for (_, call) in std::mem::take(&mut self.calls.open) {
             let reply = Reply::Unavailable(self.unavailable(now, RETRY_AFTER));
             self.finish(now, call, reply);
--- a/crates/house/src/controller/mod.rs
+++ b/crates/house/src/controller/mod.rs
@@ -20,7 +20,7 @@
 use crate::operator::{self, Call};
 use crate::platform::{Failed, Platform};
 use crate::post::{listen, Post};
-use crate::settings::Settings;
+use crate::settings::{seconds, Settings};
 use lease_duties::HeldLease;
 use log_lines::LogState;
 use spdlog::{error, info, warn};
@@ -33,6 +33,7 @@
 use tindock_control_store::files::Folder;
 use tindock_control_store::{Action, ControlStore, MemberSettings, Stored};
 use tindock_controller::{Agents, Contact, DISTRUST};
+use tindock_lifecycle::{GracePeriod, Lifecycle, Phase, Terminated};
 use tindock_stacks as autoscaler;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -42,9 +43,10 @@
 
 /// Revisions before the one in force that are kept, to tell agents what changed.
 const KEPT_REVISIONS: usize = 6;
-/// After SIGTERM it stays at least so long, for those who are to hear of it, and at most so long for operators' calls.
+/// After SIGTERM it stays at least so long, for those who are to hear of it.
 const STAYS_LEAST: Duration = Duration::from_millis(150);
-const STAYS_MOST: Duration = Duration::from_secs(1);
+/// Operators' calls in hand at SIGTERM are decided in this time, or answered as unclear.
+const CALLS_TIMEOUT: Duration = Duration::from_secs(1);
 /// After SIGTERM it hands its place as a voter over for so long at most: SIGKILL comes after `grace_s`.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(3);
 /// An answer needs so long to go out.
@@ -96,6 +98,7 @@
     reading_first: bool,
     first_due: Duration,
     start: Instant,
+    lifecycle: Lifecycle,
 }
 
 /// Runs the controller until SIGTERM.
@@ -122,25 +125,28 @@
     }
     let mut controller = Controller::new(settings, control_store, disk, events, start);
     info!("up: archive at {me}, operators at {control}, {} seats known", controller.log.voters());
-    let mut leaving: Option<Duration> = None;
     loop {
         controller.carry();
         let now = controller.now();
-        if let Some(began) = leaving.filter(|began| controller.may_end(now, *began)) {
-            controller.say_ended(now, began);
-            return Ok(());
+        if let Some(terminated) = controller.lifecycle.terminated() {
+            controller.break_off_calls(now, terminated);
+            if controller.may_end(now, terminated) {
+                controller.say_ended(now, terminated);
+                return Ok(());
+            }
         }
-        let due = controller.next_due().min(leaving.map_or(Duration::MAX, |_| now + ANSWER_GOES_OUT));
+        let leaves = controller.lifecycle.is_leaving();
+        let due = controller.next_due().min(if leaves { now + ANSWER_GOES_OUT } else { Duration::MAX });
         let wait = due.saturating_sub(now).clamp(SHORTEST_WAIT, LONGEST_WAIT);
         let event = tokio::time::timeout(wait, inbox.recv()).await;
         controller.turn();
         match event {
-            Ok(Some(event)) => controller.take_or_leave(event, &mut leaving),
+            Ok(Some(event)) => controller.take(event),
             Ok(None) => return Ok(()),
             Err(_) => {}
         }
         while let Ok(event) = inbox.try_recv() {
-            controller.take_or_leave(event, &mut leaving);
+            controller.take(event);
         }
         let now = controller.now();
         controller.control_store.tick(now);
@@ -237,6 +243,7 @@
             reading_first: false,
             first_due: Duration::ZERO,
             start,
+            lifecycle: Lifecycle::new(GracePeriod::new(seconds(settings.timers.grace_s))),
             settings,
         }
     }
@@ -258,25 +265,31 @@
         self.control_store.ready() && self.contact.is_fresh(now) && self.control_store.in_touch(now)
     }
 
-    fn take_or_leave(&mut self, event: Event, leaving: &mut Option<Duration>) {
-        match event {
-            Event::Leave => *leaving = Some(self.leave()),
-            event => self.take(event),
+    /// SIGTERM has come.
+    fn leave(&mut self) {
+        let now = self.now();
+        if self.lifecycle.terminate(now) == Terminated::Leaving {
+            info!("SIGTERM: leaving, {} calls open", self.calls.len());
+            self.control_store.leave(now);
         }
     }
 
-    /// SIGTERM has come.
-    fn leave(&mut self) -> Duration {
-        let now = self.now();
-        info!("SIGTERM: leaving, {} calls open", self.calls.len());
-        self.control_store.leave(now);
-        now
+    /// Calls that are not decided in time are answered as unclear before the process ends.
+    fn break_off_calls(&mut self, now: Duration, terminated: Duration) {
+        if now >= terminated + CALLS_TIMEOUT {
+            self.answer_all_unclear(now);
+        }
     }
 
-    fn may_end(&self, now: Duration, began: Duration) -> bool {
-        let answered = self.calls.len() == 0 && now >= self.calls.answered + ANSWER_GOES_OUT;
-        let handed_over = self.control_store.may_end(now) || now >= began + HANDOVER_TIMEOUT;
-        handed_over && now >= began + if answered { STAYS_LEAST } else { STAYS_MOST }
+    fn may_end(&self, now: Duration, terminated: Duration) -> bool {
+        if self.lifecycle.phase(now) == Phase::Ended {
+            return true;
+        }
+        // Operators who ask again and again are refused at once, and hold up the end no longer than this.
+        let is_quiet = now >= self.calls.answered + ANSWER_GOES_OUT || now >= terminated + CALLS_TIMEOUT * 2;
+        let answered = self.calls.len() == 0 && is_quiet;
+        let handed_over = self.control_store.may_end(now) || now >= terminated + HANDOVER_TIMEOUT;
+        handed_over && answered && now >= terminated + STAYS_LEAST
     }
 
     fn next_due(&self) -> Duration {
@@ -295,7 +308,7 @@
             Event::FirstInstances(instances) => self.first_instances_read(now, instances),
             Event::Instances(number, instances) => self.instances_read(now, number, instances),
             Event::Hosts(number, hosts) => self.hosts_read(now, number, hosts),
-            Event::Leave => {}
+            Event::Leave => self.leave(),
         }
     }
 
--- a/crates/scheduler/src/clients/door.rs
+++ b/crates/scheduler/src/clients/door.rs
@@ -22,6 +22,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tindock_lifecycle::RunTimes;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::time::Instant;
@@ -36,6 +37,8 @@
 pub const SHORT_OF_DESCRIPTORS: Duration = Duration::from_millis(20);
 /// Without the word of its group a scheduler asks clients to come back after this, where it may say so.
 const AGAIN: Duration = Duration::from_secs(1);
+/// A process that ends asks clients to come back after this: others serve, or its successor does.
+const AFTER_THE_END: Duration = Duration::from_millis(500);
 /// Room for a head in reading: the least that hyper takes.
 const READ_BUFFER: usize = 8 * 1024;
 
@@ -53,6 +56,8 @@
     /// The group whose word it takes to serve, where there is one.
     group: OnceCell<Rc<Accord>>,
     telemetry: Rc<Telemetry>,
+    /// How long tasks of each workload are in hand until they are finished.
+    in_hand: RefCell<RunTimes<Rc<str>>>,
     sums: RefCell<BTreeMap<&'static str, u64>>,
     log: Logger,
 }
@@ -81,7 +86,7 @@
         telemetry: Rc<Telemetry>,
         log: Logger,
     ) -> Rc<Self> {
-        let (guests, next, gone, sums) = Default::default();
+        let (guests, next, gone, sums, in_hand) = Default::default();
         let names = RefCell::new(exchange.names());
         Rc::new(Door {
             exchange,
@@ -96,6 +101,7 @@
             rooms,
             group: OnceCell::new(),
             telemetry,
+            in_hand,
             sums,
             log,
         })
@@ -296,6 +302,12 @@
                     self.telemetry.ended(workload.as_deref().unwrap_or_default(), Outcome::Shed);
                     return answering::answer(Answer::Shed { come_back: self.exchange.come_back(AGAIN) });
                 }
+                if !self.fits(workload.as_ref(), call.left) {
+                    self.telemetry.ended(workload.as_deref().unwrap_or_default(), Outcome::Shed);
+                    let come_back = self.exchange.come_back(AFTER_THE_END);
+                    return answering::answer(Answer::Shed { come_back });
+                }
+                let came = Instant::now();
                 let Some(hold) = self.exchange.arrived(call) else {
                     return self.turn_down(Bad(StatusCode::BAD_REQUEST, "with an id in hand already"));
                 };
@@ -306,7 +318,10 @@
                 let answer = hold.answer.await.unwrap_or(Answer::BrokenOff);
                 drop(waiting);
                 let outcome = match answer {
-                    Answer::Finished(_) => Outcome::Finished,
+                    Answer::Finished(_) => {
+                        self.measure(workload.as_ref(), came.elapsed());
+                        Outcome::Finished
+                    }
                     Answer::Shed { .. } => Outcome::Shed,
                     Answer::BrokenOff | Answer::TurnedDown(_) => Outcome::BrokenOff,
                 };
@@ -317,6 +332,21 @@
         }
     }
 
+    /// Whether a task that has just come is finished before this process ends, as far as its workload's times tell. One
+    /// that is given up sooner by its client is answered in time, too.
+    fn fits(&self, workload: Option<&Rc<str>>, patience: Option<Duration>) -> bool {
+        let (Some(time_left), Some(workload)) = (self.stopping.time_left(), workload) else { return true };
+        let longest = self.in_hand.borrow().longest(workload, Duration::ZERO);
+        longest.min(patience.unwrap_or(Duration::MAX)) <= time_left
+    }
+
+    fn measure(&self, workload: Option<&Rc<str>>, took: Duration) {
+        if let Some(workload) = workload {
+            let now = self.exchange.now();
+            self.in_hand.borrow_mut().measure(now, workload.clone(), took);
+        }
+    }
+
     fn turn_down(&self, bad: Bad) -> Reply {
         self.count(bad.1);
         answering::turned_down(bad)
--- a/crates/scheduler/src/succession/stopping.rs
+++ b/crates/scheduler/src/succession/stopping.rs
@@ -18,7 +18,8 @@
     /// When what is unanswered is broken off, from when it was told to stop.
     longest: Cell<Duration>,
     closing: Cell<bool>,
-    told: Cell<bool>,
+    /// When it was told to end.
+    told: Cell<Option<Instant>>,
     /// Another process lets the newcomers in.
     succeeded: Cell<bool>,
     last: Cell<Option<Instant>>,
@@ -31,7 +32,7 @@
         Stopping {
             longest,
             closing: Cell::new(false),
-            told: Cell::new(false),
+            told: Cell::new(None),
             succeeded: Cell::new(false),
             last: Cell::new(None),
             log,
@@ -49,7 +50,7 @@
     }
 
     pub fn is_told(&self) -> bool {
-        self.told.get()
+        self.told.get().is_some()
     }
 
     /// Another process lets the newcomers in from now on, or does no longer.
@@ -66,10 +67,16 @@
     pub fn begin(&self) -> Duration {
         info!(self.log, "told to stop: what is in hand has {:.1} s", self.longest.get().as_secs_f64());
         self.closing.set(true);
-        self.told.set(true);
+        self.told.set(Some(Instant::now()));
         self.longest.get()
     }
 
+    /// The time until what is unanswered is broken off, once it is told to end.
+    pub fn time_left(&self) -> Option<Duration> {
+        let told = self.told.get()?;
+        Some(self.longest.get().saturating_sub(told.elapsed()))
+    }
+
     pub fn is_succeeded(&self) -> bool {
         self.succeeded.get()
     }
--- a/crates/scheduler/tests/leaving.rs
+++ b/crates/scheduler/tests/leaving.rs
@@ -1,4 +1,4 @@
-//! A proxy that got SIGTERM, as a process: what it takes on until its end, it answers.
+//! A proxy, or a scheduler in service, that got SIGTERM, as a process: what it takes on until its end, it answers.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -8,6 +8,7 @@
 use tindock_standins::demo::{classes, Shape, Stage};
 use tindock_standins::fleet::Role;
 use tindock_standins::ledger::Ledger;
+use tindock_trial::peers::{entry, listener, Peer, Scheduler};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -138,3 +139,41 @@
     // What has been sent to a worker is worked on to its end.
     assert_eq!(statuses.get(&502).or(statuses.get(&504)), None, "{statuses:?}");
 }
+
+/// Three runs of this length make the scheduler expect more than the 3.3 s that it has after SIGTERM.
+const LONG_TASK: Duration = Duration::from_millis(1_900);
+
+#[test]
+fn a_scheduler_that_ends_sheds_the_tasks_that_it_has_no_time_for() {
+    let ((worker, at), (_discovery, agent)) = (listener(), listener());
+    let mut scheduler = Scheduler::start("no-time-left", agent, &[entry("w0", at, "active")]);
+    let mut clients: Vec<Peer> = (0..3).map(|_| Peer::connect(scheduler.address)).collect();
+    let mut line = None;
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.post("/release", &format!("long{n}"), "x");
+        let line = line.get_or_insert_with(|| Peer::accept(&worker));
+        line.read();
+        line.taken();
+    }
+    std::thread::sleep(LONG_TASK);
+    for (n, client) in clients.iter_mut().enumerate() {
+        scheduler.done(&format!("long{n}"), "w0", "done");
+        assert_eq!(client.read().body, "done");
+    }
+    let mut in_hand = Peer::connect(scheduler.address);
+    in_hand.post("/plan", "in-hand", "x");
+    let mut line = line.expect("tasks came over it");
+    line.read();
+    line.taken();
+    scheduler.signal("-TERM");
+    scheduler.line("told to stop: what is in hand has 3.3 s");
+
+    let mut late = Peer::connect(scheduler.address);
+    late.post("/release", "late", "x");
+    let answer = late.read();
+    assert_eq!(answer.first, "HTTP/1.1 503 Service Unavailable");
+    assert_eq!(answer.header("retry-after"), Some("0.5"));
+    scheduler.done("in-hand", "w0", "served");
+    assert_eq!(in_hand.read().body, "served");
+    assert!(scheduler.child.wait().expect("its end").success());
+}
