Soak: tindock soak, real processes under signals and changes that overlap

A scenario (drawn from a seed, or a checked file) of restarts in series, second SIGTERMs, SIGHUP, changes of configuration each 0.1 to 0.4 s, restarts of controllers, drains, at times kills and freezes; clients that use connections until these are closed, send slowly, read late, leave midway; a judge of what clients, workers, operator and process ends show; nine gauges, a page, events, a search for the least that breaks.

--- a/crates/house/src/client.rs
+++ b/crates/house/src/client.rs
@@ -19,6 +19,8 @@
 
 /// An answer comes this long before the client stops waiting.
 const MARGIN: Duration = Duration::from_millis(60);
+/// After its connection a client's first request comes within this.
+const FIRST_REQUEST: Duration = Duration::from_millis(150);
 /// Searches for a slot for one attempt.
 const MAX_ROUNDS: usize = 6;
 /// Bytes of a client that are kept while its request is at work.
@@ -33,8 +35,17 @@
 /// A full instance is said in the log at most this often.
 const FULL_LOG_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Takes connections of clients, up to half of the file descriptors.
+/// Takes connections of clients, up to half of the file descriptors, until nothing new is taken on: from then on their
+/// connections are refused, and they go elsewhere at once.
 pub async fn accept(shared: Shared, door: TcpListener) {
+    let mut phases = shared.borrow().phases();
+    tokio::select! {
+        () = accept_all(shared, door) => {}
+        () = reaches(&mut phases, Phase::Closing) => {}
+    }
+}
+
+async fn accept_all(shared: Shared, door: TcpListener) {
     let open = Rc::new(Cell::new(0usize));
     let most = shared.borrow().settings.limits.file_descriptors / 2;
     let mut said: Option<Instant> = None;
@@ -55,7 +66,7 @@
         let (shared, open) = (shared.clone(), open.clone());
         tokio::task::spawn_local(async move {
             let (connected, phases) = (shared.borrow().now(), shared.borrow().phases());
-            let mut client = Client { shared, stream, buffer: Vec::new(), connected, phases };
+            let mut client = Client { shared, stream, buffer: Vec::new(), connected, requests: 0, phases };
             let _ = client.serve().await;
             open.set(open.get() - 1);
         });
@@ -69,6 +80,8 @@
     buffer: Vec<u8>,
     /// When it was accepted, by the proxy's clock.
     connected: Duration,
+    /// Whose heads were read.
+    requests: u64,
     /// Of this process, from its start to its end.
     phases: watch::Receiver<Phase>,
 }
@@ -144,6 +157,7 @@
             let bounds = self.bounds();
             let Some(head) = self.read_head(&bounds).await? else { return Ok(()) };
             let came = Instant::now();
+            self.requests += 1;
             let shared = self.shared.clone();
             let call = shared.borrow_mut().begin_call(self.connected);
             let stays = self.request(call, head, came, &bounds).await;
@@ -192,7 +206,7 @@
                     }
                     _ => return Ok(None),
                 },
-                () = reaches(&mut self.phases, Phase::Closing), if is_idle => return Ok(None),
+                () = nothing_more_comes(&mut self.phases, self.requests), if is_idle => return Ok(None),
             }
         }
     }
@@ -444,6 +458,15 @@
     }
 }
 
+/// Until a connection at rest, over which so many requests came, is to be closed as the process ends. The first request of a
+/// connection that was accepted just before is on its way.
+async fn nothing_more_comes(phases: &mut watch::Receiver<Phase>, requests: u64) {
+    reaches(phases, Phase::Closing).await;
+    if requests == 0 {
+        tokio::time::sleep(FIRST_REQUEST).await;
+    }
+}
+
 /// Until this process is in this phase or a later one.
 async fn reaches(phases: &mut watch::Receiver<Phase>, phase: Phase) {
     if phases.wait_for(|now| *now >= phase).await.is_err() {
--- a/crates/lifecycle/src/grace.rs
+++ b/crates/lifecycle/src/grace.rs
@@ -7,10 +7,12 @@
 const NEWS_OF_LEAVING: Duration = Duration::from_secs(3);
 /// Before SIGKILL, for what is broken off then: time to answer it, and to end.
 const LAST_ANSWERS: Duration = Duration::from_millis(500);
+/// A request needs so long to a process, once its client has a connection.
+const ON_THEIR_WAY: Duration = Duration::from_millis(200);
 /// An answer needs so long from a worker to the client.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
-/// Times after SIGTERM, in this order: admission ends, work has to be done, the rest is broken off, the process ends,
+/// Times after SIGTERM, in this order: admission ends, what was on its way has come, work has to be done, the rest is broken off, the process ends,
 /// SIGKILL comes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GracePeriod {
@@ -28,6 +30,11 @@
         NEWS_OF_LEAVING.min(self.length / 2)
     }
 
+    /// The process ends no sooner: requests that were on their way when admission ended have come by then.
+    pub fn stays(&self) -> Duration {
+        self.admission() + ON_THEIR_WAY.min(self.length / 10)
+    }
+
     /// Until then work has to be done, so that its answer goes out in time.
     pub fn work(&self) -> Duration {
         self.break_off().saturating_sub(ANSWER_MARGIN.min(self.length / 20))
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -129,11 +129,17 @@
         Some((terminated + work).saturating_sub(longest))
     }
 
+    /// Whether what was on its way when admission ended has come.
+    fn has_heard_all(&self, now: Duration) -> bool {
+        self.terminated.is_some_and(|terminated| now >= terminated + self.grace.stays())
+    }
+
     /// Whether the process may end, with so much in hand.
     pub fn may_end(&self, now: Duration, in_hand: usize) -> bool {
         match self.phase(now) {
             Phase::Starting | Phase::Ready | Phase::Leaving => false,
-            Phase::Closing | Phase::BreakingOff => in_hand == 0,
+            Phase::Closing => in_hand == 0 && self.has_heard_all(now),
+            Phase::BreakingOff => in_hand == 0,
             Phase::Ended => true,
         }
     }
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -14,6 +14,7 @@
 use tindock_scheduler::keep;
 use tindock_scheduler::rollout::{self, Wrong};
 use tindock_scheduler::start;
+use tindock_soak::command::Verdict;
 
 /// Lines that may wait for the log's reader; beyond that they are dropped, and their number is told.
 const LINES_WAITING: usize = 4096;
@@ -73,6 +74,7 @@
     let whole = Cli::command()
         .subcommands(tindock_house::cli::commands())
         .subcommand(tindock_standins::command())
+        .subcommand(tindock_soak::command::command())
         .subcommand(tindock_rehearsal::command());
     let matches = whole.get_matches();
     // The whole system's commands are built beside this scheduler's own.
@@ -82,6 +84,15 @@
     if let Some(("demo", given)) = matches.subcommand() {
         return Ok(tindock_standins::run(given).map_err(one_line)?);
     }
+    if let Some(("soak", given)) = matches.subcommand() {
+        let played = tindock_soak::command::run(given);
+        let played = played.map_err(|why| Wrong { code: 2, lines: one_line(why.to_string()) })?;
+        let _ = std::io::stdout().write_all(played.text.as_bytes());
+        return match played.verdict {
+            Verdict::Kept => Ok(String::new()),
+            Verdict::Broken => Err(Wrong { code: 1, lines: one_line("a rule is broken".into()) }),
+        };
+    }
     if let Some(("play", given)) = matches.subcommand() {
         let played = tindock_rehearsal::run(given).map_err(one_line)?;
         if played.held {
--- a/crates/soak/src/connection.rs
+++ b/crates/soak/src/connection.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 use tindock_standins::clients::Class;
 use tindock_standins::ledger::{Asked, Ledger};
-use tindock_standins::wire::{hash, read_answer, request, Answer, Broken};
+use tindock_standins::wire::{read_answer, request, Answer, Broken};
 use tindock_standins::workers::print;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// A new connection is given so long to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const SECOND_HALF_AFTER: Duration = Duration::from_millis(300);
+const READS_AFTER: Duration = Duration::from_millis(400);
 
 /// How a request ended, as its client saw it.
 #[derive(Debug)]
@@ -28,16 +30,33 @@
     Garbled,
     /// No answer until the client's deadline.
     DeadlinePassed,
+    /// The client hung up.
+    ClientLeft,
+}
+
+/// How a client behaves beside the usual.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Behaviour {
+    Usual,
+    /// The second half of what it sends comes later.
+    SlowBody,
+    /// It reads its answer late.
+    ReadsLate,
+    /// It hangs up after so long.
+    Leaves(Duration),
 }
 
 /// A request as it goes out.
 #[derive(Debug, Clone, Copy)]
 pub struct Outgoing<'a> {
     pub class: &'a Class,
+    /// Names the request that this is a try of.
+    pub request: u64,
     pub attempt_id: &'a str,
     pub target: &'a str,
     pub body: &'a [u8],
     pub deadline: Duration,
+    pub behaviour: Behaviour,
 }
 
 /// A client's connection.
@@ -72,7 +91,7 @@
     pub async fn send(&mut self, ledger: &Ledger, outgoing: Outgoing<'_>) -> Ending {
         let class = outgoing.class;
         let asked = Asked {
-            request: hash(&[outgoing.attempt_id.as_bytes()]),
+            request: outgoing.request,
             repeatable: class.repeatable,
             service: class.service.clone(),
             print: print(&class.method, outgoing.target, outgoing.body),
@@ -99,7 +118,13 @@
         ];
         let bytes = request(&class.method, outgoing.target, &headers, outgoing.body);
         let until = Instant::now() + outgoing.deadline;
-        match timeout_at(until, self.exchange(&bytes, &class.method)).await {
+        let leaves_at = match outgoing.behaviour {
+            Behaviour::Leaves(after) => Instant::now() + after,
+            _ => until,
+        };
+        let exchange = self.exchange(&bytes, &class.method, outgoing.behaviour);
+        match timeout_at(until.min(leaves_at), exchange).await {
+            Err(_) if leaves_at < until => Ending::ClientLeft,
             Err(_) => Ending::DeadlinePassed,
             Ok(Ok(answer)) => Ending::Answered(answer),
             Ok(Err(Broken::Reset)) => Ending::Reset,
@@ -109,9 +134,17 @@
         }
     }
 
-    async fn exchange(&mut self, bytes: &[u8], method: &str) -> Result<Answer, Broken> {
+    async fn exchange(&mut self, bytes: &[u8], method: &str, behaviour: Behaviour) -> Result<Answer, Broken> {
+        let first = if behaviour == Behaviour::SlowBody { bytes.len() / 2 } else { bytes.len() };
         // Who closes while the request goes out has not read it.
-        self.stream.write_all(bytes).await.map_err(|_| Broken::Reset)?;
+        self.stream.write_all(&bytes[..first]).await.map_err(|_| Broken::Reset)?;
+        if first < bytes.len() {
+            sleep(SECOND_HALF_AFTER).await;
+            self.stream.write_all(&bytes[first..]).await.map_err(|_| Broken::Reset)?;
+        }
+        if behaviour == Behaviour::ReadsLate {
+            sleep(READS_AFTER).await;
+        }
         read_answer(&mut self.stream, &mut self.early, method).await
     }
 }
--- /dev/null
+++ b/crates/soak/src/judge.rs
@@ -0,0 +1,221 @@
+//! The judge: joins what was seen from outside the processes, and tells the rules that were broken.
+
+use crate::record::{Done, End, ProcessEnd, Record, Try};
+use crate::scenario::{ActionKind, Scenario};
+use std::fmt;
+use std::time::Duration;
+use tindock_standins::fleet::Role;
+
+/// For so long after unplanned trouble nothing is lost by the rules (`contact_ms` of the stand-ins' settings).
+const CONTACT: Duration = Duration::from_secs(5);
+/// A request that comes so long after SIGTERM is answered by its worker, or told that it has not run.
+const LATE: Duration = Duration::from_secs(3);
+/// What happens is seen from outside with this delay.
+const SEEN_WITHIN: Duration = Duration::from_millis(300);
+/// A request that ends so little before its deadline ends by it.
+const BY_ITS_DEADLINE: Duration = Duration::from_millis(300);
+/// Workers of all functions may turn away so many requests as full within the window (`shed_allowance`).
+pub const SHED_ALLOWANCE: usize = 10;
+pub const FULL_WINDOW: Duration = Duration::from_secs(5);
+
+/// What must hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// What a process has read it answers.
+    Lost,
+    /// What comes late in the grace period is not taken on and then given up.
+    GivenUp,
+    /// What is refused by a leaving process is told when to come back.
+    ToldNothing,
+    /// The rules of the stand-ins' ledger: nothing twice, no broken promise, no answer to another.
+    Ledger,
+    /// A process ends within its grace period.
+    Grace,
+    /// A process ends by a signal alone, and well.
+    Ended,
+    /// Workers are not handed more than they hold.
+    Limit,
+    /// What was acknowledged to the operator is there at the end.
+    Configuration,
+}
+
+/// A rule that was broken.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Broken {
+    pub rule: Rule,
+    pub at: Duration,
+    pub what: String,
+    /// The try that it is about.
+    pub attempt: Option<Try>,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} at {:.2} s: {}", self.rule, self.at.as_secs_f64(), self.what)
+    }
+}
+
+/// The rules that were broken, by time.
+pub fn judge(scenario: &Scenario, record: &Record) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    for tried in &record.tries {
+        broken.extend(lost(record, tried));
+        broken.extend(given_up(record, tried));
+        broken.extend(told_nothing(record, tried));
+    }
+    let ledger = record.findings.iter();
+    broken.extend(ledger.map(|finding| of(Rule::Ledger, scenario.length(), finding.to_string())));
+    broken.extend(record.done.iter().filter_map(|done| outlives(scenario, record, done)));
+    let outlived = record.outlived.iter();
+    broken
+        .extend(outlived.map(|name| of(Rule::Grace, scenario.length(), format!("{name} had to be killed"))));
+    broken.extend(record.ends.iter().filter_map(|end| ended_by_itself(record, end)));
+    broken.extend(overloaded(record));
+    broken.extend(configuration_lost(scenario, record));
+    broken.sort_by_key(|broken| (broken.at, broken.rule));
+    broken
+}
+
+fn of(rule: Rule, at: Duration, what: String) -> Broken {
+    Broken { rule, at, what, attempt: None }
+}
+
+/// Whether there was unplanned trouble in the span, or shortly before it.
+fn is_troubled(record: &Record, from: Duration, to: Duration) -> bool {
+    let unplanned = record.done.iter().filter(|done| !done.action.kind.is_planned());
+    unplanned.into_iter().any(|done| done.at <= to && done.at + done.action.lasts() + CONTACT >= from)
+}
+
+fn about(record: &Record, tried: &Try) -> String {
+    let place = record.proxy_at(tried.to).map_or_else(|| tried.to.to_string(), |proxy| proxy.name.clone());
+    let terminated = record.terminated(&place, Role::Desk, tried.ended);
+    let since = |at: Duration| match terminated {
+        Some(terminated) => {
+            format!("{:+.2} s after its SIGTERM", at.as_secs_f64() - terminated.as_secs_f64())
+        }
+        None => format!("at {:.2} s", at.as_secs_f64()),
+    };
+    format!(
+        "{} {} at {place}, on a connection opened {}, sent {}, {} {}",
+        tried.class,
+        tried.attempt_id,
+        since(tried.opened),
+        since(tried.sent),
+        tried.end,
+        since(tried.ended)
+    )
+}
+
+fn lost(record: &Record, tried: &Try) -> Option<Broken> {
+    let is_lost = matches!(tried.end, End::ClosedUnanswered | End::CutShort | End::Garbled);
+    let by_deadline = tried.ended + BY_ITS_DEADLINE >= tried.deadline;
+    if !is_lost || by_deadline || is_troubled(record, tried.sent, tried.ended) {
+        return None;
+    }
+    Some(Broken {
+        rule: Rule::Lost,
+        at: tried.ended,
+        what: about(record, tried),
+        attempt: Some(tried.clone()),
+    })
+}
+
+/// The SIGTERM of the proxy's life that a try met, if it came before the try ended.
+fn met_termination(record: &Record, tried: &Try) -> Option<Duration> {
+    let proxy = record.proxy_at(tried.to)?;
+    record.terminated(&proxy.name, Role::Desk, tried.ended)
+}
+
+fn given_up(record: &Record, tried: &Try) -> Option<Broken> {
+    let terminated = met_termination(record, tried)?;
+    let late = tried.sent >= terminated + LATE;
+    let by_deadline = tried.ended + BY_ITS_DEADLINE >= tried.deadline;
+    let is_given_up = matches!(tried.end.status(), Some(502 | 504));
+    if !late || by_deadline || !is_given_up || is_troubled(record, tried.sent, tried.ended) {
+        return None;
+    }
+    Some(Broken {
+        rule: Rule::GivenUp,
+        at: tried.ended,
+        what: about(record, tried),
+        attempt: Some(tried.clone()),
+    })
+}
+
+fn told_nothing(record: &Record, tried: &Try) -> Option<Broken> {
+    met_termination(record, tried)?;
+    let End::Answered { status: 503, retry_after: false } = tried.end else { return None };
+    Some(Broken {
+        rule: Rule::ToldNothing,
+        at: tried.ended,
+        what: about(record, tried),
+        attempt: Some(tried.clone()),
+    })
+}
+
+/// A process of a machine that got SIGTERM and did not end in time.
+fn outlives(scenario: &Scenario, record: &Record, done: &Done) -> Option<Broken> {
+    if done.action.kind != ActionKind::Terminate {
+        return None;
+    }
+    let until = done.at + scenario.grace() + SEEN_WITHIN;
+    // What the end of the soak cuts short is told by those that had to be killed; a frozen process cannot end.
+    let frozen = record.done.iter().any(|other| {
+        other.machine == done.machine
+            && other.action.kind == ActionKind::Freeze
+            && other.at <= until
+            && other.at + other.action.lasts() >= done.at
+    });
+    let last_seen = record.ends.iter().map(|end| end.at).max().unwrap_or_default();
+    let has_ended =
+        record.ends.iter().any(|end| end.machine == done.machine && (done.at..=until).contains(&end.at));
+    if frozen || has_ended || until > last_seen {
+        return None;
+    }
+    Some(of(Rule::Grace, until, format!("{} outlives its grace period", done.machine)))
+}
+
+fn ended_by_itself(record: &Record, end: &ProcessEnd) -> Option<Broken> {
+    let killed = record
+        .done
+        .iter()
+        .any(|done| done.machine == end.machine && done.action.kind == ActionKind::Kill && done.at <= end.at);
+    let signalled = record.done.iter().any(|done| {
+        let kinds = [ActionKind::Kill, ActionKind::Terminate];
+        done.machine == end.machine && kinds.contains(&done.action.kind) && done.at <= end.at + SEEN_WITHIN
+    });
+    // The agent ends well with its SIGTERM, and badly only with SIGKILL.
+    if signalled && (end.succeeded || killed) {
+        return None;
+    }
+    let role = end.role.name();
+    Some(of(Rule::Ended, end.at, format!("{} {role} ended by itself: {}", end.machine, end.status)))
+}
+
+/// The most requests that were turned away as full within the window, and when it ended.
+pub fn worst_full(record: &Record) -> (usize, Duration) {
+    let mut worst = (0, Duration::ZERO);
+    for count in &record.full {
+        let before = record.full.iter().filter(|other| other.at + FULL_WINDOW <= count.at);
+        let base = before.map(|other| other.turned_away).max().unwrap_or_default();
+        let turned_away = count.turned_away - base.min(count.turned_away);
+        if turned_away > worst.0 && !is_troubled(record, count.at.saturating_sub(FULL_WINDOW), count.at) {
+            worst = (turned_away, count.at);
+        }
+    }
+    worst
+}
+
+fn overloaded(record: &Record) -> Option<Broken> {
+    let (turned_away, at) = worst_full(record);
+    let what = format!("{turned_away} requests turned away as full within {} s", FULL_WINDOW.as_secs());
+    (turned_away > SHED_ALLOWANCE).then(|| of(Rule::Limit, at, what))
+}
+
+fn configuration_lost(scenario: &Scenario, record: &Record) -> Option<Broken> {
+    let acknowledged = record.changes.iter().filter(|change| change.acknowledged.is_some());
+    let newest = acknowledged.map(|change| change.revision).max()?;
+    let shown = record.shown.unwrap_or_default();
+    let what = format!("revision {shown} is read back, {newest} was acknowledged");
+    (shown < newest).then(|| of(Rule::Configuration, scenario.length(), what))
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,6 +1,20 @@
-//! A soak of the whole system as real processes over loopback: clients that use their connections until these are closed,
-//! and a record of what became of each request, as its client saw it.
+//! A soak of the whole system as real processes over loopback: signals, restarts and changes that overlap, clients that use
+//! their connections until these are closed, and a judge that stands outside the processes.
 //!
-//! - [`connection`]: a client's connection, which tells an answer from a close, a reset and silence.
+//! - [`scenario`]: what is played, from a file; [`draw`]: from a seed;
+//! - [`play`]: plays it; [`load`] and [`connection`]: its clients;
+//! - [`record`]: what was seen; [`judge`]: the rules; [`gauges`]: how near it came to breaking one;
+//! - [`report`]: for people and for programs; [`shrink`]: the least that still breaks;
+//! - [`command`]: `tindock soak`.
 
+pub mod command;
 pub mod connection;
+pub mod draw;
+pub mod gauges;
+pub mod judge;
+pub mod load;
+pub mod play;
+pub mod record;
+pub mod report;
+pub mod scenario;
+pub mod shrink;
--- /dev/null
+++ b/crates/soak/src/play.rs
@@ -0,0 +1,242 @@
+//! Plays a scenario on real processes, and records what is seen from outside.
+
+use crate::load::{self, Load};
+use crate::record::{Change, Done, FullCount, ProcessEnd, ProxyMachine, Record};
+use crate::scenario::{Action, ActionKind, Scenario, Target, ZONES};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tindock_standins::clients::{Class, Entry};
+use tindock_standins::demo::{self, routes, Fault, Shape, Stage};
+use tindock_standins::fleet::Role;
+use tindock_standins::operator::{configuration, Operator};
+use tindock_standins::platform::{Platform, Trouble};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// A process that has ended is started again after so long.
+const AGAIN: Duration = Duration::from_millis(300);
+const HOST_MEMORY_MB: u32 = 8192;
+/// The operator sends a change until it is taken, for so long.
+const CHANGE_WITHIN: Duration = Duration::from_secs(6);
+/// It reads the newest configuration back at the end, for so long.
+const SHOW_WITHIN: Duration = Duration::from_secs(20);
+const FULL_LOOK: Duration = Duration::from_millis(250);
+/// After the load, and the last grace period, what happened is seen within this.
+const LAST_LOOK: Duration = Duration::from_millis(500);
+/// Names of proxies' machines that the entry knows are not on the list of controllers' machines.
+const EDGE_ROLES: [Role; 2] = [Role::Desk, Role::Page];
+const CORE_ROLES: [Role; 1] = [Role::Archive];
+/// Every so many changes have a route more.
+const ROUTE_EACH: u64 = 3;
+
+/// What carries out actions.
+struct Hands {
+    stage: Stage,
+    start: Instant,
+    done: Mutex<Vec<Done>>,
+    changes: Mutex<Vec<Change>>,
+}
+
+fn push<T>(list: &Mutex<Vec<T>>, value: T) {
+    list.lock().unwrap_or_else(PoisonError::into_inner).push(value);
+}
+
+fn taken<T: Clone>(list: &Mutex<Vec<T>>) -> Vec<T> {
+    list.lock().unwrap_or_else(PoisonError::into_inner).clone()
+}
+
+/// Short and long work, on functions with many slots and with one, repeatable and not, with short deadlines.
+pub fn classes() -> Vec<Class> {
+    let demo = demo::classes();
+    let of = |from: usize, name: &str, share, work, aim, deadline| Class {
+        name: name.into(),
+        path: format!("/soak/{name}/"),
+        share,
+        work: Duration::from_millis(work),
+        aim: Duration::from_millis(aim),
+        deadline: Duration::from_millis(deadline),
+        ..demo[from].clone()
+    };
+    vec![
+        of(0, "look-up", 0.45, 40, 300, 4_000),
+        of(1, "book", 0.2, 90, 400, 4_000),
+        of(0, "impatient", 0.1, 150, 300, 600),
+        of(2, "report", 0.1, 300, 1_500, 4_000),
+        of(3, "settle", 0.1, 1_500, 5_000, 8_000),
+        of(1, "long", 0.05, 2_500, 5_000, 8_000),
+    ]
+}
+
+/// Plays a scenario with this program. All that it starts has ended when it returns, also where the caller drops it.
+pub async fn play(program: PathBuf, scenario: &Scenario) -> Result<Record, Fault> {
+    let shape = Shape {
+        edges: scenario.proxies_per_zone(),
+        cores: scenario.controllers,
+        hosts: scenario.hosts,
+        host_memory_mb: HOST_MEMORY_MB,
+        grace: scenario.grace(),
+        again: Some(AGAIN),
+        classes: classes(),
+        ..Shape::demo(scenario.seed)
+    };
+    let stage = Stage::open_as(program, shape).await?;
+    let load = Arc::new(Load {
+        entry: Entry::new(stage.fleet.doors()),
+        ledger: stage.ledger.clone(),
+        classes: classes(),
+        zones: stage.zones.clone(),
+        start: Instant::now(),
+    });
+    let start = load.start;
+    let hands = Hands { stage, start, done: Mutex::default(), changes: Mutex::default() };
+    let hands = Arc::new(hands);
+    let counted = Arc::new(Mutex::new(Vec::new()));
+    let looking = tokio::spawn(count_full(hands.clone(), counted.clone()));
+    let (tries, ()) = tokio::join!(load::play(load, scenario), strike_all(hands.clone(), scenario));
+    sleep(scenario.grace() + LAST_LOOK).await;
+    looking.abort();
+    let _ = looking.await;
+    let mut record = Record { tries, ..Record::default() };
+    record.full = taken(&counted);
+    record.done = taken(&hands.done);
+    record.changes = taken(&hands.changes);
+    finish(hands, record).await
+}
+
+async fn count_full(hands: Arc<Hands>, counted: Arc<Mutex<Vec<FullCount>>>) {
+    loop {
+        let turned_away = hands.stage.platform.counts().full;
+        push(&counted, FullCount { at: hands.start.elapsed(), turned_away });
+        sleep(FULL_LOOK).await;
+    }
+}
+
+async fn strike_all(hands: Arc<Hands>, scenario: &Scenario) {
+    let mut open = JoinSet::new();
+    let mut revision = 1;
+    for action in &scenario.actions {
+        sleep_until(hands.start + action.at()).await;
+        if action.kind == ActionKind::Change {
+            revision += 1;
+        }
+        let (hands, action) = (hands.clone(), action.clone());
+        open.spawn(async move { hands.strike(action, revision).await });
+    }
+    while open.join_next().await.is_some() {}
+}
+
+impl Hands {
+    async fn strike(&self, action: Action, revision: u64) {
+        let Some((target, number)) = action.target() else { return };
+        match target {
+            Target::Operator => self.change(revision).await,
+            Target::Host => self.strike_host(action, number),
+            Target::Proxy => self.strike_machine(action, number, Role::Desk, &EDGE_ROLES).await,
+            Target::Controller => self.strike_machine(action, number, Role::Archive, &CORE_ROLES).await,
+        }
+    }
+
+    fn strike_host(&self, action: Action, number: usize) {
+        let host = format!("w-{}", number + 1);
+        let trouble = match action.kind {
+            ActionKind::DrainHost => Trouble::DrainHost(host.clone(), action.lasts()),
+            _ => Trouble::CrashHost(host.clone(), action.lasts()),
+        };
+        self.stage.platform.trouble(trouble);
+        push(&self.done, Done { at: self.start.elapsed(), action, machine: host });
+    }
+
+    async fn strike_machine(&self, action: Action, number: usize, named_by: Role, roles: &[Role]) {
+        let Some(machine) = self.stage.fleet.machines(named_by).get(number).cloned() else { return };
+        let fleet = &self.stage.fleet;
+        let at = self.start.elapsed();
+        let each = |strike: &dyn Fn(Role) -> bool| roles.iter().filter(|role| strike(**role)).count();
+        let struck = match action.kind {
+            ActionKind::Terminate => each(&|role| fleet.term(&machine, role)),
+            ActionKind::Hangup => each(&|role| fleet.hang_up(&machine, role)),
+            ActionKind::Kill => each(&|role| fleet.kill(&machine, role)),
+            ActionKind::Freeze => each(&|role| fleet.freeze(&machine, role)),
+            ActionKind::Change | ActionKind::DrainHost | ActionKind::CrashHost => 0,
+        };
+        if struck == 0 {
+            return;
+        }
+        let (is_frozen, lasts) = (action.kind == ActionKind::Freeze, action.lasts());
+        push(&self.done, Done { at, action, machine: machine.clone() });
+        if is_frozen {
+            sleep(lasts).await;
+            each(&|role| fleet.resume(&machine, role));
+        }
+    }
+
+    /// Another configuration: other time-outs, and at times a route more.
+    async fn change(&self, revision: u64) {
+        let mut routes = routes(&self.stage.classes);
+        for route in &mut routes {
+            route.timeout_ms += (revision % 7) as u32;
+        }
+        if revision.is_multiple_of(ROUTE_EACH) {
+            let mut more = routes[0].clone();
+            more.name = format!("r-{revision}");
+            more.path_prefix = format!("/soak-{revision}/");
+            routes.push(more);
+        }
+        let text = configuration(revision, &routes, &self.stage.functions);
+        let controllers = self.stage.fleet.controllers();
+        let first = revision as usize % controllers.len().max(1);
+        let sent = self.start.elapsed();
+        let taken = Operator { controllers, first }.replace(&text, CHANGE_WITHIN).await.is_ok();
+        let acknowledged = taken.then(|| self.start.elapsed());
+        push(&self.changes, Change { revision, sent, acknowledged });
+    }
+}
+
+/// Reads the configuration back, takes in how processes ended, and ends all that was started.
+async fn finish(hands: Arc<Hands>, mut record: Record) -> Result<Record, Fault> {
+    let Some(hands) = Arc::into_inner(hands) else {
+        // Tasks that were waited for hold none any more.
+        return Ok(record);
+    };
+    let (stage, start) = (hands.stage, hands.start);
+    let operator = Operator { controllers: stage.fleet.controllers(), first: 0 };
+    record.shown = operator.show(SHOW_WITHIN).await.ok().and_then(|text| revision_of(&text));
+    record.findings = stage.ledger.findings();
+    record.ends = ends(&stage, start);
+    record.proxies = proxies(&stage);
+    let Stage { fleet, platform, .. } = stage;
+    record.outlived = fleet.end().await;
+    let _: Platform = platform;
+    Ok(record)
+}
+
+fn ends(stage: &Stage, start: Instant) -> Vec<ProcessEnd> {
+    let of = |end: tindock_standins::fleet::ProcessEnd| ProcessEnd {
+        machine: end.machine,
+        role: end.role,
+        at: end.at.saturating_duration_since(start),
+        succeeded: end.status.success(),
+        status: end.status.to_string(),
+    };
+    stage.fleet.ends().into_iter().map(of).collect()
+}
+
+fn proxies(stage: &Stage) -> Vec<ProxyMachine> {
+    let doors = stage.fleet.doors();
+    let names = stage.fleet.machines(Role::Desk);
+    let machine = |(name, address): (String, _)| {
+        let log = stage.fleet.log(&name, Role::Desk);
+        ProxyMachine { name, address, log }
+    };
+    names.into_iter().zip(doors.iter().map(|door| door.data_plane)).map(machine).collect()
+}
+
+/// The revision in a configuration's text.
+fn revision_of(text: &str) -> Option<u64> {
+    let rest = text.split_once("\"revision\":")?.1.trim_start();
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok()
+}
+
+// A deployment has as many zones as the demo.
+const _: () = assert!(ZONES == 3);
--- /dev/null
+++ b/crates/soak/src/record.rs
@@ -0,0 +1,151 @@
+//! What was seen of a soak from outside its processes. All times are from the start of the load.
+
+use crate::scenario::Action;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tindock_standins::fleet::Role;
+use tindock_standins::ledger::Finding;
+
+/// How one try of a request ended, as its client saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    Answered {
+        status: u16,
+        /// It was told when to come back.
+        retry_after: bool,
+    },
+    /// Closed in order before any byte of an answer.
+    ClosedUnanswered,
+    /// Ended in the midst of an answer.
+    CutShort,
+    /// Reset before any byte of an answer: not read.
+    Reset,
+    /// Bytes that are no answer.
+    Garbled,
+    /// No answer until the client's deadline.
+    DeadlinePassed,
+    /// The client itself hung up.
+    ClientLeft,
+    /// No connection came up.
+    NotConnected,
+}
+
+impl End {
+    pub fn status(self) -> Option<u16> {
+        match self {
+            End::Answered { status, .. } => Some(status),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            End::Answered { status, retry_after: true } => write!(f, "{status}, told when to come back"),
+            End::Answered { status, .. } => write!(f, "{status}"),
+            End::ClosedUnanswered => f.write_str("closed without an answer"),
+            End::CutShort => f.write_str("ended in the midst of an answer"),
+            End::Reset => f.write_str("reset, not read"),
+            End::Garbled => f.write_str("bytes that are no answer"),
+            End::DeadlinePassed => f.write_str("no answer until its deadline"),
+            End::ClientLeft => f.write_str("its client left"),
+            End::NotConnected => f.write_str("no connection"),
+        }
+    }
+}
+
+/// One try of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Try {
+    pub attempt_id: String,
+    pub class: String,
+    pub repeatable: bool,
+    /// The proxy's address.
+    pub to: SocketAddr,
+    /// When its connection was opened.
+    pub opened: Duration,
+    pub sent: Duration,
+    pub ended: Duration,
+    pub deadline: Duration,
+    pub end: End,
+}
+
+/// A process that ended.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ProcessEnd {
+    pub machine: String,
+    pub role: Role,
+    pub at: Duration,
+    pub succeeded: bool,
+    pub status: String,
+}
+
+/// A machine with a proxy.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ProxyMachine {
+    pub name: String,
+    pub address: SocketAddr,
+    /// The processes' own log lines.
+    pub log: String,
+}
+
+/// An action that struck: its machine's processes ran.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Done {
+    pub at: Duration,
+    pub action: Action,
+    /// The machine's name; empty for the operator.
+    pub machine: String,
+}
+
+/// A configuration that the operator sent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Change {
+    pub revision: u64,
+    pub sent: Duration,
+    pub acknowledged: Option<Duration>,
+}
+
+/// Requests that workers had turned away as full by this time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FullCount {
+    pub at: Duration,
+    pub turned_away: usize,
+}
+
+/// All that was seen.
+#[derive(Debug, Clone, Default)]
+pub struct Record {
+    pub tries: Vec<Try>,
+    pub done: Vec<Done>,
+    pub ends: Vec<ProcessEnd>,
+    pub changes: Vec<Change>,
+    pub full: Vec<FullCount>,
+    pub findings: Vec<Finding>,
+    pub proxies: Vec<ProxyMachine>,
+    /// The revision that the operator reads back at the end.
+    pub shown: Option<u64>,
+    /// Processes that were still there after their grace period at the very end.
+    pub outlived: Vec<String>,
+}
+
+impl Record {
+    pub fn proxy_at(&self, address: SocketAddr) -> Option<&ProxyMachine> {
+        self.proxies.iter().find(|proxy| proxy.address == address)
+    }
+
+    /// The first SIGTERM of the life in which a machine's processes were at this time, if it had come by then.
+    pub fn terminated(&self, machine: &str, role: Role, at: Duration) -> Option<Duration> {
+        let ends = self.ends.iter().filter(|end| end.machine == machine && end.role == role && end.at < at);
+        let born = ends.map(|end| end.at).max().unwrap_or_default();
+        let signals = self.done.iter().filter(|done| {
+            done.machine == machine
+                && done.action.kind == crate::scenario::ActionKind::Terminate
+                && done.at >= born
+                && done.at <= at
+        });
+        signals.map(|done| done.at).min()
+    }
+}
