--- a/crates/house/src/client.rs
+++ b/crates/house/src/client.rs
@@ -1,7 +1,9 @@
 //! Client connections: requests in, each request's one answer out.
 
-use crate::desk::{pump, Shared, Slot, Work, RETRY_AFTER_LEAVING, SUMMED};
+use crate::desk::{pump, Shared, Slot, SUMMED};
+use crate::leaving::RETRY_AFTER_LEAVING;
 use crate::open_calls::{CallId, Stage};
+use crate::work::Work;
 use crate::workers::{self, Failure, Outcome};
 use spdlog::{info, warn};
 use std::cell::Cell;
--- a/crates/house/src/desk.rs
+++ b/crates/house/src/desk.rs
@@ -6,8 +6,9 @@
 use crate::open_calls::{CallId, OpenCalls, Stage, TakenWhileLeaving};
 use crate::post::{frame, read_frame};
 use crate::settings::{seconds, Settings};
+use crate::work::{RouteKey, Work};
 use crate::workers::{self, Workers};
-use crate::{client, loans, readiness};
+use crate::{client, leaving, loans, readiness};
 use spdlog::{info, warn};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -27,18 +28,12 @@
 /// Asks, queues and dials are looked at this often while there is something in hand, else at rest.
 const TICK: Duration = Duration::from_millis(25);
 const REST: Duration = Duration::from_millis(100);
-/// After SIGTERM it is looked this often whether something is due.
-const LEAVING_TICK: Duration = Duration::from_millis(20);
-/// Who is turned away by a leaving proxy finds another at once.
-pub const RETRY_AFTER_LEAVING: Duration = Duration::from_millis(50);
 /// An owner that says nothing is given so long to refuse a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// What lenders tell the scaler, at most this often.
 const TELL: Duration = Duration::from_millis(250);
 /// What happens often is said in the log at most this often.
 pub const SUMMED: Duration = Duration::from_secs(5);
-/// Of the requests that a process ends with, so many are logged one by one.
-const MAX_UNANSWERED_LOGGED: usize = 10;
 
 /// A slot, or none in time.
 pub enum Slot {
@@ -46,34 +41,6 @@
     No { after: Option<Duration> },
 }
 
-/// Names a route whatever the revision of the configuration.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct RouteKey(u64);
-
-impl RouteKey {
-    pub fn of(route: &Route) -> RouteKey {
-        RouteKey(
-            crate::archive::hash(&route.hostname) ^ crate::archive::hash(&route.path_prefix).rotate_left(1),
-        )
-    }
-}
-
-/// How long a request may be at its worker.
-#[derive(Clone, Copy, Debug)]
-pub struct Work {
-    /// As measured on its route, or promised by it.
-    pub longest: Duration,
-    /// It is given up then, by the proxy's clock.
-    pub end: Duration,
-}
-
-impl Work {
-    /// If it begins now, it is over after so long at the latest.
-    pub fn longest_from(&self, now: Duration) -> Duration {
-        self.longest.min(self.end.saturating_sub(now))
-    }
-}
-
 /// A call that waits for a slot.
 struct Waiting {
     slot: oneshot::Sender<Slot>,
@@ -178,69 +145,10 @@
     let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
         .map_err(|e| format!("SIGTERM: {e}"))?;
     term.recv().await;
-    leave(shared).await;
+    leaving::leave(shared).await;
     Ok(())
 }
 
-/// SIGTERM: not ready, slots are others' to lend, what was read is answered, and the end comes before `grace_s`.
-async fn leave(shared: Shared) {
-    {
-        let mut state = shared.borrow_mut();
-        let now = state.now();
-        state.lifecycle.terminate(now);
-        state.tell(&Tells::Leaving);
-        info!("SIGTERM: leaving, {} calls open", state.open_calls.len());
-    }
-    loop {
-        turn_away_what_does_not_fit(&shared);
-        {
-            let state = shared.borrow();
-            let now = state.now();
-            state.tell_phase(now);
-            if state.lifecycle.may_end(now, state.open_calls.len()) {
-                return say_ended(&state);
-            }
-        }
-        tokio::time::sleep(LEAVING_TICK).await;
-    }
-}
-
-/// Calls that wait for a slot are told as soon as there is no time left for their work: they have not run.
-fn turn_away_what_does_not_fit(shared: &Shared) {
-    {
-        let mut state = shared.borrow_mut();
-        let now = state.now();
-        let lifecycle = state.lifecycle.clone();
-        let too_late = |waiting: &Waiting| lifecycle.may_begin(now, waiting.work.longest_from(now)).is_err();
-        let calls: Vec<u32> =
-            state.waiting.iter().filter(|(_, waiting)| too_late(waiting)).map(|(call, _)| *call).collect();
-        for call in calls {
-            if let Some(waiting) = state.waiting.remove(&call) {
-                let _ = waiting.slot.send(Slot::No { after: Some(RETRY_AFTER_LEAVING) });
-            }
-            state.lending.settle(now, call, Ended::Idle);
-            state.taken_while_leaving.refused += 1;
-        }
-    }
-    pump(shared);
-}
-
-/// What the log keeps of the end, so that it is seen which requests were given up, and how they had come.
-fn say_ended(state: &State) {
-    let now = state.now();
-    let terminated = state.lifecycle.terminated().unwrap_or(now);
-    let after = now.saturating_sub(terminated).as_secs_f64();
-    let (open, taken) = (state.open_calls.len(), state.taken_while_leaving);
-    if open == 0 && taken.broken_off == 0 {
-        info!("ended {after:.1} s after SIGTERM, 0 calls unanswered; {taken}");
-        return;
-    }
-    warn!("ended {after:.1} s after SIGTERM, {open} calls unanswered; {taken}");
-    for call in state.open_calls.iter().take(MAX_UNANSWERED_LOGGED) {
-        warn!("{}", call.unanswered(terminated, now));
-    }
-}
-
 impl State {
     pub fn now(&self) -> Duration {
         self.start.elapsed()
@@ -260,6 +168,38 @@
         !self.lifecycle.is_leaving() && self.catalogue.is_some() && self.stacked && !self.lending.is_fenced()
     }
 
+    /// SIGTERM has come: the agent and the owners of slots are told.
+    pub fn terminate(&mut self) {
+        let now = self.now();
+        self.lifecycle.terminate(now);
+        self.tell(&Tells::Leaving);
+    }
+
+    /// When SIGTERM came.
+    pub fn terminated(&self) -> Option<Duration> {
+        self.lifecycle.terminated()
+    }
+
+    /// Whether the process may end now.
+    pub fn may_end(&self) -> bool {
+        self.lifecycle.may_end(self.now(), self.open_calls.len())
+    }
+
+    /// Calls that wait for a slot are told as soon as there is no time left for their work: they have not run.
+    pub fn turn_away_what_does_not_fit(&mut self, retry_after: Duration) {
+        let now = self.now();
+        let too_late = |waiting: &Waiting| self.may_begin(now, waiting.work).is_err();
+        let calls: Vec<u32> =
+            self.waiting.iter().filter(|(_, waiting)| too_late(waiting)).map(|(call, _)| *call).collect();
+        for call in calls {
+            if let Some(waiting) = self.waiting.remove(&call) {
+                let _ = waiting.slot.send(Slot::No { after: Some(retry_after) });
+            }
+            self.lending.settle(now, call, Ended::Idle);
+            self.taken_while_leaving.refused += 1;
+        }
+    }
+
     /// SIGTERM has come: no connection is kept.
     pub fn is_leaving(&self) -> bool {
         self.lifecycle.is_leaving()
@@ -280,8 +220,9 @@
         self.phases.subscribe()
     }
 
-    fn tell_phase(&self, now: Duration) {
-        let phase = self.lifecycle.phase(now);
+    /// Tells the clients' connections of another phase.
+    pub fn tell_phase(&self) {
+        let phase = self.lifecycle.phase(self.now());
         self.phases.send_if_modified(|told| std::mem::replace(told, phase) != phase);
     }
 
--- a/crates/house/src/lib.rs
+++ b/crates/house/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod controller;
 pub mod desk;
+pub mod leaving;
 pub mod loans;
 pub mod notes;
 pub mod open_calls;
@@ -19,6 +20,7 @@
 pub mod ring;
 pub mod settings;
 pub mod status;
+pub mod work;
 pub mod workers;
 
 /// The controller's name in the modules that do not use the new one yet.
--- a/crates/house/src/workers.rs
+++ b/crates/house/src/workers.rs
@@ -1,6 +1,7 @@
 //! Sends requests to workers: carries bytes between upstream connections and the deciders of `tindock-upstream`.
 
-use crate::desk::{State, Work};
+use crate::desk::State;
+use crate::work::Work;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
