--- a/crates/house/src/client.rs
+++ b/crates/house/src/client.rs
@@ -12,6 +12,7 @@
 use tindock_catalogue::{Route, RouteKind};
 use tindock_folio::{request_head, write_answer, write_own, Body, Framing, Read, RequestHead};
 use tindock_lending::words::{kind, Ended, Kind};
+use tindock_lifecycle::planted::{planted, Defect};
 use tindock_lifecycle::Phase;
 use tindock_upstream::{Attempt, Conclusion, Refusal, Repeatability, SendPermit, WorkerAnswer};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -246,6 +247,7 @@
                 self.stream.write_all(&out).await?;
                 return Ok(!close);
             }
+            Final::Refused(_) if planted(Defect::ToldNothing) => (503, None),
             Final::Refused(refusal) => (503, Some(refusal.after().clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))),
             Final::Unknown { late: true } => (504, None),
             Final::Unknown { late: false } => (502, None),
--- a/crates/house/src/desk.rs
+++ b/crates/house/src/desk.rs
@@ -18,7 +18,7 @@
 use tindock_catalogue::{Catalogue, Finder, Limits, Route};
 use tindock_lending::words::{kind, Ended, Kind};
 use tindock_lending::{Entry, Function, Lending, Member, Order, Told as Spoken};
-use tindock_lifecycle::{GracePeriod, Lifecycle, Phase, Refused, RunTimes};
+use tindock_lifecycle::{GracePeriod, Lifecycle, Phase, Refused, RunTimes, Terminated};
 use tindock_upstream::Connection;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -145,7 +145,7 @@
     let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
         .map_err(|e| format!("SIGTERM: {e}"))?;
     term.recv().await;
-    leaving::leave(shared).await;
+    leaving::leave(shared, term).await;
     Ok(())
 }
 
@@ -169,10 +169,11 @@
     }
 
     /// SIGTERM has come: the agent and the owners of slots are told.
-    pub fn terminate(&mut self) {
+    pub fn terminate(&mut self) -> Terminated {
         let now = self.now();
-        self.lifecycle.terminate(now);
+        let terminated = self.lifecycle.terminate(now);
         self.tell(&Tells::Leaving);
+        terminated
     }
 
     /// When SIGTERM came.
--- a/crates/house/src/leaving.rs
+++ b/crates/house/src/leaving.rs
@@ -3,6 +3,8 @@
 use crate::desk::{pump, Shared, State};
 use spdlog::{info, warn};
 use std::time::Duration;
+use tokio::signal::unix::Signal;
+use tokio::time::timeout;
 
 /// After SIGTERM it is looked this often whether something is due.
 const LEAVING_TICK: Duration = Duration::from_millis(20);
@@ -12,7 +14,8 @@
 const MAX_UNANSWERED_LOGGED: usize = 10;
 
 /// SIGTERM: not ready, slots are others' to lend, what was read is answered, and the end comes before `grace_s`.
-pub async fn leave(shared: Shared) {
+/// Further signals change nothing.
+pub async fn leave(shared: Shared, mut signals: Signal) {
     shared.borrow_mut().terminate();
     info!("SIGTERM: leaving, {} calls open", shared.borrow().open_calls.len());
     loop {
@@ -22,7 +25,10 @@
         if shared.borrow().may_end() {
             return say_ended(&shared.borrow());
         }
-        tokio::time::sleep(LEAVING_TICK).await;
+        if timeout(LEAVING_TICK, signals.recv()).await.is_ok() {
+            shared.borrow_mut().terminate();
+            info!("SIGTERM again: leaving already");
+        }
     }
 }
 
--- a/crates/house/src/lib.rs
+++ b/crates/house/src/lib.rs
@@ -35,9 +35,19 @@
 ) -> Result<(), String> {
     let settings = Settings::from_environment().map_err(|fault| fault.to_string())?;
     ring::install(&settings.node_name, least);
+    #[cfg(feature = "planted")]
+    plant();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|why| format!("no runtime: {why}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, program(settings))
 }
+
+/// A defect that the environment names, for soaks.
+#[cfg(feature = "planted")]
+fn plant() {
+    use tindock_lifecycle::planted::{Defect, PLANTED};
+    let named = std::env::var("TINDOCK_PLANTED_DEFECT").unwrap_or_default();
+    PLANTED.set(Defect::named(&named));
+}
--- a/crates/lifecycle/src/grace.rs
+++ b/crates/lifecycle/src/grace.rs
@@ -1,5 +1,6 @@
 //! The grace period between SIGTERM and SIGKILL, and how it is divided.
 
+use crate::planted::{planted, Defect};
 use std::time::Duration;
 
 /// Those who send work look for readiness each second, and take two misses in a row as a no: after three seconds all who
@@ -22,6 +23,7 @@
 impl GracePeriod {
     /// A grace period of this length, as the settings tell it.
     pub fn new(length: Duration) -> GracePeriod {
+        let length = if planted(Defect::OutlivesGrace) { length * 2 } else { length };
         GracePeriod { length }
     }
 
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -7,11 +7,13 @@
 //! Times are by the process's own steady clock, from its start.
 
 pub mod grace;
+pub mod planted;
 pub mod run_time;
 
 pub use grace::GracePeriod;
 pub use run_time::{RunTime, RunTimes};
 
+use planted::{planted, Defect};
 use std::time::Duration;
 
 /// Where a process stands between its start and its end.
@@ -55,12 +57,14 @@
     grace: GracePeriod,
     is_ready: bool,
     terminated: Option<Duration>,
+    /// By a planted defect alone.
+    ends_at_once: bool,
 }
 
 impl Lifecycle {
     /// A process that starts.
     pub fn new(grace: GracePeriod) -> Lifecycle {
-        Lifecycle { grace, is_ready: false, terminated: None }
+        Lifecycle { grace, is_ready: false, terminated: None, ends_at_once: false }
     }
 
     /// It knows what it needs for its work, for the first time.
@@ -70,10 +74,15 @@
 
     /// SIGTERM has come. A further one changes nothing.
     pub fn terminate(&mut self, now: Duration) -> Terminated {
-        if self.terminated.is_some() {
+        if planted(Defect::SignalIgnored) {
             return Terminated::Already;
         }
-        self.terminated = Some(now);
+        if self.terminated.is_some() && !planted(Defect::GraceFromLastSignal) {
+            self.ends_at_once = planted(Defect::FurtherSignalEnds);
+            return Terminated::Already;
+        }
+        let begins = if planted(Defect::GraceFromStart) { Duration::ZERO } else { now };
+        self.terminated = Some(begins);
         Terminated::Leaving
     }
 
@@ -92,9 +101,15 @@
             return if self.is_ready { Phase::Ready } else { Phase::Starting };
         };
         let since = now.saturating_sub(terminated);
+        let break_off = match () {
+            () if planted(Defect::BreaksOffEarly) => self.grace.admission(),
+            () if planted(Defect::BreaksOffNothing) => self.grace.end(),
+            () => self.grace.break_off(),
+        };
         match since {
+            _ if self.ends_at_once || planted(Defect::EndsAtOnce) => Phase::Ended,
             since if since < self.grace.admission() => Phase::Leaving,
-            since if since < self.grace.break_off() => Phase::Closing,
+            since if since < break_off => Phase::Closing,
             since if since < self.grace.end() => Phase::BreakingOff,
             _ => Phase::Ended,
         }
@@ -107,7 +122,9 @@
 
     /// Whether work that has been taken on may begin now, if it is done after `longest` at the latest.
     pub fn may_begin(&self, now: Duration, longest: Duration) -> Result<(), Refused> {
+        let ignored = planted(Defect::TimeLeftIgnored) || planted(Defect::AdmitsUntilTheEnd);
         match self.latest_begin(longest) {
+            _ if ignored => Ok(()),
             Some(latest) if now > latest => Err(Refused::TooLong),
             _ => Ok(()),
         }
@@ -115,6 +132,9 @@
 
     /// Whether work that has just come in is taken on, if it is done after `longest` at the latest.
     pub fn admits(&self, now: Duration, longest: Duration) -> Result<(), Refused> {
+        if planted(Defect::AdmitsUntilTheEnd) {
+            return Ok(());
+        }
         if !self.admits_newcomers(now) {
             return Err(Refused::Closing);
         }
@@ -138,6 +158,7 @@
     pub fn may_end(&self, now: Duration, in_hand: usize) -> bool {
         match self.phase(now) {
             Phase::Starting | Phase::Ready | Phase::Leaving => false,
+            Phase::Closing if planted(Defect::EndsWithWorkInHand) => true,
             Phase::Closing => in_hand == 0 && self.has_heard_all(now),
             Phase::BreakingOff => in_hand == 0,
             Phase::Ended => true,
