--- a/crates/house/src/client.rs
+++ b/crates/house/src/client.rs
@@ -184,6 +184,7 @@
     /// The next request's head; None where the connection has ended, or was answered that it is to end.
     async fn read_head(&mut self, bounds: &Bounds) -> std::io::Result<Option<RequestHead>> {
         let mut first: Option<Instant> = (!self.buffer.is_empty()).then(Instant::now);
+        let mut coming: Option<ComingRequest> = None;
         loop {
             match request_head(&self.buffer, bounds.max_header_bytes) {
                 Read::Done { value, used } => {
@@ -206,6 +207,7 @@
                 read = read => match read {
                     Ok(Ok(1..)) => {
                         first.get_or_insert_with(Instant::now);
+                        coming.get_or_insert_with(|| ComingRequest::new(&self.shared));
                     }
                     _ => return Ok(None),
                 },
@@ -462,6 +464,22 @@
     }
 }
 
+/// A request of which some bytes have come: a process that leaves waits for the rest, to answer it.
+struct ComingRequest(Shared);
+
+impl ComingRequest {
+    fn new(shared: &Shared) -> ComingRequest {
+        shared.borrow_mut().coming_requests += 1;
+        ComingRequest(shared.clone())
+    }
+}
+
+impl Drop for ComingRequest {
+    fn drop(&mut self) {
+        self.0.borrow_mut().coming_requests -= 1;
+    }
+}
+
 /// Until a connection at rest, over which so many requests came, is to be closed as the process ends. The first request of a
 /// connection that was accepted just before is on its way.
 async fn nothing_more_comes(phases: &mut watch::Receiver<Phase>, requests: u64) {
--- a/crates/house/src/desk.rs
+++ b/crates/house/src/desk.rs
@@ -74,6 +74,8 @@
     owners: Option<usize>,
     /// Clients' requests in hand.
     pub open_calls: OpenCalls,
+    /// Of which some bytes have come, and not yet the whole head.
+    pub coming_requests: usize,
     pub taken_while_leaving: TakenWhileLeaving,
     wake: Rc<Notify>,
     /// Further tries withheld since this was last said in the log.
@@ -126,6 +128,7 @@
         desks: 1,
         owners: None,
         open_calls: OpenCalls::default(),
+        coming_requests: 0,
         taken_while_leaving: TakenWhileLeaving::default(),
         wake: wake.clone(),
         withheld: HashMap::new(),
@@ -183,7 +186,7 @@
 
     /// Whether the process may end now.
     pub fn may_end(&self) -> bool {
-        self.lifecycle.may_end(self.now(), self.open_calls.len())
+        self.lifecycle.may_end(self.now(), self.open_calls.len() + self.coming_requests)
     }
 
     /// Calls that wait for a slot are told as soon as there is no time left for their work: they have not run.
--- a/crates/soak/src/connection.rs
+++ b/crates/soak/src/connection.rs
@@ -13,7 +13,8 @@
 
 /// A new connection is given so long to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-const SECOND_HALF_AFTER: Duration = Duration::from_millis(300);
+/// Clients that send slowly send the second half so much later.
+pub const SECOND_HALF_AFTER: Duration = Duration::from_millis(300);
 const READS_AFTER: Duration = Duration::from_millis(400);
 
 /// How a request ended, as its client saw it.
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -1,7 +1,7 @@
 //! The load: users that keep connections and use them until they are closed, requests of several kinds that come by chance
 //! whether earlier ones are answered or not, and further tries as the protocol lets clients have them.
 
-use crate::connection::{Behaviour, Connection, Ending, Outgoing};
+use crate::connection::{Behaviour, Connection, Ending, Outgoing, SECOND_HALF_AFTER};
 use crate::record::{End, Try};
 use crate::scenario::Scenario;
 use oorandom::Rand64;
@@ -182,6 +182,7 @@
         to,
         opened: sent.saturating_duration_since(load.start),
         sent: sent.saturating_duration_since(load.start),
+        last_byte: Duration::ZERO,
         ended: Duration::ZERO,
         deadline: until.saturating_duration_since(load.start),
         ran: false,
@@ -197,6 +198,8 @@
     };
     tried.opened = connection.opened.saturating_duration_since(load.start);
     tried.sent = load.start.elapsed();
+    let sends_for = if behaviour == Behaviour::SlowBody { SECOND_HALF_AFTER } else { Duration::ZERO };
+    tried.last_byte = tried.sent + sends_for;
     let target = format!("{}{:x}", class.path, request.number);
     let body = vec![b'a'; class.body_bytes];
     let outgoing = Outgoing {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -67,6 +67,8 @@
     /// When its connection was opened.
     pub opened: Duration,
     pub sent: Duration,
+    /// When its last byte was sent.
+    pub last_byte: Duration,
     pub ended: Duration,
     pub deadline: Duration,
     /// A worker began to work on it.
--- a/crates/soak/tests/judging.rs
+++ b/crates/soak/tests/judging.rs
@@ -53,6 +53,7 @@
         to: address(),
         opened: ms(9_000),
         sent: ms(sent),
+        last_byte: ms(sent),
         ended: ms(ended),
         deadline: ms(sent + 8_000),
         ran: false,
@@ -137,6 +138,13 @@
     assert_eq!(rules(&record), wanted);
 }
 
+#[test]
+fn a_slow_request_crosses_a_close_with_its_last_byte() {
+    let mut record = record(11_000, 11_350, End::ClosedUnanswered);
+    record.tries[0].last_byte = ms(11_300);
+    assert_eq!(rules(&record), []);
+}
+
 #[rstest]
 #[case::while_it_starts(14_700, &[])]
 #[case::later(15_700, &[Rule::Ended])]
