--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -167,6 +167,16 @@
     if done.action.kind != ActionKind::Terminate {
         return None;
     }
+    // A machine's own program, not the agent beside it, which may end sooner.
+    let of_proxy = record.proxies.iter().any(|proxy| proxy.name == done.machine);
+    let role = if of_proxy { Role::Desk } else { Role::Archive };
+    if record.terminated(&done.machine, role, done.at) != Some(done.at) {
+        return None;
+    }
+    let ends = || record.ends.iter().filter(|end| end.machine == done.machine && end.role == role);
+    if ends().any(|end| end.at <= done.at && done.at <= end.at + STARTING) {
+        return None;
+    }
     let until = done.at + scenario.grace() + SEEN_WITHIN;
     // What the end of the soak cuts short is told by those that had to be killed; a frozen process cannot end.
     let frozen = record.done.iter().any(|other| {
@@ -176,8 +186,7 @@
             && other.at + other.action.lasts() >= done.at
     });
     let last_seen = record.ends.iter().map(|end| end.at).max().unwrap_or_default();
-    let has_ended =
-        record.ends.iter().any(|end| end.machine == done.machine && (done.at..=until).contains(&end.at));
+    let has_ended = ends().any(|end| (done.at..=until).contains(&end.at));
     if frozen || has_ended || until > last_seen {
         return None;
     }
--- a/crates/soak/tests/judging.rs
+++ b/crates/soak/tests/judging.rs
@@ -115,6 +115,14 @@
     assert_eq!(rules(&record), wanted);
 }
 
+#[test]
+fn an_agent_that_ends_in_time_does_not_excuse_its_proxy() {
+    let mut record = record(11_000, 12_000, SERVED);
+    let agent = ProcessEnd { role: Role::Page, ..process_end(14_000, true) };
+    record.ends = vec![agent, process_end(17_500, true)];
+    assert_eq!(rules(&record), [Rule::Grace]);
+}
+
 #[rstest]
 #[case::a_signal_too_few(5_000, true, &[Rule::Ended])]
 #[case::badly(14_000, false, &[Rule::Ended])]
