--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -8,7 +8,9 @@
 /// Zones of the deployment; proxies and controllers are spread over them in turn.
 pub const ZONES: usize = 3;
 const MAX_SECONDS: f64 = 3_600.0;
-const MAX_PROXIES: usize = 60;
+/// The stand-ins have addresses for so many; a multiple of the zones.
+const MAX_PROXIES: usize = 39;
+const MAX_HOSTS: usize = 60;
 const MAX_CONTROLLERS: usize = 7;
 const MAX_CLIENTS: usize = 500;
 const MAX_RATE: f64 = 2_000.0;
@@ -171,7 +173,7 @@
         within("rate", self.rate, [0.1, MAX_RATE])?;
         counts("proxies", self.proxies, MAX_PROXIES)?;
         counts("controllers", self.controllers, MAX_CONTROLLERS)?;
-        counts("hosts", self.hosts, MAX_PROXIES)?;
+        counts("hosts", self.hosts, MAX_HOSTS)?;
         counts("clients", self.clients, MAX_CLIENTS)?;
         if !self.proxies.is_multiple_of(ZONES) {
             return Err(field("proxies", format!("a multiple of {ZONES}, the number of zones")));
