--- a/crates/scheduler/tests/leaving.rs
+++ b/crates/scheduler/tests/leaving.rs
@@ -78,7 +78,7 @@
 struct UntilTheEnd {
     /// How they ended, with when they were sent.
     endings: Vec<(Duration, Ending)>,
-    /// Clients that were refused a connection, and went elsewhere at once.
+    /// Clients that were refused a connection while the process still ran.
     refused_connections: usize,
 }
 
@@ -87,6 +87,7 @@
     to: SocketAddr,
     classes: &[Class; 2],
     mut kept: Vec<Connection>,
+    runs: impl Fn() -> bool,
 ) -> UntilTheEnd {
     let (began, mut open, mut endings) = (Instant::now(), JoinSet::new(), Vec::new());
     let mut refused_connections = 0;
@@ -105,7 +106,7 @@
             None => match Connection::open(to).await {
                 Some(connection) => connection,
                 None => {
-                    refused_connections += 1;
+                    refused_connections += usize::from(runs());
                     continue;
                 }
             },
@@ -133,8 +134,9 @@
     let kept = keeps(&stage.ledger, to, &classes).await;
 
     assert!(stage.fleet.term(&machine, Role::Desk) && stage.fleet.term(&machine, Role::Page));
+    let runs = || stage.fleet.runs(&machine, Role::Desk);
     let UntilTheEnd { endings, refused_connections } =
-        requests_until_the_end(&stage.ledger, to, &classes, kept).await;
+        requests_until_the_end(&stage.ledger, to, &classes, kept, runs).await;
     let ended = !stage.fleet.runs(&machine, Role::Desk);
     let log = stage.fleet.log(&machine, Role::Desk);
     let findings = stage.ledger.findings();
