Soak: a doc comment that said something else

Found in rereading the change: the comment above the roles of a machine was left over from another line.

--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -24,7 +24,7 @@
 const FULL_LOOK: Duration = Duration::from_millis(250);
 /// After the load, and the last grace period, what happened is seen within this.
 const LAST_LOOK: Duration = Duration::from_millis(500);
-/// Names of proxies' machines that the entry knows are not on the list of controllers' machines.
+/// The processes of a machine that an action strikes.
 const EDGE_ROLES: [Role; 2] = [Role::Desk, Role::Page];
 const CORE_ROLES: [Role; 1] = [Role::Archive];
 /// Every so many changes have a route more.
