review/2: a new owner grants slots that are still held, beyond 32 on one instance

A handover names 32 grants of an instance at most and calls itself complete, so that the new owner grants the rest of the slots again. Change: a script that restarts the two edge machines of a zone in turn while a function of 128 slots is busy, with a platform and workers that record each arrival.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,7 +2,9 @@
 //! case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod bed;
+mod large_slots;
 mod shared_name;
+mod world;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -24,6 +26,7 @@
         let run = async {
             match case.as_str() {
                 "shared-name" => shared_name::run(program, record.clone(), trouble).await,
+                "large-slots" => large_slots::run(program, record.clone(), trouble).await,
                 _ => Err(format!("no such case: {case}")),
             }
         };
