--- a/crates/scale-run/src/slots.rs
+++ b/crates/scale-run/src/slots.rs
@@ -8,7 +8,8 @@
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
-use tindock_slot_allocation::messages::{kind, Ended};
+use tindock_slot_allocation::function_id::FunctionId;
+use tindock_slot_allocation::messages::Ended;
 use tindock_slot_allocation::{Action, Allocator, Entry, Function, Member};
 
 /// What UDP and IP add to a datagram.
@@ -37,13 +38,13 @@
 
 fn function(number: usize) -> Function {
     let name = Size::function(number);
-    Function { kind: kind(&name), name, slots: 2, boot: Duration::from_millis(900) }
+    Function { kind: FunctionId::of(&name), name, slots: 2, boot: Duration::from_millis(900) }
 }
 
 fn entry(number: usize, size: Size) -> Entry {
     let listed = instance(number, size);
     Entry {
-        kind: kind(&listed.service),
+        kind: FunctionId::of(&listed.service),
         instance: listed.instance,
         at: listed.at,
         zone: listed.zone,
@@ -100,7 +101,7 @@
             let end = now + Duration::from_secs(4);
             proxies[requester].request_slot(
                 now,
-                kind(&Size::function(0)),
+                FunctionId::of(&Size::function(0)),
                 2,
                 now + Duration::from_millis(1500),
                 end,
@@ -156,7 +157,14 @@
     let size = Size { schedulers: 1, functions: 1, instances: 1 };
     let mut allocator = proxy(0, size);
     let mut now = Duration::from_secs(10);
-    allocator.request_slot(now, kind(&Size::function(0)), 2, now + RUN, now + Duration::from_secs(4), "");
+    allocator.request_slot(
+        now,
+        FunctionId::of(&Size::function(0)),
+        2,
+        now + RUN,
+        now + Duration::from_secs(4),
+        "",
+    );
     let mut reports = 0;
     let end = now + OBSERVED_AFTER_CALL;
     while now < end {
--- a/crates/simulation/src/proxy.rs
+++ b/crates/simulation/src/proxy.rs
@@ -15,7 +15,8 @@
     Read, RequestHead,
 };
 use tindock_lifecycle::{GracePeriod, Lifecycle, Phase, RunTimes};
-use tindock_slot_allocation::messages::{kind, Ended, Kind};
+use tindock_slot_allocation::function_id::FunctionId;
+use tindock_slot_allocation::messages::Ended;
 use tindock_slot_allocation::{Action, Allocator, Entry, Function, LoadReport, Member};
 
 const BUSY_TICK: Duration = Duration::from_millis(25);
@@ -148,7 +149,7 @@
     began: Duration,
     head: RequestHead,
     body: Vec<u8>,
-    kind: Kind,
+    kind: FunctionId,
     priority: u8,
     aim: Duration,
     end: Duration,
@@ -297,7 +298,7 @@
 
     fn set_functions(&mut self, now: Duration, catalogue: &Catalogue, times: usize) {
         let functions = catalogue.services.iter().map(|s| Function {
-            kind: kind(&s.name),
+            kind: FunctionId::of(&s.name),
             name: s.name.clone(),
             slots: match s.max_inflight as usize {
                 0 => 1024,
@@ -372,7 +373,7 @@
             self.listed.retain(|id, _| !ended.contains(id));
         }
         let entries = entries.iter().map(|listed| Entry {
-            kind: kind(&listed.service),
+            kind: FunctionId::of(&listed.service),
             instance: listed.instance.clone(),
             at: listed.at,
             zone: listed.zone.clone(),
@@ -517,7 +518,7 @@
         let Some(service) = configuration.0.services.get(route.choose(sample) as usize) else {
             return self.send_answer(attempt, Some(&head), &Answer::ProxyStatus(404));
         };
-        let kind = kind(&service.name);
+        let kind = FunctionId::of(&service.name);
         self.budget.request(now, kind);
         let promised = Duration::from_millis(route.target_latency_ms.into());
         let max_run_time = match self.defect {
@@ -933,7 +934,7 @@
     ratio: f64,
     slack: f64,
     part: u128,
-    windows: BTreeMap<Kind, VecDeque<(u128, u32, u32)>>,
+    windows: BTreeMap<FunctionId, VecDeque<(u128, u32, u32)>>,
 }
 
 const WINDOW_PARTS: u128 = 10;
@@ -944,7 +945,7 @@
         Budget { ratio, slack, part, windows: BTreeMap::new() }
     }
 
-    fn at(&mut self, now: Duration, kind: Kind) -> &mut VecDeque<(u128, u32, u32)> {
+    fn at(&mut self, now: Duration, kind: FunctionId) -> &mut VecDeque<(u128, u32, u32)> {
         let number = now.as_millis() / self.part;
         let parts = self.windows.entry(kind).or_default();
         while parts.front().is_some_and(|(n, ..)| *n + WINDOW_PARTS < number) {
@@ -956,13 +957,13 @@
         parts
     }
 
-    fn request(&mut self, now: Duration, kind: Kind) {
+    fn request(&mut self, now: Duration, kind: FunctionId) {
         if let Some(last) = self.at(now, kind).back_mut() {
             last.1 += 1;
         }
     }
 
-    fn allow_retry(&mut self, now: Duration, kind: Kind, proxies: usize) -> bool {
+    fn allow_retry(&mut self, now: Duration, kind: FunctionId, proxies: usize) -> bool {
         let (ratio, slack) = (self.ratio, self.slack / (proxies as f64 + 1.0));
         let parts = self.at(now, kind);
         let number = parts.back().map_or(0, |part| part.0);
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -27,6 +27,7 @@
 use tindock_control_store::{DiskState, MemberSettings, Stored};
 use tindock_lifecycle::GracePeriod;
 use tindock_peer_sampling::Message;
+use tindock_slot_allocation::datagram::incarnation_number;
 
 /// Wall clock of the machines at the start, ms; any value well above process run times.
 const START_DATE_MS: u64 = 1_700_000_000_000;
@@ -1109,7 +1110,7 @@
                 edge.wake = None;
                 let zone = zones[edge.zone].0.clone();
                 let seed = random ^ hash(&edge.name);
-                let incarnation = (seed ^ seed >> 32) as u32 | 1;
+                let incarnation = incarnation_number(seed);
                 let budget = Budget::new(timers.budget_ratio, timers.budget_slack, timers.budget_window);
                 let mut agent = AgentProcess::new(agent::AgentSettings {
                     ip: edge.ip,
--- a/crates/slot-allocation/src/capacity.rs
+++ b/crates/slot-allocation/src/capacity.rs
@@ -1,7 +1,9 @@
 //! Free slots and queued calls as owners announce them to one another, and redirects of queued calls to zones
 //! with free slots.
 
-use crate::messages::{kind as hash, Kind, Message, MAX_MESSAGES};
+use crate::datagram::MAX_MESSAGES;
+use crate::function_id::{name_hash, FunctionId};
+use crate::messages::Message;
 use crate::pool::{self, SlotRequest};
 use crate::{
     advertised_capacity, Allocator, Capacity, CAPACITY_VALID_FOR, FREE_INTERVAL, FULL_INTERVAL, LOWEST,
@@ -13,7 +15,7 @@
 
 impl Allocator {
     /// The capacity that the owner in a zone recently announced.
-    pub(crate) fn capacity_at(&self, kind: Kind, zone: &str) -> Option<Capacity> {
+    pub(crate) fn capacity_at(&self, kind: FunctionId, zone: &str) -> Option<Capacity> {
         let owner = self.owner_of(kind, zone)?;
         self.capacities
             .get(&(kind, owner))
@@ -22,7 +24,7 @@
     }
 
     /// The nearest other zone whose owner recently announced free slots and an empty queue.
-    pub(crate) fn zone_with_capacity(&self, kind: Kind) -> Option<(String, SocketAddr, u8)> {
+    pub(crate) fn zone_with_capacity(&self, kind: FunctionId) -> Option<(String, SocketAddr, u8)> {
         if !self.capacities.keys().any(|(k, _)| *k == kind) {
             return None;
         }
@@ -37,7 +39,7 @@
     }
 
     /// The owners of this function's other instances.
-    pub(crate) fn peers(&self, kind: Kind) -> BTreeSet<SocketAddr> {
+    pub(crate) fn peers(&self, kind: FunctionId) -> BTreeSet<SocketAddr> {
         let mut zones: Vec<&str> = self.zones_of(kind).into_keys().collect();
         zones.sort_by_key(|zone| self.redirect_cost(zone));
         let owners = zones.iter().filter_map(|zone| self.owner_of(kind, zone));
@@ -45,7 +47,7 @@
     }
 
     /// Sends this process's capacity to another owner, unless it was sent very recently.
-    pub(crate) fn send_capacity(&mut self, kind: Kind, to: SocketAddr, pause: Duration) {
+    pub(crate) fn send_capacity(&mut self, kind: FunctionId, to: SocketAddr, pause: Duration) {
         let now = self.now;
         let Some(message) = self.capacity_message(kind) else { return };
         let open = matches!(message, Message::Capacity { free: 1.., waiting: 0, .. });
@@ -59,7 +61,7 @@
         self.send(to, message);
     }
 
-    pub(crate) fn capacity_message(&self, kind: Kind) -> Option<Message> {
+    pub(crate) fn capacity_message(&self, kind: FunctionId) -> Option<Message> {
         let pool = self.pools.get(&kind).filter(|pool| pool.accepts_calls())?;
         let (free, waiting) = advertised_capacity(pool, self.now);
         let run = u16::try_from(pool.run().as_millis()).unwrap_or(u16::MAX);
@@ -68,7 +70,7 @@
 
     /// Announces to the other owners of the function that calls are queued here, and again when none is any
     /// more. Free slots are announced to the owners that reported queued calls.
-    pub(crate) fn announce_capacity(&mut self, kind: Kind) {
+    pub(crate) fn announce_capacity(&mut self, kind: FunctionId) {
         let now = self.now;
         let Some(pool) = self.pools.get(&kind) else { return };
         let waits = !pool.queue.is_empty();
@@ -93,7 +95,7 @@
     }
 
     /// Redirects queued calls to a zone with free slots if they gain by that.
-    pub(crate) fn redirect_waiting(&mut self, kind: Kind) {
+    pub(crate) fn redirect_waiting(&mut self, kind: FunctionId) {
         let now = self.now;
         if self.pools.get(&kind).is_none_or(|pool| pool.queue.is_empty()) {
             return;
@@ -106,23 +108,30 @@
             capacity.free = capacity.free.saturating_sub(u8::try_from(gone.len()).unwrap_or(u8::MAX));
         }
         for request in gone {
-            self.send(request.from, Message::Redirect { seq: request.seq, zone: hash(&zone) });
+            self.send(request.from, Message::Redirect { seq: request.seq, zone: name_hash(&zone) });
         }
     }
 
     /// The known capacity of others: function, owner, and what it announced when.
-    pub fn capacities(&self) -> impl Iterator<Item = (Kind, SocketAddr, &Capacity)> {
+    pub fn capacities(&self) -> impl Iterator<Item = (FunctionId, SocketAddr, &Capacity)> {
         self.capacities.iter().map(|((kind, at), capacity)| (*kind, *at, capacity))
     }
 
-    pub(crate) fn note_capacity(&mut self, kind: Kind, from: SocketAddr, free: u8, waiting: u8, run: u16) {
+    pub(crate) fn note_capacity(
+        &mut self,
+        kind: FunctionId,
+        from: SocketAddr,
+        free: u8,
+        waiting: u8,
+        run: u16,
+    ) {
         if self.capacities.len() < 65_536 {
             self.capacities.insert((kind, from), Capacity { received: self.now, free, waiting, run });
         }
     }
 
     /// The zone with free slots in which a call that would be queued here gains, if there is one.
-    pub(crate) fn better_zone(&mut self, kind: Kind, request: &SlotRequest) -> Option<String> {
+    pub(crate) fn better_zone(&mut self, kind: FunctionId, request: &SlotRequest) -> Option<String> {
         let now = self.now;
         let (zone, owner, _) = self.zone_with_capacity(kind)?;
         let pool = self.pools.get(&kind)?;
@@ -144,7 +153,7 @@
     /// Adds the capacity that the receiver is interested in to a datagram that is sent anyway.
     pub(crate) fn piggyback_capacities(&mut self, to: SocketAddr, part: &mut Vec<Message>) {
         let now = self.now;
-        let interested: Vec<Kind> =
+        let interested: Vec<FunctionId> =
             self.short_peers.keys().filter(|(_, at)| *at == to).map(|(kind, _)| *kind).collect();
         for kind in interested {
             if part.len() >= MAX_MESSAGES
--- a/crates/slot-allocation/src/granting.rs
+++ b/crates/slot-allocation/src/granting.rs
@@ -1,7 +1,8 @@
 //! The owner's side: which call is granted a free slot, which is queued, and which is redirected to another
 //! zone.
 
-use crate::messages::{kind as hash, Kind, Message};
+use crate::function_id::{name_hash, FunctionId};
+use crate::messages::Message;
 use crate::owners::weight;
 use crate::pool::{SlotPool, SlotRequest, Verdict};
 use crate::{
@@ -10,7 +11,7 @@
 use std::time::Duration;
 
 impl Allocator {
-    pub(crate) fn handle_request(&mut self, kind: Kind, request: SlotRequest, hops: u8) {
+    pub(crate) fn handle_request(&mut self, kind: FunctionId, request: SlotRequest, hops: u8) {
         let now = self.now;
         if self.finished.is_finished(&(request.from, request.incarnation, request.seq)) {
             return;
@@ -39,7 +40,7 @@
         }) {
             return self.send(request.from, Message::Queued { seq: request.seq, free, waiting });
         }
-        let origin = self.owners.member(request.from).map_or(0, |m| hash(&m.zone));
+        let origin = self.owners.member(request.from).map_or(0, |m| name_hash(&m.zone));
         pool.count_arrival(now, origin);
         let accepts_calls = pool.accepts_calls();
         if !accepts_calls {
@@ -47,13 +48,14 @@
         }
         if !accepts_calls && hops < MAX_HOPS {
             if let Some(zone) = self.other_zone(kind) {
-                return self.send(request.from, Message::Redirect { seq: request.seq, zone: hash(&zone) });
+                return self
+                    .send(request.from, Message::Redirect { seq: request.seq, zone: name_hash(&zone) });
             }
         }
         let (from, seq) = (request.from, request.seq);
         if hops < MAX_HOPS && self.pools.get(&kind).is_some_and(|s| s.wait(now, &request).is_some()) {
             if let Some(zone) = self.better_zone(kind, &request) {
-                return self.send(from, Message::Redirect { seq, zone: hash(&zone) });
+                return self.send(from, Message::Redirect { seq, zone: name_hash(&zone) });
             }
         }
         let rng = &mut self.rng;
@@ -89,7 +91,7 @@
     }
 
     /// Grants free slots to queued requests.
-    pub(crate) fn serve(&mut self, kind: Kind) {
+    pub(crate) fn serve(&mut self, kind: FunctionId) {
         let now = self.now;
         if self.is_fenced() {
             return;
@@ -106,7 +108,7 @@
     }
 
     /// Another zone that has instances that accept calls.
-    pub(crate) fn other_zone(&self, kind: Kind) -> Option<String> {
+    pub(crate) fn other_zone(&self, kind: FunctionId) -> Option<String> {
         if let Some((zone, ..)) = self.zone_with_capacity(kind) {
             return Some(zone);
         }
@@ -116,7 +118,7 @@
         others.max_by_key(|e| (e.ready, weight(kind, &e.at))).map(|e| e.zone.clone())
     }
 
-    pub(crate) fn sweep(&mut self, kind: Kind) {
+    pub(crate) fn sweep(&mut self, kind: FunctionId) {
         let now = self.now;
         if self.is_fenced() {
             self.reject_waiting(kind);
@@ -150,7 +152,7 @@
         }
         if let (Some(zone), Some(pool)) = (moved, self.pools.get_mut(&kind)) {
             for request in std::mem::take(&mut pool.queue) {
-                self.send(request.from, Message::Redirect { seq: request.seq, zone: hash(&zone) });
+                self.send(request.from, Message::Redirect { seq: request.seq, zone: name_hash(&zone) });
             }
         }
         self.serve(kind);
--- a/crates/slot-allocation/src/handover.rs
+++ b/crates/slot-allocation/src/handover.rs
@@ -6,7 +6,8 @@
 //! the handover, with evidence that the former process has ended, or after `HANDOVER_TIMEOUT`.
 
 use crate::defects::{injected, Defect};
-use crate::messages::{kind as hash, GrantedSlot, Kind, Message, MAX_GRANTED_SLOTS};
+use crate::function_id::{name_hash, FunctionId};
+use crate::messages::{GrantedSlot, Message, MAX_GRANTED_SLOTS};
 use crate::owners::owner_among;
 use crate::pool::{Entry, InstanceLedger, SlotGrant};
 use crate::{Action, Allocator, Member, RESEND_AFTER, RESEND_FOR};
@@ -58,7 +59,7 @@
 /// A handover that is not acknowledged yet.
 pub(crate) struct Pending {
     to: SocketAddr,
-    kind: Kind,
+    kind: FunctionId,
     instance: String,
     grants: Vec<SlotGrant>,
     complete: bool,
@@ -203,7 +204,7 @@
     /// Which process may know more about an instance than this one: the one that it was handed over to, or
     /// its owner before the last change, as far as is known here. A process that learned of two changes as
     /// one never owned the instance that is claimed from it.
-    fn likely_owner(&self, from: SocketAddr, kind: Kind, instance: &str) -> Option<SocketAddr> {
+    fn likely_owner(&self, from: SocketAddr, kind: FunctionId, instance: &str) -> Option<SocketAddr> {
         let given = self.handed_to.get(instance).map(|(owner, _)| *owner);
         let owned = || owner_among(self.former.iter(), kind, &self.entries.get(instance)?.zone);
         given.or_else(owned).filter(|at| *at != from && *at != self.me)
@@ -232,7 +233,7 @@
 
     /// Another process claims an instance. If this process still owns it by the members known here, it hands
     /// the instance over when it learns of the change.
-    pub(crate) fn claimed(&mut self, from: SocketAddr, kind: Kind, instance: String) {
+    pub(crate) fn claimed(&mut self, from: SocketAddr, kind: FunctionId, instance: String) {
         let entry = self.entries.get(&instance);
         if entry.is_some_and(|entry| self.owner_of(kind, &entry.zone) == Some(self.me)) {
             return self.pause_disputed(kind, &instance);
@@ -249,7 +250,7 @@
 
     /// Two processes consider themselves the owner. One of them is behind, and the claimer grants slots after
     /// its wait.
-    fn pause_disputed(&mut self, kind: Kind, instance: &str) {
+    fn pause_disputed(&mut self, kind: FunctionId, instance: &str) {
         if injected(Defect::ClaimsIgnored) {
             return;
         }
@@ -260,7 +261,13 @@
     }
 
     /// The process that is waited for has already handed the instance over to another.
-    pub(crate) fn redirect_claim(&mut self, from: SocketAddr, kind: Kind, instance: &str, owner: SocketAddr) {
+    pub(crate) fn redirect_claim(
+        &mut self,
+        from: SocketAddr,
+        kind: FunctionId,
+        instance: &str,
+        owner: SocketAddr,
+    ) {
         let Some(pool) = self.pools.get_mut(&kind) else { return };
         let ledger = pool.ledgers.iter_mut().find(|ledger| ledger.entry.instance == instance);
         let Some(ledger) = ledger.filter(|ledger| ledger.awaits == Some(from)) else { return };
@@ -301,13 +308,13 @@
     pub(crate) fn take_over(
         &mut self,
         from: SocketAddr,
-        kind: Kind,
+        kind: FunctionId,
         instance: String,
         slots: Vec<GrantedSlot>,
         complete: bool,
     ) {
         let now = self.now;
-        self.send(from, Message::HandoverAck { instance: hash(&instance) });
+        self.send(from, Message::HandoverAck { instance: name_hash(&instance) });
         let to_grant = |slot: &GrantedSlot| {
             let left = Duration::from_millis(slot.left.into());
             SlotGrant::from_handover(now, slot.to, slot.incarnation, slot.seq, left)
@@ -334,6 +341,6 @@
 
     /// A handover was acknowledged.
     pub(crate) fn handover_acknowledged(&mut self, from: SocketAddr, instance: u32) {
-        self.pending.retain(|pending| pending.to != from || hash(&pending.instance) != instance);
+        self.pending.retain(|pending| pending.to != from || name_hash(&pending.instance) != instance);
     }
 }
--- a/crates/slot-allocation/src/incarnations.rs
+++ b/crates/slot-allocation/src/incarnations.rs
@@ -1,6 +1,7 @@
 //! The incarnations of other processes. Datagrams may be late: one that a process sent before a restart may
 //! arrive after those that it has sent since, and must not be taken for its present state.
 
+use crate::datagram::Form;
 use crate::defects::{injected, Defect};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -17,7 +18,7 @@
 /// started: an incarnation that it doesn't know may be older than the present one.
 const YOUNG: Duration = Duration::from_secs(3);
 
-/// Stands for the incarnation that comes next; programs use odd numbers.
+/// Stands for the incarnation that comes next; no process has it.
 const NO_INCARNATION: u32 = 0;
 
 /// The sender of a datagram.
@@ -131,6 +132,11 @@
         self.peers.get(at)?.received
     }
 
+    /// The form of datagrams that the process understands in its present incarnation.
+    pub fn form(&self, at: &SocketAddr) -> Form {
+        self.peers.get(at).map_or(Form::Identifiers, |peer| Form::understood_by(peer.incarnation))
+    }
+
     fn insert(&mut self, at: SocketAddr, peer: Peer) {
         if self.peers.len() < MAX_PEERS {
             self.peers.insert(at, peer);
--- a/crates/slot-allocation/src/instances.rs
+++ b/crates/slot-allocation/src/instances.rs
@@ -2,8 +2,9 @@
 //! grants.
 
 use crate::defects::{injected, Defect};
+use crate::function_id::FunctionId;
 use crate::handover::Cause;
-use crate::messages::{Kind, Message};
+use crate::messages::Message;
 use crate::pool::{InstanceLedger, SlotPool};
 use crate::{Allocator, Entry, Function};
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,12 +14,12 @@
     /// Updates the ledgers of all functions. Instances that another process may have granted slots of until
     /// now are paused first.
     pub(crate) fn update_all_pools(&mut self, cause: Cause) {
-        let mut kinds: BTreeSet<Kind> = self.pools.keys().copied().collect();
+        let mut kinds: BTreeSet<FunctionId> = self.pools.keys().copied().collect();
         kinds.extend(self.by_kind.keys().copied());
         self.update_pools(kinds, &cause);
     }
 
-    pub(crate) fn update_pools(&mut self, kinds: BTreeSet<Kind>, cause: &Cause) {
+    pub(crate) fn update_pools(&mut self, kinds: BTreeSet<FunctionId>, cause: &Cause) {
         for kind in kinds {
             let mine = self.owned(kind);
             if mine.is_empty() && !self.pools.contains_key(&kind) {
@@ -32,7 +33,7 @@
     }
 
     /// The instances of a function that this process owns.
-    pub(crate) fn owned(&self, kind: Kind) -> BTreeMap<String, Entry> {
+    pub(crate) fn owned(&self, kind: FunctionId) -> BTreeMap<String, Entry> {
         if !self.functions.contains_key(&kind) {
             return BTreeMap::new();
         }
@@ -43,7 +44,7 @@
 
     /// Rejects the queued calls of a function that was removed from the configuration, so that none goes
     /// unanswered, and keeps its grants: a later change may restore the function while they are held.
-    pub(crate) fn close_pool(&mut self, kind: Kind) {
+    pub(crate) fn close_pool(&mut self, kind: FunctionId) {
         let Some(pool) = self.pools.remove(&kind) else { return };
         for request in pool.queue {
             self.send(request.from, Message::RetryAfter { seq: request.seq, after: 500 });
--- a/crates/slot-allocation/src/lib.rs
+++ b/crates/slot-allocation/src/lib.rs
@@ -12,15 +12,17 @@
 //!   ledgers, and the choice of an instance;
 //! - `membership`, `owners`, `handover`, `reachability`: who owns which instance, changes of owner, and who
 //!   can be reached;
-//! - `receive`, `messages`, `incarnations`, `finished_calls`: the protocol, the incarnation of a sender, and
-//!   late copies;
+//! - `receive`, `messages`, `datagram`, `function_id`, `incarnations`, `finished_calls`: the protocol, the
+//!   incarnation of a sender, and late copies;
 //! - `capacity`: which other zone has free slots; `instances`, `departed`: instances that are added and
 //!   removed.
 
 mod capacity;
+pub mod datagram;
 pub mod defects;
 pub mod departed;
 pub mod finished_calls;
+pub mod function_id;
 mod granting;
 mod handover;
 pub mod incarnations;
@@ -34,12 +36,14 @@
 mod requests;
 pub mod selection;
 
+use datagram::{messages_that_fit, Datagram};
 use defects::{injected, Defect};
 use departed::Departed;
 use finished_calls::FinishedCalls;
+use function_id::{name_hash, FunctionId};
 use handover::{Cause, Early, Pending};
 use incarnations::Incarnations;
-use messages::{kind as hash, messages_that_fit, Datagram, Ended, Kind, Message};
+use messages::{Ended, Message};
 use oorandom::Rand32;
 use owners::Owners;
 pub use pool::{Entry, Function, LoadReport};
@@ -185,7 +189,7 @@
 
 #[derive(Debug, Clone)]
 struct Call {
-    kind: Kind,
+    kind: FunctionId,
     priority: u8,
     /// A call that ends by its aim has its full value; after that it is worth less until its `end`.
     aim: Duration,
@@ -210,7 +214,7 @@
 struct UnusedGrant {
     to: SocketAddr,
     seq: u32,
-    kind: Kind,
+    kind: FunctionId,
     instance: u32,
     sent: Duration,
     tries: u32,
@@ -254,11 +258,11 @@
     early: HashMap<String, Early>,
     /// The processes to which instances were recently handed over.
     handed_to: HashMap<String, (SocketAddr, Duration)>,
-    functions: HashMap<Kind, Function>,
+    functions: BTreeMap<FunctionId, Function>,
     entries: BTreeMap<String, Entry>, // all instances, by id
-    by_kind: HashMap<Kind, Vec<String>>,
+    by_kind: HashMap<FunctionId, Vec<String>>,
     departed: Departed,
-    pools: BTreeMap<Kind, SlotPool>,
+    pools: BTreeMap<FunctionId, SlotPool>,
     score: selection::Score,
     calls: BTreeMap<u32, Call>,
     /// Call numbers: each incarnation has its own range, so that no message for the one before matches a call
@@ -269,13 +273,13 @@
     /// Grants of instances that another process owns now; the instances may come back.
     parked: HashMap<String, Vec<SlotGrant>>,
     /// The capacity that owners announced, by function.
-    capacities: HashMap<(Kind, SocketAddr), Capacity>,
+    capacities: HashMap<(FunctionId, SocketAddr), Capacity>,
     /// Owners of a function that had calls queued, and when they reported it.
-    short_peers: BTreeMap<(Kind, SocketAddr), Duration>,
+    short_peers: BTreeMap<(FunctionId, SocketAddr), Duration>,
     /// When capacity was last sent to another owner, and whether slots were free.
-    capacity_sent: HashMap<(Kind, SocketAddr), (Duration, bool)>,
+    capacity_sent: HashMap<(FunctionId, SocketAddr), (Duration, bool)>,
     /// Functions that were announced as full.
-    announced_full: BTreeSet<Kind>,
+    announced_full: BTreeSet<FunctionId>,
     /// When each process was last heard from, and in which incarnation.
     incarnations: Incarnations,
     /// Queries to addresses where two incarnations have sent: the number of the query, and when it was sent.
@@ -324,7 +328,7 @@
             pending: Vec::new(),
             early: HashMap::new(),
             handed_to: HashMap::new(),
-            functions: HashMap::new(),
+            functions: BTreeMap::new(),
             entries: BTreeMap::new(),
             by_kind: HashMap::new(),
             departed: Departed::default(),
@@ -361,11 +365,11 @@
     }
 
     /// Returns a grant that no call awaits, or (instance 0) withdraws a queued request.
-    fn return_unused(&mut self, to: SocketAddr, seq: u32, kind: Kind, instance: u32) {
+    fn return_unused(&mut self, to: SocketAddr, seq: u32, kind: FunctionId, instance: u32) {
         self.give_back(to, seq, kind, instance, false);
     }
 
-    fn give_back(&mut self, to: SocketAddr, seq: u32, kind: Kind, instance: u32, refused: bool) {
+    fn give_back(&mut self, to: SocketAddr, seq: u32, kind: FunctionId, instance: u32, refused: bool) {
         let now = self.now;
         let unused = UnusedGrant { to, seq, kind, instance, sent: now, tries: 1, began: now, refused };
         let message = unused.message();
@@ -426,7 +430,7 @@
     }
 
     /// The owner of the instances of this function in this zone.
-    fn owner_of(&self, kind: Kind, zone: &str) -> Option<SocketAddr> {
+    fn owner_of(&self, kind: FunctionId, zone: &str) -> Option<SocketAddr> {
         self.owners.owner(kind, zone)
     }
 
@@ -441,7 +445,7 @@
         let (owner, held, granted_by) = match &call.stage {
             Stage::Requesting { to, .. } => (*to, Duration::ZERO, None),
             Stage::Holding { owner, since, granted_by, instance, .. } => {
-                let other = (granted_by != owner).then(|| (*granted_by, hash(instance)));
+                let other = (granted_by != owner).then(|| (*granted_by, name_hash(instance)));
                 (*owner, now.saturating_sub(*since), other)
             }
             Stage::Returning { .. } => return,
@@ -521,7 +525,7 @@
         self.resend();
         self.resend_handovers();
         self.claim();
-        let kinds: Vec<Kind> = self.pools.keys().copied().collect();
+        let kinds: Vec<FunctionId> = self.pools.keys().copied().collect();
         for kind in kinds {
             self.sweep(kind);
         }
@@ -565,11 +569,11 @@
 
     /// The name of the zone with this hash, among those of the members.
     pub fn zone(&self, of: u32) -> Option<&str> {
-        self.owners.members().iter().map(|m| m.zone.as_str()).find(|zone| hash(zone) == of)
+        self.owners.members().iter().map(|m| m.zone.as_str()).find(|zone| name_hash(zone) == of)
     }
 
     /// The name of a known function.
-    pub fn name(&self, kind: Kind) -> Option<&str> {
+    pub fn name(&self, kind: FunctionId) -> Option<&str> {
         self.functions.get(&kind).map(|f| f.name.as_str())
     }
 
@@ -598,7 +602,8 @@
             self.outgoing.remove(&to);
         }
         self.piggyback_capacities(to, &mut part);
-        Some(Action::Send { to, bytes: Datagram { incarnation: self.incarnation, messages: part }.encode() })
+        let datagram = Datagram { incarnation: self.incarnation, messages: part };
+        Some(Action::Send { to, bytes: datagram.encode_as(self.incarnations.form(&to)) })
     }
 }
 
--- a/crates/slot-allocation/src/membership.rs
+++ b/crates/slot-allocation/src/membership.rs
@@ -1,7 +1,8 @@
 //! Changes of functions and members, and the reports of held slots to new owners.
 
+use crate::function_id::{name_hash, FunctionId};
 use crate::handover::Cause;
-use crate::messages::{kind as hash, Kind, Message};
+use crate::messages::Message;
 use crate::{ms, Allocator, Call, Function, Member, Stage};
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -86,13 +87,20 @@
     }
 
     /// The report is resent until the new owner acknowledges it: it may not know the instance yet.
-    pub(crate) fn report_held(&mut self, seq: u32, new: SocketAddr, kind: Kind, instance: String, left: u32) {
+    pub(crate) fn report_held(
+        &mut self,
+        seq: u32,
+        new: SocketAddr,
+        kind: FunctionId,
+        instance: String,
+        left: u32,
+    ) {
         let now = self.now;
         if let Some(Call { stage: Stage::Holding { owner, reported, .. }, .. }) = self.calls.get_mut(&seq) {
             *owner = new;
             *reported = Some((now, 1));
         }
-        let id = hash(&instance);
+        let id = name_hash(&instance);
         self.unused_grants.retain(|unused| (unused.to, unused.seq, unused.instance) != (new, seq, id));
         self.send(new, Message::Holds { seq, kind, instance, left });
     }
--- a/crates/slot-allocation/src/messages.rs
+++ b/crates/slot-allocation/src/messages.rs
@@ -1,18 +1,10 @@
 //! The protocol between owners and requesters: datagrams of a few messages, encoded with postcard. A message
 //! may be lost, duplicated or late; important ones are resent until they are acknowledged.
 
+use crate::function_id::FunctionId;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// The identifier of a function: the 32-bit FNV-1a hash of its name. Names are random for each deployment and
-/// some characters long.
-pub type Kind = u32;
-
-/// FNV-1a, 32 bits.
-pub fn kind(name: &str) -> Kind {
-    name.bytes().fold(0x811c_9dc5, |hash: u32, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
-}
-
 /// How the use of a slot ended, as the requester observed it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ended {
@@ -43,12 +35,13 @@
 /// The most that are reported of one instance; requesters report the rest themselves.
 pub const MAX_GRANTED_SLOTS: usize = 32;
 
-/// One message of a datagram. The `rename` attributes keep earlier names of variants and fields.
+/// One message of a datagram; `F` identifies a function. The `rename` attributes keep earlier names of variants
+/// and fields.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Message {
+pub enum Message<F = FunctionId> {
     /// Requests a slot. Times in ms: `aim` until the call's full value ends, `left` until its deadline.
     #[serde(rename = "Ask")]
-    Request { seq: u32, kind: Kind, priority: u8, aim: u32, left: u32, avoid: u32, hops: u8 },
+    Request { seq: u32, kind: F, priority: u8, aim: u32, left: u32, avoid: u32, hops: u8 },
     /// Grants a slot, with the free slots that remain and the number of queued calls.
     Grant { seq: u32, instance: String, at: SocketAddr, free: u8, waiting: u8 },
     /// The request is known and queued: the reply to a repeated request.
@@ -60,44 +53,44 @@
     /// No capacity in time; to be retried after this many ms.
     #[serde(rename = "Later")]
     RetryAfter { seq: u32, after: u32 },
-    /// Returns a slot, or withdraws a request; `ms` is how long it was held. Without a function (0) the owner
-    /// searches for it.
-    Return { seq: u32, kind: Kind, ended: Ended, ms: u32 },
+    /// Returns a slot, or withdraws a request; `ms` is how long it was held. Without a function (`NONE`) the
+    /// owner searches for it.
+    Return { seq: u32, kind: F, ended: Ended, ms: u32 },
     /// Acknowledges a return.
     #[serde(rename = "Noted")]
     ReturnAck { seq: u32 },
     /// Reports to a new owner: this slot is held, for `left` ms.
-    Holds { seq: u32, kind: Kind, instance: String, left: u32 },
+    Holds { seq: u32, kind: F, instance: String, left: u32 },
     /// Acknowledges `Holds`. Instances are named by their hash here and below.
     #[serde(rename = "Heard")]
-    HoldsAck { seq: u32, kind: Kind, instance: u32 },
+    HoldsAck { seq: u32, kind: F, instance: u32 },
     /// Returns a slot that no call awaits; with instance 0 withdraws a queued request. With a number that no
     /// call has it serves as a ping.
     #[serde(rename = "Unwanted")]
-    Release { seq: u32, kind: Kind, instance: u32 },
+    Release { seq: u32, kind: F, instance: u32 },
     /// Acknowledges `Release` and `Refused`.
     #[serde(rename = "Dropped")]
     ReleaseAck { seq: u32, instance: u32 },
     /// Capacity of a function at its owner: free slots, queued calls, duration of a call in ms.
     #[serde(rename = "Room")]
-    Capacity { kind: Kind, free: u8, waiting: u8, run: u16 },
+    Capacity { kind: F, free: u8, waiting: u8, run: u16 },
     /// Asks a requester whether it still holds a slot, of a grant that is held for long or was not tracked
     /// for a while.
     #[serde(rename = "Still")]
     CheckGrant {
         seq: u32,
-        kind: Kind,
+        kind: F,
         instance: u32,
         #[serde(rename = "life")]
         incarnation: u32,
     },
     /// Returns a grant that the requester won't use: by its own list the instance leaves, or has ended.
     /// Answered with `ReleaseAck`.
-    Refused { seq: u32, kind: Kind, instance: u32 },
+    Refused { seq: u32, kind: F, instance: u32 },
     /// Sent to the new owner of an instance: the sender grants no more slots there, and these are held.
     #[serde(rename = "HandsOver")]
     Handover {
-        kind: Kind,
+        kind: F,
         instance: String,
         #[serde(rename = "loans")]
         grants: Vec<GrantedSlot>,
@@ -108,55 +101,91 @@
     HandoverAck { instance: u32 },
     /// Sent to the former owner of an instance: the sender owns it from now on, and waits for its handover.
     #[serde(rename = "Claims")]
-    Claim { kind: Kind, instance: String },
+    Claim { kind: F, instance: String },
     /// Reply to `Claim` of a process that has already handed the instance over to another.
     #[serde(rename = "GaveTo")]
-    HandedTo { kind: Kind, instance: String, owner: SocketAddr },
+    HandedTo { kind: F, instance: String, owner: SocketAddr },
 }
 
-impl Message {
-    /// Approximate size in bytes.
-    fn size(&self) -> usize {
+impl<F: Copy> Message<F> {
+    /// The function that the message is about, if it is about one.
+    pub fn function(&self) -> Option<F> {
         match self {
-            Message::Handover { instance, grants, .. } => 8 + instance.len() + 20 * grants.len(),
-            Message::Claim { instance, .. } | Message::HandedTo { instance, .. } => 20 + instance.len(),
-            _ => 32,
+            Message::Request { kind, .. }
+            | Message::Return { kind, .. }
+            | Message::Holds { kind, .. }
+            | Message::HoldsAck { kind, .. }
+            | Message::Release { kind, .. }
+            | Message::Capacity { kind, .. }
+            | Message::CheckGrant { kind, .. }
+            | Message::Refused { kind, .. }
+            | Message::Handover { kind, .. }
+            | Message::Claim { kind, .. }
+            | Message::HandedTo { kind, .. } => Some(*kind),
+            Message::Grant { .. }
+            | Message::Queued { .. }
+            | Message::Redirect { .. }
+            | Message::RetryAfter { .. }
+            | Message::ReturnAck { .. }
+            | Message::ReleaseAck { .. }
+            | Message::HandoverAck { .. } => None,
         }
     }
-}
-
-/// A datagram: the incarnation of the sending process, and its messages.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Datagram {
-    #[serde(rename = "life")]
-    pub incarnation: u32,
-    #[serde(rename = "lines")]
-    pub messages: Vec<Message>,
-}
 
-/// The most messages in one datagram; keeps it below the size of a packet.
-pub const MAX_MESSAGES: usize = 16;
-/// The most bytes of messages in one datagram; bounds messages that are longer than most.
-const MAX_MESSAGES_BYTES: usize = 1200;
-
-/// How many of these messages go in the next datagram.
-pub fn messages_that_fit(messages: &[Message]) -> usize {
-    let mut size = 0;
-    let fit = messages.iter().take(MAX_MESSAGES).take_while(|message| {
-        size += message.size();
-        size <= MAX_MESSAGES_BYTES
-    });
-    fit.count().max(1).min(messages.len())
-}
-
-impl Datagram {
-    /// None for a datagram that cannot be decoded; the receiver drops it.
-    pub fn decode(bytes: &[u8]) -> Option<Datagram> {
-        let (datagram, rest) = postcard::take_from_bytes::<Datagram>(bytes).ok()?;
-        (rest.is_empty() && datagram.messages.len() <= MAX_MESSAGES).then_some(datagram)
+    /// The same message with another identifier of its function.
+    pub fn map_function<G>(self, identify: impl FnOnce(F) -> G) -> Message<G> {
+        match self {
+            Message::Request { seq, kind, priority, aim, left, avoid, hops } => {
+                Message::Request { seq, kind: identify(kind), priority, aim, left, avoid, hops }
+            }
+            Message::Grant { seq, instance, at, free, waiting } => {
+                Message::Grant { seq, instance, at, free, waiting }
+            }
+            Message::Queued { seq, free, waiting } => Message::Queued { seq, free, waiting },
+            Message::Redirect { seq, zone } => Message::Redirect { seq, zone },
+            Message::RetryAfter { seq, after } => Message::RetryAfter { seq, after },
+            Message::Return { seq, kind, ended, ms } => {
+                Message::Return { seq, kind: identify(kind), ended, ms }
+            }
+            Message::ReturnAck { seq } => Message::ReturnAck { seq },
+            Message::Holds { seq, kind, instance, left } => {
+                Message::Holds { seq, kind: identify(kind), instance, left }
+            }
+            Message::HoldsAck { seq, kind, instance } => {
+                Message::HoldsAck { seq, kind: identify(kind), instance }
+            }
+            Message::Release { seq, kind, instance } => {
+                Message::Release { seq, kind: identify(kind), instance }
+            }
+            Message::ReleaseAck { seq, instance } => Message::ReleaseAck { seq, instance },
+            Message::Capacity { kind, free, waiting, run } => {
+                Message::Capacity { kind: identify(kind), free, waiting, run }
+            }
+            Message::CheckGrant { seq, kind, instance, incarnation } => {
+                Message::CheckGrant { seq, kind: identify(kind), instance, incarnation }
+            }
+            Message::Refused { seq, kind, instance } => {
+                Message::Refused { seq, kind: identify(kind), instance }
+            }
+            Message::Handover { kind, instance, grants, complete } => {
+                Message::Handover { kind: identify(kind), instance, grants, complete }
+            }
+            Message::HandoverAck { instance } => Message::HandoverAck { instance },
+            Message::Claim { kind, instance } => Message::Claim { kind: identify(kind), instance },
+            Message::HandedTo { kind, instance, owner } => {
+                Message::HandedTo { kind: identify(kind), instance, owner }
+            }
+        }
     }
+}
 
-    pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
+impl Message {
+    /// Approximate size in bytes.
+    pub(crate) fn size(&self) -> usize {
+        match self {
+            Message::Handover { instance, grants, .. } => 24 + instance.len() + 20 * grants.len(),
+            Message::Claim { instance, .. } | Message::HandedTo { instance, .. } => 36 + instance.len(),
+            _ => 44,
+        }
     }
 }
--- a/crates/slot-allocation/src/owners.rs
+++ b/crates/slot-allocation/src/owners.rs
@@ -7,7 +7,7 @@
 //! the end of a process.
 
 use crate::defects::{injected, Defect};
-use crate::messages::Kind;
+use crate::function_id::FunctionId;
 use crate::Member;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -114,7 +114,7 @@
 
     /// The owner of the instances of this function in this zone. While the members are provisional only a
     /// process of the zone itself: others of the zone may not be discovered yet.
-    pub fn owner(&self, kind: Kind, zone: &str) -> Option<SocketAddr> {
+    pub fn owner(&self, kind: FunctionId, zone: &str) -> Option<SocketAddr> {
         if self.provisional && !self.members.iter().any(|member| member.zone == zone) {
             return None;
         }
@@ -129,7 +129,7 @@
 /// The owner among these members: of the zone's, or else of the region's, or else of all.
 pub fn owner_among<'a>(
     members: impl Iterator<Item = &'a Member> + Clone,
-    kind: Kind,
+    kind: FunctionId,
     zone: &str,
 ) -> Option<SocketAddr> {
     let region = members.clone().find(|member| member.zone == zone).map(|member| member.region.as_str());
@@ -142,13 +142,14 @@
         .or_else(|| heaviest(&|_| true))
 }
 
-/// The random weight of an address for a function.
-pub fn weight(kind: Kind, at: &SocketAddr) -> u64 {
+/// The random weight of an address for a function. It depends on the short hash alone, so that processes of
+/// earlier releases compute the same owners.
+pub fn weight(kind: FunctionId, at: &SocketAddr) -> u64 {
     let octets = match at {
         SocketAddr::V4(v4) => u64::from(u32::from(*v4.ip())) << 16 | u64::from(v4.port()),
         SocketAddr::V6(v6) => (u128::from(*v6.ip()) as u64).rotate_left(16) ^ u64::from(v6.port()),
     };
-    let mut x = octets ^ u64::from(kind).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mut x = octets ^ u64::from(kind.short_hash()).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     for by in [0xbf58_476d_1ce4_e5b9_u64, 0x94d0_49bb_1331_11eb] {
         x = (x ^ (x >> 30)).wrapping_mul(by);
     }
--- a/crates/slot-allocation/src/pool.rs
+++ b/crates/slot-allocation/src/pool.rs
@@ -1,7 +1,8 @@
 //! The ledgers of an owner: the slots of its instances, which calls hold them, and which are queued.
 
 use crate::defects::{injected, Defect};
-use crate::messages::{kind as hash, Ended, GrantedSlot, Kind};
+use crate::function_id::{name_hash, FunctionId};
+use crate::messages::{Ended, GrantedSlot};
 use crate::selection::{index, BootTimes, IndexInputs, InstanceStats, Score, RATE_FLOOR};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -46,7 +47,7 @@
 /// The parameters of a function.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Function {
-    pub kind: Kind,
+    pub kind: FunctionId,
     pub name: String,
     pub slots: usize,
     pub boot: Duration,
@@ -56,7 +57,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Entry {
     pub instance: String,
-    pub kind: Kind,
+    pub kind: FunctionId,
     pub at: SocketAddr,
     pub zone: String,
     /// The instance has started: it is listed as ready, or a connection to it succeeded.
@@ -133,7 +134,7 @@
 /// The load of a function as its owner reports it to the autoscaler.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LoadReport {
-    pub kind: Kind,
+    pub kind: FunctionId,
     pub rate: f64,
     pub busy: f64,
     pub peak: usize,
@@ -359,7 +360,7 @@
             };
             // A retry goes to another instance where there is one. This can't be an addend to the index,
             // which grows as b^n without bound.
-            let avoided = hash(&ledger.entry.instance) == avoid;
+            let avoided = name_hash(&ledger.entry.instance) == avoid;
             let close = 1e-9 * (1.0 + lowest.1.abs());
             if (avoided, index) < lowest && !(avoided == lowest.0 && (lowest.1 - index) <= close) {
                 (best, lowest, ties) = (Some(i), (avoided, index), 1);
@@ -653,7 +654,7 @@
                 (request.from, request.incarnation, request.seq) != (from, incarnation, seq)
             });
         }
-        for ledger in self.ledgers.iter_mut().filter(|ledger| hash(&ledger.entry.instance) == instance) {
+        for ledger in self.ledgers.iter_mut().filter(|ledger| name_hash(&ledger.entry.instance) == instance) {
             if let Some(at) = ledger.grants.iter().position(|grant| grant.matches(from, incarnation, seq)) {
                 ledger.grants.swap_remove(at);
                 self.changed = true;
@@ -663,7 +664,7 @@
 
     /// Removes a grant that its requester refuses because it knows that the instance leaves.
     pub fn refuse(&mut self, now: Duration, from: SocketAddr, incarnation: u32, seq: u32, instance: u32) {
-        for ledger in self.ledgers.iter_mut().filter(|ledger| hash(&ledger.entry.instance) == instance) {
+        for ledger in self.ledgers.iter_mut().filter(|ledger| name_hash(&ledger.entry.instance) == instance) {
             if let Some(at) = ledger.grants.iter().position(|grant| grant.matches(from, incarnation, seq)) {
                 ledger.grants.swap_remove(at);
                 ledger.paused_until = now + LEAVING_PAUSE;
@@ -704,7 +705,7 @@
         for ledger in &mut self.ledgers {
             for grant in ledger.grants.iter_mut().filter(|grant| now >= grant.check_at) {
                 grant.schedule_check(now);
-                all.push((grant.to, grant.incarnation, grant.seq, hash(&ledger.entry.instance)));
+                all.push((grant.to, grant.incarnation, grant.seq, name_hash(&ledger.entry.instance)));
             }
         }
         all
--- a/crates/slot-allocation/src/reachability.rs
+++ b/crates/slot-allocation/src/reachability.rs
@@ -2,7 +2,8 @@
 //! that is isolated.
 
 use crate::defects::{injected, Defect};
-use crate::messages::{Kind, Message};
+use crate::function_id::FunctionId;
+use crate::messages::Message;
 use crate::{
     ms, Action, Allocator, Call, Stage, FENCED_AFTER, ISOLATED_RETRY, MAX_PINGS, MIN_UNREACHABLE,
     PROBE_AFTER_SILENCE, REACHABLE_FOR, REJECT_AFTER, SUSPECT_RETRY, UNANSWERED_LIMIT, UNREACHABLE_SHARE,
@@ -101,7 +102,7 @@
         let (new, old): (Vec<_>, Vec<_>) = unknown.into_iter().partition(|at| !self.pinged.contains_key(at));
         for at in new.into_iter().chain(old).take(MAX_PINGS) {
             self.pinged.entry(at).or_insert(self.now);
-            self.send(at, Message::Release { seq: 0, kind: 0, instance: 0 });
+            self.send(at, Message::Release { seq: 0, kind: FunctionId::NONE, instance: 0 });
             self.actions.push_back(Action::Probe { owner: at });
         }
     }
@@ -117,7 +118,7 @@
     }
 
     /// Rejects the queued requests, to be retried later.
-    pub(crate) fn reject_waiting(&mut self, kind: Kind) {
+    pub(crate) fn reject_waiting(&mut self, kind: FunctionId) {
         let waiting = self.pools.get_mut(&kind).map(|pool| std::mem::take(&mut pool.queue));
         for request in waiting.unwrap_or_default() {
             self.send(request.from, Message::RetryAfter { seq: request.seq, after: ms(ISOLATED_RETRY) });
@@ -168,7 +169,7 @@
 
     /// A call was requested here whose owner, as far as is known, is another process: the requester may know
     /// that that process has ended.
-    pub(crate) fn probe_owner(&mut self, kind: Kind) {
+    pub(crate) fn probe_owner(&mut self, kind: FunctionId) {
         let now = self.now;
         let Some(owner) = self.owner_of(kind, &self.zone).filter(|at| *at != self.me) else { return };
         let received = self
@@ -197,7 +198,7 @@
             })
             .collect();
         for at in due {
-            self.send(at, Message::Release { seq: 0, kind: 0, instance: 0 });
+            self.send(at, Message::Release { seq: 0, kind: FunctionId::NONE, instance: 0 });
             self.actions.push_back(Action::Probe { owner: at });
         }
         self.check_isolation();
--- a/crates/slot-allocation/src/receive.rs
+++ b/crates/slot-allocation/src/receive.rs
@@ -1,10 +1,12 @@
 //! Received datagrams: which incarnation sent them, and how each message is handled.
 
+use crate::datagram::{Datagram, Form};
 use crate::defects::{injected, Defect};
 use crate::finished_calls::Finish;
+use crate::function_id::{name_hash, FunctionId};
 use crate::handover::Cause;
 use crate::incarnations::Sender;
-use crate::messages::{kind as hash, Datagram, Kind, Message};
+use crate::messages::Message;
 use crate::pool::{SlotGrant, SlotRequest};
 use crate::{ms, Action, Allocator, Call, Stage, RESEND_AFTER, RESEND_FOR, SUSPECT_RETRY};
 use std::collections::HashSet;
@@ -45,12 +47,36 @@
             self.pools.values_mut().for_each(|pool| pool.forget_requests(from, datagram.incarnation));
         }
         for message in datagram.messages {
+            let message = self.identify_function(message);
             self.handle_message(from, datagram.incarnation, message);
         }
         self.pump();
         true
     }
 
+    /// Processes of earlier releases name a function by its short hash. It stands for the one function of the
+    /// configuration that has it; of two, neither is meant for certain, and the message is about none of them.
+    fn identify_function(&self, message: Message) -> Message {
+        message.map_function(|id| match id.is_short() && id != FunctionId::NONE {
+            true => self.only_function(id.short_hash()).unwrap_or(id),
+            false => id,
+        })
+    }
+
+    /// The function of the configuration that has this short hash, if there is exactly one.
+    fn only_function(&self, short_hash: u32) -> Option<FunctionId> {
+        let from = FunctionId::with_short_hash(short_hash);
+        let mut ids = self.functions.range(from..).map(|(id, _)| *id);
+        let first = ids.next().filter(|id| id.short_hash() == short_hash)?;
+        ids.next().is_none_or(|second| second.short_hash() != short_hash).then_some(first)
+    }
+
+    /// Whether a message to this process can name the function. Processes of earlier releases take functions
+    /// with the same short hash for one.
+    pub(crate) fn can_name(&self, to: SocketAddr, id: FunctionId) -> bool {
+        self.incarnations.form(&to) == Form::Identifiers || self.only_function(id.short_hash()) == Some(id)
+    }
+
     /// Finds out which of two incarnations is the present one: the one that answers a message with a number
     /// that was never used.
     pub(crate) fn query_incarnation(&mut self, at: SocketAddr) {
@@ -61,7 +87,7 @@
         self.incarnation_queries.retain(|_, (_, sent_at)| now < *sent_at + RESEND_FOR);
         let number = self.rng.rand_u32() | 1;
         self.incarnation_queries.insert(at, (number, now));
-        self.send(at, Message::Release { seq: number, kind: 0, instance: 0 });
+        self.send(at, Message::Release { seq: number, kind: FunctionId::NONE, instance: 0 });
     }
 
     /// A late datagram of a former incarnation can still return the slots that it held, and nothing else.
@@ -76,6 +102,7 @@
                 self.report_held_to_new_owners(&HashSet::from([from]));
             }
             if matches!(message, Message::Return { .. } | Message::Release { .. } | Message::Refused { .. }) {
+                let message = self.identify_function(message);
                 self.handle_message(from, datagram.incarnation, message);
             }
         }
@@ -99,7 +126,7 @@
         {
             return;
         }
-        let id = hash(&instance);
+        let id = name_hash(&instance);
         let fits = |kind| {
             let entry = self.entries.get(&instance);
             entry.is_none_or(|entry| entry.kind == kind) || injected(Defect::NumbersReused)
@@ -178,8 +205,8 @@
                     self.finished.note(self.awake, (from, incarnation, seq), Finish::Returned);
                 }
                 // Without a function (the return of a grant that nobody awaits) all pools are searched.
-                let kinds: Vec<Kind> = match kind {
-                    0 => self.pools.keys().copied().collect(),
+                let kinds: Vec<FunctionId> = match kind {
+                    FunctionId::NONE => self.pools.keys().copied().collect(),
                     kind => vec![kind],
                 };
                 let (mut gone, mut kind) = (None, None);
@@ -223,7 +250,7 @@
                     let grant =
                         SlotGrant::reported(now, from, incarnation, seq, Duration::from_millis(left.into()));
                     if pool.record_held(now, grant, &instance) {
-                        self.send(from, Message::HoldsAck { seq, kind, instance: hash(&instance) });
+                        self.send(from, Message::HoldsAck { seq, kind, instance: name_hash(&instance) });
                     }
                 }
             }
@@ -243,7 +270,7 @@
                 if let Some(pool) = self.pools.get_mut(&kind) {
                     pool.release(from, incarnation, seq, instance);
                 }
-                let parked = self.parked.iter_mut().filter(|(id, _)| hash(id) == instance);
+                let parked = self.parked.iter_mut().filter(|(id, _)| name_hash(id) == instance);
                 parked.for_each(|(_, grants)| {
                     grants.retain(|l| (l.to, l.incarnation, l.seq) != (from, incarnation, seq))
                 });
@@ -254,7 +281,7 @@
                 if let Some(pool) = self.pools.get_mut(&kind) {
                     pool.refuse(now, from, incarnation, seq, instance);
                 }
-                let parked = self.parked.iter_mut().filter(|(id, _)| hash(id) == instance);
+                let parked = self.parked.iter_mut().filter(|(id, _)| name_hash(id) == instance);
                 parked.for_each(|(_, grants)| {
                     grants.retain(|l| (l.to, l.incarnation, l.seq) != (from, incarnation, seq))
                 });
@@ -287,7 +314,7 @@
                 }
                 match self.calls.get(&seq) {
                     Some(Call { end, stage: Stage::Holding { instance: held, .. }, .. })
-                        if hash(held) == instance =>
+                        if name_hash(held) == instance =>
                     {
                         let (instance, left) = (held.clone(), ms(end.saturating_sub(now)));
                         self.send(from, Message::Holds { seq, kind, instance, left });
@@ -319,7 +346,7 @@
                     return;
                 }
                 let mut zones = self.owners.members().iter().map(|m| &m.zone);
-                let named = zones.find(|name| hash(name) == zone).cloned();
+                let named = zones.find(|name| name_hash(name) == zone).cloned();
                 match named {
                     Some(zone) => self.request_in(seq, &zone, hops.saturating_add(1)),
                     None => self.request(seq, hops.saturating_add(1)),
--- a/crates/slot-allocation/src/requests.rs
+++ b/crates/slot-allocation/src/requests.rs
@@ -2,7 +2,8 @@
 //! request is resent, and when the call is given up.
 
 use crate::defects::{injected, Defect};
-use crate::messages::{kind as hash, Kind, Message};
+use crate::function_id::{name_hash, FunctionId};
+use crate::messages::Message;
 use crate::owners::weight;
 use crate::{
     ms, Action, Allocator, Call, Stage, CROSS_REGION_COST, ISOLATED_RETRY, MAX_ATTEMPTS, MAX_CALLS,
@@ -18,7 +19,7 @@
     pub fn request_slot(
         &mut self,
         now: Duration,
-        kind: Kind,
+        kind: FunctionId,
         priority: u8,
         aim: Duration,
         end: Duration,
@@ -31,7 +32,7 @@
             self.actions.push_back(Action::Reject { call: seq, after: Duration::from_millis(300) });
             return seq;
         }
-        let avoid = if avoid.is_empty() { 0 } else { hash(avoid) };
+        let avoid = if avoid.is_empty() { 0 } else { name_hash(avoid) };
         let stage = Stage::Requesting { to: self.me, sent: now, tries: 0, waits: false, hops: 0 };
         self.calls.insert(seq, Call { kind, priority, aim, end, arrived: now, avoid, stage });
         self.request(seq, 0);
@@ -41,7 +42,7 @@
 
     /// The zones that have instances of this function that accept calls; for each whether one of them has
     /// started, and the highest weight.
-    pub(crate) fn zones_of(&self, kind: Kind) -> BTreeMap<&str, (bool, u64)> {
+    pub(crate) fn zones_of(&self, kind: FunctionId) -> BTreeMap<&str, (bool, u64)> {
         let mut zones: BTreeMap<&str, (bool, u64)> = BTreeMap::new();
         for id in self.by_kind.get(&kind).into_iter().flatten() {
             let Some(entry) = self.entries.get(id).filter(|entry| entry.accepts_calls) else { continue };
@@ -59,7 +60,7 @@
 
     /// The zone in which to request a slot: the nearest that has instances and, as far as is known, free
     /// slots.
-    pub(crate) fn zone_for(&self, kind: Kind) -> String {
+    pub(crate) fn zone_for(&self, kind: FunctionId) -> String {
         let local_region = self.region(&self.zone);
         let cost = |zone: &str, ready: bool| {
             let far =
@@ -95,8 +96,8 @@
         let Some(call) = self.calls.get(&seq) else { return };
         // Before any owner is known the call waits for one; this does not indicate a lack of instances.
         let Some(to) = self.owner_of(call.kind, zone) else { return };
-        if to != self.me && self.is_isolated() {
-            // No reply would arrive: the client may reach a process that is not cut off.
+        if to != self.me && (self.is_isolated() || !self.can_name(to, call.kind)) {
+            // No reply would arrive, or a slot of another function: the client may reach another process.
             self.calls.remove(&seq);
             self.actions.push_back(Action::Reject { call: seq, after: ISOLATED_RETRY });
             return;
@@ -129,11 +130,11 @@
             Stage::Requesting { to, .. } if to != self.me => Some((call.kind, to)),
             _ => None,
         });
-        let requested: HashSet<(Kind, SocketAddr)> = requested.collect();
-        let owns = |(kind, at): &(Kind, SocketAddr)| {
+        let requested: HashSet<(FunctionId, SocketAddr)> = requested.collect();
+        let owns = |(kind, at): &(FunctionId, SocketAddr)| {
             self.zones_of(*kind).keys().any(|zone| self.owner_of(*kind, zone) == Some(*at))
         };
-        let owners: HashSet<(Kind, SocketAddr)> = requested.into_iter().filter(owns).collect();
+        let owners: HashSet<(FunctionId, SocketAddr)> = requested.into_iter().filter(owns).collect();
         self.resend_requests(|kind, to| !owners.contains(&(kind, to)));
     }
 
@@ -146,14 +147,14 @@
     }
 
     /// Repeats the requests of calls that await a reply of another process for which `which` holds.
-    pub(crate) fn resend_requests(&mut self, which: impl Fn(Kind, SocketAddr) -> bool) {
+    pub(crate) fn resend_requests(&mut self, which: impl Fn(FunctionId, SocketAddr) -> bool) {
         let waits = |(&seq, call): (&u32, &Call)| match call.stage {
             Stage::Requesting { to, .. } if to != self.me && which(call.kind, to) => {
                 Some((seq, call.kind, to))
             }
             _ => None,
         };
-        let lost: Vec<(u32, Kind, SocketAddr)> = self.calls.iter().filter_map(waits).collect();
+        let lost: Vec<(u32, FunctionId, SocketAddr)> = self.calls.iter().filter_map(waits).collect();
         for (seq, kind, to) in lost {
             if self.owners.member(to).is_some() {
                 self.return_unused(to, seq, kind, 0);
--- a/crates/slot-allocation/tests/disputes.rs
+++ b/crates/slot-allocation/tests/disputes.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tindock_slot_allocation::defects::{Defect, INJECTED};
-use tindock_slot_allocation::messages::kind;
+use tindock_slot_allocation::function_id::FunctionId;
 use tindock_slot_allocation::owners::weight;
 use tindock_slot_allocation::{Action, Allocator, Entry, Function, Member};
 
@@ -17,22 +17,23 @@
 }
 
 fn member(n: u8) -> Member {
-    Member { at: at(n), zone: HERE.into(), region: "r".into(), incarnation: u32::from(n) * 2 + 9 }
+    Member { at: at(n), zone: HERE.into(), region: "r".into(), incarnation: u32::from(n) * 2 + 10 }
 }
 
 /// A function whose instances the second of two members owns.
 fn function_owned_by_second() -> String {
-    let owned = |name: &String| weight(kind(name), &at(2)) > weight(kind(name), &at(1));
+    let owned = |name: &String| weight(FunctionId::of(name), &at(2)) > weight(FunctionId::of(name), &at(1));
     (0..100).map(|n| format!("f{n}")).find(owned).expect("one of a hundred")
 }
 
 fn scheduler(n: u8, name: &str, zone: &str) -> Allocator {
     let mut allocator = Allocator::new(at(n), HERE.into(), member(n).incarnation, n.into(), Duration::ZERO);
     let boot = Duration::from_secs(1);
-    allocator.set_functions(MS, vec![Function { kind: kind(name), name: name.into(), slots: 2, boot }]);
+    allocator
+        .set_functions(MS, vec![Function { kind: FunctionId::of(name), name: name.into(), slots: 2, boot }]);
     let entry = Entry {
         instance: "i1".into(),
-        kind: kind(name),
+        kind: FunctionId::of(name),
         at: SocketAddr::from(([10, 2, 0, 1], 80)),
         zone: zone.into(),
         ready: true,
@@ -132,7 +133,7 @@
 fn call_without_known_owner_waits_and_reports_no_shortage() {
     let mut allocator = scheduler(1, "f", "there");
     allocator.set_provisional_members(2 * MS, vec![member(1)]);
-    let call = allocator.request_slot(3 * MS, kind("f"), 1, 400 * MS, 4000 * MS, "");
+    let call = allocator.request_slot(3 * MS, FunctionId::of("f"), 1, 400 * MS, 4000 * MS, "");
     let (mut wanted, mut refused) = (0, None);
     for now in (3..2000).step_by(25).map(|n| n * MS) {
         allocator.tick(now);
--- a/crates/slot-allocation/tests/harness/mod.rs
+++ b/crates/slot-allocation/tests/harness/mod.rs
@@ -6,7 +6,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
-use tindock_slot_allocation::messages::{kind, Datagram, Ended, Kind, Message};
+use tindock_slot_allocation::datagram::{incarnation_number, Datagram, Form};
+use tindock_slot_allocation::function_id::FunctionId;
+use tindock_slot_allocation::messages::{Ended, Message};
 use tindock_slot_allocation::{Action, Allocator, Entry, Function, Member};
 
 const MS: Duration = Duration::from_millis(1);
@@ -20,6 +22,10 @@
 /// How long a slot may be free beside a queued call: two sweeps.
 const IDLE_SLOT: Duration = Duration::from_millis(90);
 
+/// Functions whose names have the same short hash.
+const SAME_HASH: [&str; 2] = ["fina57b", "goze97a"];
+const OTHER_HASH: [&str; 2] = ["function-0", "function-1"];
+
 /// The faults and changes of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
@@ -221,6 +227,8 @@
 
 pub struct World {
     class: Class,
+    /// Some processes are of the release before datagrams identified functions.
+    mixed_releases: bool,
     rng: Rand64,
     now: Duration,
     end: Duration,
@@ -251,7 +259,7 @@
     /// Recent owners of each instance.
     owners: HashMap<usize, BTreeMap<(usize, u32), Duration>>,
     grants: HashMap<(usize, u32, usize, SocketAddr, u32), Duration>,
-    idle: HashMap<(usize, Kind), Duration>,
+    idle: HashMap<(usize, FunctionId), Duration>,
     last_check: Duration,
     over_since: Option<Duration>,
     trace: bool,
@@ -267,6 +275,7 @@
         let rng = Rand64::new(u128::from(seed) << 20 | class as u128);
         let mut world = World {
             class,
+            mixed_releases: seed.is_multiple_of(2),
             rng,
             now: Duration::ZERO,
             end: Duration::from_millis(6000),
@@ -380,7 +389,8 @@
             let slots = 1 + self.random_below(3);
             let work = [15.0, 60.0, 150.0][self.random_below(3)];
             let work = if self.class == Class::Quiet { 15.0 } else { work };
-            self.kinds.push((format!("function-{n}"), slots, work));
+            let names = if self.mixed_releases { OTHER_HASH } else { SAME_HASH };
+            self.kinds.push((names[n].to_string(), slots, work));
             for _ in 0..1 + self.random_below(3) {
                 self.begin(n, true);
             }
@@ -420,7 +430,10 @@
         let clock_rate = (self.random_share() - 0.5) * 0.02;
         let host = &mut self.hosts[who];
         host.incarnations += 1;
-        host.incarnation = (seed as u32) | 1;
+        host.incarnation = match self.mixed_releases && seed.is_multiple_of(3) {
+            true => (seed as u32) | 1,
+            false => incarnation_number(seed),
+        };
         host.started_at = self.now;
         (host.leaving, host.slow_until, host.configuration) = (false, Duration::ZERO, 0);
         host.clock_rate = clock_rate;
@@ -465,7 +478,7 @@
         let there = self.instances.iter().filter(|i| i.ended.is_none());
         let entry = |i: &Instance| Entry {
             instance: i.id.clone(),
-            kind: kind(&self.kinds[i.kind].0),
+            kind: FunctionId::of(&self.kinds[i.kind].0),
             at: i.at,
             zone: i.zone.clone(),
             ready: self.now >= i.up,
@@ -558,6 +571,9 @@
             Event::Datagram { to, from, bytes, .. } => {
                 self.log(|| format!("  {to} receives from {from}: {:?}", Datagram::decode(&bytes)));
                 let now = self.local_time(to);
+                if self.drops_form(to, &bytes) {
+                    return;
+                }
                 let before = self.granted_to(to, from);
                 if let Some(allocator) = &mut self.hosts[to].allocator {
                     allocator.receive(now, from, &bytes);
@@ -732,7 +748,7 @@
     fn functions_without(&self, lacks: Option<usize>) -> Vec<Function> {
         let there = self.kinds.iter().enumerate().filter(|(n, _)| Some(*n) != lacks);
         let function = |(_, (name, slots, _)): (usize, &(String, usize, f64))| Function {
-            kind: kind(name),
+            kind: FunctionId::of(name),
             name: name.clone(),
             slots: *slots,
             boot: 300 * MS,
@@ -834,7 +850,7 @@
         self.longest = self.longest.max(Duration::from_millis(deadline));
         let host = &mut self.hosts[who];
         let Some(allocator) = &mut host.allocator else { return };
-        let seq = allocator.request_slot(now, kind(&name), priority, now + aim, end, "");
+        let seq = allocator.request_slot(now, FunctionId::of(&name), priority, now + aim, end, "");
         let call = self.calls.len();
         host.calls.insert(seq, call);
         self.calls.push(Call {
@@ -893,10 +909,22 @@
         }
     }
 
+    /// A process of the earlier release, which sends and understands the earlier form of datagrams alone.
+    fn is_earlier_release(&self, who: usize) -> bool {
+        Form::understood_by(self.hosts[who].incarnation) == Form::ShortHashes
+    }
+
+    fn earlier_form(bytes: &[u8]) -> Vec<u8> {
+        Datagram::decode(bytes).map(|datagram| datagram.encode_as(Form::ShortHashes)).unwrap_or_default()
+    }
+
+    fn drops_form(&self, who: usize, bytes: &[u8]) -> bool {
+        self.is_earlier_release(who) && Self::earlier_form(bytes) != bytes
+    }
+
     fn send(&mut self, who: usize, to: SocketAddr, bytes: Vec<u8>) {
-        self.log(|| {
-            format!("  {who} to {to}: {:?}", tindock_slot_allocation::messages::Datagram::decode(&bytes))
-        });
+        let bytes = if self.is_earlier_release(who) { Self::earlier_form(&bytes) } else { bytes };
+        self.log(|| format!("  {who} to {to}: {:?}", Datagram::decode(&bytes)));
         self.check_grants(&bytes);
         let Some(&other) = self.by_at.get(&to) else { return };
         self.out.bytes += bytes.len() + 28;
--- a/crates/slot-allocation/tests/reachability.rs
+++ b/crates/slot-allocation/tests/reachability.rs
@@ -4,8 +4,10 @@
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tindock_slot_allocation::datagram::Datagram;
 use tindock_slot_allocation::defects::{Defect, INJECTED};
-use tindock_slot_allocation::messages::{kind, Datagram, Ended, Message};
+use tindock_slot_allocation::function_id::FunctionId;
+use tindock_slot_allocation::messages::{Ended, Message};
 use tindock_slot_allocation::{Action, Allocator, Entry, Function, Member};
 
 fn ms(ms: u64) -> Duration {
@@ -41,17 +43,17 @@
             at: at(n),
             zone: format!("z{n}"),
             region: "r".into(),
-            incarnation: u32::from(n) * 2 + 9,
+            incarnation: u32::from(n) * 2 + 10,
         };
         let function = |name: &str| Function {
-            kind: kind(name),
+            kind: FunctionId::of(name),
             name: name.into(),
             slots: 4,
             boot: Duration::from_secs(1),
         };
         let entry = |n: u8| Entry {
             instance: format!("i{n}"),
-            kind: kind(&format!("f{n}")),
+            kind: FunctionId::of(&format!("f{n}")),
             at: SocketAddr::from(([10, 2, 0, n], 80)),
             zone: format!("z{n}"),
             ready: true,
@@ -80,7 +82,7 @@
                     let n = (2..=5).find(|n| at(*n) == to).filter(|n| self.reachable.contains(n));
                     if let Some(n) = n {
                         let messages = vec![Message::ReleaseAck { seq: 0, instance: 0 }];
-                        let datagram = Datagram { incarnation: u32::from(n) * 2 + 9, messages }.encode();
+                        let datagram = Datagram { incarnation: u32::from(n) * 2 + 10, messages }.encode();
                         self.allocator.receive(self.now, to, &datagram);
                     }
                 }
@@ -100,7 +102,7 @@
 
     fn request_slot(&mut self, name: &str) -> u32 {
         let (aim, end) = (self.now + ms(400), self.now + ms(4000));
-        let call = self.allocator.request_slot(self.now, kind(name), 1, aim, end, "");
+        let call = self.allocator.request_slot(self.now, FunctionId::of(name), 1, aim, end, "");
         self.pull();
         call
     }
@@ -209,7 +211,7 @@
     // count as a late datagram.
     partition.advance(ms(2100));
     let datagram =
-        Datagram { incarnation: 13, messages: vec![Message::ReleaseAck { seq: 0, instance: 0 }] }.encode();
+        Datagram { incarnation: 14, messages: vec![Message::ReleaseAck { seq: 0, instance: 0 }] }.encode();
     partition.allocator.receive(partition.now, at(2), &datagram);
     let owns = |name: &str| {
         partition.allocator.pools().any(|pool| pool.function.name == name && !pool.ledgers.is_empty())
--- a/crates/slot-allocation/tests/resetting_partition.rs
+++ b/crates/slot-allocation/tests/resetting_partition.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tindock_slot_allocation::defects::{Defect, INJECTED};
-use tindock_slot_allocation::messages::{kind, Ended};
+use tindock_slot_allocation::function_id::FunctionId;
+use tindock_slot_allocation::messages::Ended;
 use tindock_slot_allocation::{Action, Allocator, Entry, Function, Member};
 
 const MS: Duration = Duration::from_millis(1);
@@ -57,11 +58,15 @@
     fn new(schedulers: u8, cut_off: u8) -> Fleet {
         let ids: Vec<u8> = (1..=schedulers).collect();
         let members: Vec<Member> = ids.iter().map(|n| member(*n)).collect();
-        let function =
-            Function { kind: kind("f"), name: "f".into(), slots: SLOTS, boot: Duration::from_secs(1) };
+        let function = Function {
+            kind: FunctionId::of("f"),
+            name: "f".into(),
+            slots: SLOTS,
+            boot: Duration::from_secs(1),
+        };
         let entry = |zone: u8| Entry {
             instance: format!("i{zone}"),
-            kind: kind("f"),
+            kind: FunctionId::of("f"),
             at: SocketAddr::from(([10, 2, 0, zone], 80)),
             zone: format!("z{zone}"),
             ready: true,
@@ -145,7 +150,14 @@
                 let at = self.now.as_millis() as u64;
                 if (at + u64::from(n) * 7).is_multiple_of(PERIOD_MS) {
                     self.with(n, |allocator, now| {
-                        allocator.request_slot(now, kind("f"), 1, now + 400 * MS, now + 2000 * MS, "");
+                        allocator.request_slot(
+                            now,
+                            FunctionId::of("f"),
+                            1,
+                            now + 400 * MS,
+                            now + 2000 * MS,
+                            "",
+                        );
                     });
                 }
                 if at.is_multiple_of(25) {
@@ -209,7 +221,7 @@
         at: address(n),
         zone: format!("z{}", n % ZONES),
         region: "r".into(),
-        incarnation: u32::from(n) * 2 + 9,
+        incarnation: u32::from(n) * 2 + 10,
     }
 }
 
--- a/crates/slot-allocation/tests/selection.rs
+++ b/crates/slot-allocation/tests/selection.rs
@@ -3,7 +3,8 @@
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tindock_slot_allocation::messages::{kind, Ended};
+use tindock_slot_allocation::function_id::{name_hash, FunctionId};
+use tindock_slot_allocation::messages::Ended;
 use tindock_slot_allocation::pool::{Function, InstanceLedger, SlotPool, SlotRequest, Verdict};
 use tindock_slot_allocation::selection::{index, Energy, IndexInputs, OFF_AFTER};
 use tindock_slot_allocation::Entry;
@@ -25,7 +26,7 @@
 
 impl Pool {
     fn new(instances: usize, slots: usize, boot: u64) -> Pool {
-        let function = Function { kind: 7, name: "dock".into(), slots, boot: ms(boot) };
+        let function = Function { kind: FunctionId::of("dock"), name: "dock".into(), slots, boot: ms(boot) };
         let now = Duration::from_secs(100);
         let mut pool = Pool { pool: SlotPool::new(function, now), now, seq: 0, random_state: 0 };
         for n in 0..instances {
@@ -37,7 +38,7 @@
     fn add(&mut self, n: usize) {
         let entry = Entry {
             instance: format!("i-{n}"),
-            kind: 7,
+            kind: FunctionId::of("dock"),
             at: SocketAddr::from(([10, 0, 0, n as u8], 80)),
             zone: "a".into(),
             ready: true,
@@ -57,7 +58,7 @@
             arrived: self.now,
             aim: self.now + ms(5000),
             end: self.now + ms(60_000),
-            avoid: avoid.map_or(0, |n| kind(&format!("i-{n}"))),
+            avoid: avoid.map_or(0, |n| name_hash(&format!("i-{n}"))),
             late: false,
             hops: 0,
         }
--- a/crates/system-processes/examples/proxy_cost.rs
+++ b/crates/system-processes/examples/proxy_cost.rs
@@ -12,7 +12,8 @@
 use tindock_http1::{
     answer_head, request_head, write_answer, write_request, AnswerHead, Body, Framing, Read, RequestHead,
 };
-use tindock_slot_allocation::messages::{kind, Ended};
+use tindock_slot_allocation::function_id::FunctionId;
+use tindock_slot_allocation::messages::Ended;
 use tindock_slot_allocation::{Action, Allocator, Entry, Function, Member};
 use tindock_system_processes::budget::Budget;
 use tindock_system_processes::messages::{AgentMessage, Listed, ProxyInfo};
@@ -82,7 +83,7 @@
     let member = Member { at: me, zone: "a".into(), region: "r".into(), incarnation: 1 };
     slots.set_members(Duration::ZERO, vec![member]);
     let function = |name: &String| Function {
-        kind: kind(name),
+        kind: FunctionId::of(name),
         name: name.clone(),
         slots: SLOTS,
         boot: Duration::from_secs(1),
@@ -90,7 +91,7 @@
     let functions = catalogue.services.iter().map(|s| function(&s.name)).collect();
     slots.set_functions(Duration::ZERO, functions);
     let entry = |n: usize| Entry {
-        kind: kind(&format!("s{:03}", n / INSTANCES)),
+        kind: FunctionId::of(&format!("s{:03}", n / INSTANCES)),
         instance: format!("i-{:03}-{}", n / INSTANCES, n % INSTANCES),
         at: SocketAddr::from(([10, 0, 1, 1], 1024 + n as u16)),
         zone: "a".into(),
@@ -139,11 +140,11 @@
         let route = catalogue.routes[at].clone();
         let service = &catalogue.services[route.choose(7) as usize];
         now += Duration::from_micros(500);
-        budget.record_request(now, kind(&service.name));
+        budget.record_request(now, FunctionId::of(&service.name));
         black_box(&route);
     });
     row("route, its function, the budget", found);
-    let function = kind("s080");
+    let function = FunctionId::of("s080");
     let granted = time(RUNS, || {
         now += Duration::from_micros(500);
         let (aim, end) = (now + Duration::from_millis(800), now + Duration::from_secs(2));
--- a/crates/system-processes/src/budget.rs
+++ b/crates/system-processes/src/budget.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
-use tindock_slot_allocation::messages::Kind;
+use tindock_slot_allocation::function_id::FunctionId;
 
 /// The window is counted in so many parts. A part that is only partly in the window counts fully for retries
 /// and not at all for requests, so that the limit holds for every span of the window's length.
@@ -19,7 +19,7 @@
     ratio: f64,
     slack: f64,
     part: Duration,
-    windows: HashMap<Kind, Window>,
+    windows: HashMap<FunctionId, Window>,
 }
 
 impl Budget {
@@ -28,7 +28,7 @@
         Budget { ratio: ratio.max(0.0), slack: slack.max(0.0), part, windows: HashMap::new() }
     }
 
-    fn part_at(&mut self, now: Duration, kind: Kind) -> &mut (u64, u32, u32) {
+    fn part_at(&mut self, now: Duration, kind: FunctionId) -> &mut (u64, u32, u32) {
         let number = (now.as_millis() / self.part.as_millis().max(1)) as u64;
         let window = self.windows.entry(kind).or_default();
         while window.parts.front().is_some_and(|(n, ..)| *n + u64::from(PARTS_PER_WINDOW) < number) {
@@ -42,12 +42,12 @@
     }
 
     /// Counts a client's request for this function.
-    pub fn record_request(&mut self, now: Duration, kind: Kind) {
+    pub fn record_request(&mut self, now: Duration, kind: FunctionId) {
         self.part_at(now, kind).1 += 1;
     }
 
     /// Whether a retry is allowed, and counts it if so. `proxies` are known to share the slack.
-    pub fn try_retry(&mut self, now: Duration, kind: Kind, proxies: usize) -> bool {
+    pub fn try_retry(&mut self, now: Duration, kind: FunctionId, proxies: usize) -> bool {
         let (ratio, slack) = (self.ratio, self.slack / (proxies as f64 + 1.0));
         let number = self.part_at(now, kind).0;
         let Some(window) = self.windows.get_mut(&kind) else { return false };
@@ -74,10 +74,10 @@
         for ms in (0..60_000_u64).step_by(5) {
             let now = Duration::from_millis(ms);
             if rng.rand_range(0..4) == 0 {
-                budget.record_request(now, 1);
+                budget.record_request(now, FunctionId::of("dock"));
                 requests.push(ms);
             }
-            if budget.try_retry(now, 1, 7) {
+            if budget.try_retry(now, FunctionId::of("dock"), 7) {
                 retries.push(ms);
             }
         }
--- a/crates/system-processes/src/client.rs
+++ b/crates/system-processes/src/client.rs
@@ -13,7 +13,8 @@
 use tindock_http1::{request_head, write_answer, write_local_answer, Body, Framing, Read, RequestHead};
 use tindock_lifecycle::defects::{injected, Defect};
 use tindock_lifecycle::Phase;
-use tindock_slot_allocation::messages::{kind, Ended, Kind};
+use tindock_slot_allocation::function_id::FunctionId;
+use tindock_slot_allocation::messages::Ended;
 use tindock_upstream::{Attempt, Conclusion, Refusal, Repeatability, SendPermit, WorkerAnswer};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -147,7 +148,7 @@
 
 /// The function that an attempt goes to, and its target and end by the proxy's clock.
 struct Plan {
-    kind: Kind,
+    kind: FunctionId,
     route: Route,
     target: Duration,
     work: Work,
@@ -308,7 +309,7 @@
         let Some(service) = catalogue.services.get(route.choose(random) as usize) else {
             return Err(Final::NoRoute);
         };
-        let kind = kind(&service.name);
+        let kind = FunctionId::of(&service.name);
         state.open_calls.set_service(open, &service.name);
         let now = state.now();
         state.budget.record_request(now, kind);
--- a/crates/system-processes/src/proxy.rs
+++ b/crates/system-processes/src/proxy.rs
@@ -17,7 +17,9 @@
 use std::time::{Duration, Instant};
 use tindock_configuration::{Catalogue, Finder, Limits, Route};
 use tindock_lifecycle::{GracePeriod, Lifecycle, Phase, Refused, RunTimes, Terminated};
-use tindock_slot_allocation::messages::{kind, Ended, Kind};
+use tindock_slot_allocation::datagram::incarnation_number;
+use tindock_slot_allocation::function_id::FunctionId;
+use tindock_slot_allocation::messages::Ended;
 use tindock_slot_allocation::{Action, Allocator, Entry, Function, LoadReport, Member};
 use tindock_upstream::Connection;
 use tokio::io::AsyncWriteExt;
@@ -82,7 +84,7 @@
     pub taken_while_leaving: TakenWhileLeaving,
     wake: Rc<Notify>,
     /// Retries that the budget withheld since this was last logged, by function.
-    withheld_retries: HashMap<Kind, u32>,
+    withheld_retries: HashMap<FunctionId, u32>,
     full_logged_at: Duration,
     ready_logged: bool,
 }
@@ -105,7 +107,7 @@
         std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default().as_nanos()
             as u64;
     let seed = nanos ^ crate::controller::hash(&settings.node_name);
-    let incarnation = (seed ^ seed >> 32) as u32 | 1;
+    let incarnation = incarnation_number(seed);
     let (to_agent, outbox) = mpsc::channel(1024);
     let wake = Rc::new(Notify::new());
     let limits = &settings.limits;
@@ -302,7 +304,7 @@
 
     /// Whether the budget allows another send of a request that has reached a worker; counts the retries it
     /// withholds.
-    pub fn may_retry(&mut self, now: Duration, kind: Kind) -> bool {
+    pub fn may_retry(&mut self, now: Duration, kind: FunctionId) -> bool {
         let allowed = self.budget.try_retry(now, kind, self.known_proxies.max(self.owner_count.unwrap_or(1)));
         if !allowed {
             *self.withheld_retries.entry(kind).or_default() += 1;
@@ -313,7 +315,7 @@
     /// Requests a slot from the allocator. Returns the call's number, which the caller settles at the end.
     pub fn request_slot(
         &mut self,
-        kind: Kind,
+        kind: FunctionId,
         priority: u8,
         target: Duration,
         work: Work,
@@ -355,7 +357,7 @@
             return;
         }
         let functions = catalogue.services.iter().map(|s| Function {
-            kind: kind(&s.name),
+            kind: FunctionId::of(&s.name),
             name: s.name.clone(),
             slots: if s.max_inflight == 0 { 1024 } else { s.max_inflight as usize },
             boot: Duration::from_millis(s.boot_ms.into()),
@@ -468,7 +470,7 @@
 
 fn entry(now: Duration, listed: Listed) -> Entry {
     Entry {
-        kind: kind(&listed.service),
+        kind: FunctionId::of(&listed.service),
         instance: listed.instance,
         at: listed.at,
         zone: listed.zone,
--- a/crates/system-processes/tests/slot_report.rs
+++ b/crates/system-processes/tests/slot_report.rs
@@ -6,7 +6,9 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tindock_configuration::Catalogue;
-use tindock_slot_allocation::messages::{kind, Datagram, Message};
+use tindock_slot_allocation::datagram::Datagram;
+use tindock_slot_allocation::function_id::FunctionId;
+use tindock_slot_allocation::messages::Message;
 use tindock_slot_allocation::{Allocator, Entry, Function, Member};
 use tindock_system_processes::messages::{AgentMessage, Listed, ProxyInfo, ProxyMessage};
 use tindock_system_processes::settings::Settings;
@@ -155,7 +157,7 @@
             clients.push(client);
         }
         let other = UdpSocket::bind((loopback(9), port - 1)).await.unwrap();
-        let capacity = Message::Capacity { kind: kind("sums"), free: 3, waiting: 0, run: 90 };
+        let capacity = Message::Capacity { kind: FunctionId::of("sums"), free: 3, waiting: 0, run: 90 };
         let datagram = Datagram { incarnation: 1, messages: vec![capacity] }.encode();
         let mut table;
         loop {
@@ -209,7 +211,7 @@
     allocator.set_members(Duration::ZERO, vec![member(1, "a")]);
     allocator.set_members(Duration::ZERO, vec![member(1, "a"), member(2, "b")]);
     let function =
-        |name: String| Function { kind: kind(&name), name, slots: 2, boot: Duration::from_secs(1) };
+        |name: String| Function { kind: FunctionId::of(&name), name, slots: 2, boot: Duration::from_secs(1) };
     allocator.set_functions(Duration::ZERO, functions.map(function).collect());
     allocator
 }
@@ -217,7 +219,15 @@
 fn entry(instance: String, function: &str, zone: &str, ready: bool) -> Entry {
     let at = SocketAddr::from(([10, 0, 1, 1], 80));
     let since = Duration::ZERO;
-    Entry { instance, kind: kind(function), at, zone: zone.into(), ready, accepts_calls: true, since }
+    Entry {
+        instance,
+        kind: FunctionId::of(function),
+        at,
+        zone: zone.into(),
+        ready,
+        accepts_calls: true,
+        since,
+    }
 }
 
 #[test]
@@ -234,7 +244,7 @@
     // Added later, and the first by its id.
     allocator.update_instances(Duration::ZERO, vec![entry("a".into(), "f0000", "a", true)], &[]);
     for n in 0..MAX_REMOTE_CAPACITIES as u32 + 3 {
-        let message = Message::Capacity { kind: n, free: 1, waiting: 0, run: 5 };
+        let message = Message::Capacity { kind: FunctionId::with_short_hash(n), free: 1, waiting: 0, run: 5 };
         let now = Duration::from_millis(1 + u64::from(n >= 3));
         let datagram = Datagram { incarnation: 1, messages: vec![message] }.encode();
         assert!(allocator.receive(now, SocketAddr::from(([10, 0, 0, 2], 7301)), &datagram));
@@ -262,7 +272,7 @@
     let entries = vec![entry("i-far".into(), "far", "b", true), entry("i-near".into(), "near", "a", true)];
     allocator.update_instances(ms(0), entries, &[]);
     for name in ["far", "near", "near", "near"] {
-        allocator.request_slot(ms(10), kind(name), 1, ms(9_000), ms(9_000), "");
+        allocator.request_slot(ms(10), FunctionId::of(name), 1, ms(9_000), ms(9_000), "");
     }
     let report = |allocator: &Allocator, at| slot_report(ms(at), "n", "a", 1, allocator);
     let near = &report(&allocator, 10).functions[0];
@@ -278,7 +288,10 @@
     let near = seen.functions.iter().find(|of| of.name == "near").unwrap();
     assert_eq!((near.granted, near.waiting, near.free, near.instances[0].pause_ms), (2, 1, 0, 0));
     // The same as in the load report to the autoscaler at that time.
-    let scaler =
-        allocator.load_reports(ms(1000), ms(0)).into_iter().find(|load| load.kind == kind("near")).unwrap();
+    let scaler = allocator
+        .load_reports(ms(1000), ms(0))
+        .into_iter()
+        .find(|load| load.kind == FunctionId::of("near"))
+        .unwrap();
     assert!(near.rate > 0.5 && (near.rate - scaler.rate).abs() <= 0.005, "{} {}", near.rate, scaler.rate);
 }
