--- a/crates/scale-run/src/slots.rs
+++ b/crates/scale-run/src/slots.rs
@@ -38,13 +38,13 @@
 
 fn function(number: usize) -> Function {
     let name = Size::function(number);
-    Function { kind: FunctionId::of(&name), name, slots: 2, boot: Duration::from_millis(900) }
+    Function { id: FunctionId::of(&name), name, slots: 2, boot: Duration::from_millis(900) }
 }
 
 fn entry(number: usize, size: Size) -> Entry {
     let listed = instance(number, size);
     Entry {
-        kind: FunctionId::of(&listed.service),
+        function_id: FunctionId::of(&listed.service),
         instance: listed.instance,
         at: listed.at,
         zone: listed.zone,
--- a/crates/simulation/src/proxy.rs
+++ b/crates/simulation/src/proxy.rs
@@ -149,7 +149,7 @@
     began: Duration,
     head: RequestHead,
     body: Vec<u8>,
-    kind: FunctionId,
+    function_id: FunctionId,
     priority: u8,
     aim: Duration,
     end: Duration,
@@ -298,7 +298,7 @@
 
     fn set_functions(&mut self, now: Duration, catalogue: &Catalogue, times: usize) {
         let functions = catalogue.services.iter().map(|s| Function {
-            kind: FunctionId::of(&s.name),
+            id: FunctionId::of(&s.name),
             name: s.name.clone(),
             slots: match s.max_inflight as usize {
                 0 => 1024,
@@ -373,7 +373,7 @@
             self.listed.retain(|id, _| !ended.contains(id));
         }
         let entries = entries.iter().map(|listed| Entry {
-            kind: FunctionId::of(&listed.service),
+            function_id: FunctionId::of(&listed.service),
             instance: listed.instance.clone(),
             at: listed.at,
             zone: listed.zone.clone(),
@@ -407,7 +407,7 @@
 
     fn demand(&self, report: LoadReport) -> Option<Demand> {
         Some(Demand {
-            service: self.allocator.name(report.kind)?.to_string(),
+            service: self.allocator.name(report.function_id)?.to_string(),
             zone: self.zone.clone(),
             rate: report.rate as f32,
             busy: report.busy as f32,
@@ -518,8 +518,8 @@
         let Some(service) = configuration.0.services.get(route.choose(sample) as usize) else {
             return self.send_answer(attempt, Some(&head), &Answer::ProxyStatus(404));
         };
-        let kind = FunctionId::of(&service.name);
-        self.budget.request(now, kind);
+        let function_id = FunctionId::of(&service.name);
+        self.budget.request(now, function_id);
         let promised = Duration::from_millis(route.target_latency_ms.into());
         let max_run_time = match self.defect {
             Some(InjectedDefect::TimeLeftIgnored) => Duration::ZERO,
@@ -531,7 +531,7 @@
             route: route.path_prefix.clone(),
             max_run_time,
             began: now,
-            kind,
+            function_id,
             priority: route.priority,
             aim: now + Duration::from_millis(route.target_latency_ms.into()),
             end: now + allowed.saturating_sub(ANSWER_MARGIN.min(allowed / 4)),
@@ -577,7 +577,8 @@
         }
         request.rounds += 1;
         let spent = |budget: &mut Budget, request: &ActiveRequest, proxies: usize| {
-            request.worker_attempts >= request.retries || !budget.allow_retry(now, request.kind, proxies)
+            request.worker_attempts >= request.retries
+                || !budget.allow_retry(now, request.function_id, proxies)
         };
         let bound = self.defect != Some(InjectedDefect::BudgetIgnored);
         if request.worker_attempts > 0
@@ -589,7 +590,7 @@
         request.stage = Stage::WaitingForSlot;
         let seq = self.allocator.request_slot(
             now,
-            request.kind,
+            request.function_id,
             request.priority,
             request.aim,
             request.end,
@@ -945,9 +946,9 @@
         Budget { ratio, slack, part, windows: BTreeMap::new() }
     }
 
-    fn at(&mut self, now: Duration, kind: FunctionId) -> &mut VecDeque<(u128, u32, u32)> {
+    fn at(&mut self, now: Duration, function_id: FunctionId) -> &mut VecDeque<(u128, u32, u32)> {
         let number = now.as_millis() / self.part;
-        let parts = self.windows.entry(kind).or_default();
+        let parts = self.windows.entry(function_id).or_default();
         while parts.front().is_some_and(|(n, ..)| *n + WINDOW_PARTS < number) {
             parts.pop_front();
         }
@@ -957,15 +958,15 @@
         parts
     }
 
-    fn request(&mut self, now: Duration, kind: FunctionId) {
-        if let Some(last) = self.at(now, kind).back_mut() {
+    fn request(&mut self, now: Duration, function_id: FunctionId) {
+        if let Some(last) = self.at(now, function_id).back_mut() {
             last.1 += 1;
         }
     }
 
-    fn allow_retry(&mut self, now: Duration, kind: FunctionId, proxies: usize) -> bool {
+    fn allow_retry(&mut self, now: Duration, function_id: FunctionId, proxies: usize) -> bool {
         let (ratio, slack) = (self.ratio, self.slack / (proxies as f64 + 1.0));
-        let parts = self.at(now, kind);
+        let parts = self.at(now, function_id);
         let number = parts.back().map_or(0, |part| part.0);
         let requests: u32 =
             parts.iter().filter(|(n, ..)| *n + WINDOW_PARTS > number).map(|part| part.1).sum();
--- a/crates/slot-allocation/src/handover.rs
+++ b/crates/slot-allocation/src/handover.rs
@@ -7,9 +7,10 @@
 
 use crate::defects::{injected, Defect};
 use crate::function_id::{name_hash, FunctionId};
+use crate::ledger::{InstanceLedger, SlotGrant};
 use crate::messages::{GrantedSlot, Message, MAX_GRANTED_SLOTS};
 use crate::owners::owner_among;
-use crate::pool::{Entry, InstanceLedger, SlotGrant};
+use crate::pool::Entry;
 use crate::{Action, Allocator, Member, RESEND_AFTER, RESEND_FOR};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -59,7 +60,7 @@
 /// A handover that is not acknowledged yet.
 pub(crate) struct Pending {
     to: SocketAddr,
-    kind: FunctionId,
+    function_id: FunctionId,
     instance: String,
     grants: Vec<SlotGrant>,
     complete: bool,
@@ -112,8 +113,8 @@
         let was_member = former.iter().any(|member| member.at == self.me);
         let others = || self.owners.members().iter().filter(|member| member.at != self.me);
         let owner = match was_member {
-            true => owner_among(former.iter(), entry.kind, &entry.zone),
-            false => owner_among(others(), entry.kind, &entry.zone),
+            true => owner_among(former.iter(), entry.function_id, &entry.zone),
+            false => owner_among(others(), entry.function_id, &entry.zone),
         };
         owner.filter(|at| *at != self.me)
     }
@@ -164,7 +165,9 @@
     /// Hands over an instance that another process owns from now on.
     pub(crate) fn hand_over(&mut self, ledger: &InstanceLedger) {
         let entry = &ledger.entry;
-        let Some(to) = self.owners.owner(entry.kind, &entry.zone).filter(|at| *at != self.me) else { return };
+        let Some(to) = self.owners.owner(entry.function_id, &entry.zone).filter(|at| *at != self.me) else {
+            return;
+        };
         if !self.entries.contains_key(&entry.instance) || injected(Defect::NothingHandedOver) {
             return;
         }
@@ -181,7 +184,7 @@
         let now = self.now;
         let pending = Pending {
             to,
-            kind: entry.kind,
+            function_id: entry.function_id,
             instance: entry.instance.clone(),
             grants: ledger.grants.clone(),
             complete,
@@ -204,9 +207,9 @@
     /// Which process may know more about an instance than this one: the one that it was handed over to, or
     /// its owner before the last change, as far as is known here. A process that learned of two changes as
     /// one never owned the instance that is claimed from it.
-    fn likely_owner(&self, from: SocketAddr, kind: FunctionId, instance: &str) -> Option<SocketAddr> {
+    fn likely_owner(&self, from: SocketAddr, function_id: FunctionId, instance: &str) -> Option<SocketAddr> {
         let given = self.handed_to.get(instance).map(|(owner, _)| *owner);
-        let owned = || owner_among(self.former.iter(), kind, &self.entries.get(instance)?.zone);
+        let owned = || owner_among(self.former.iter(), function_id, &self.entries.get(instance)?.zone);
         given.or_else(owned).filter(|at| *at != from && *at != self.me)
     }
 
@@ -223,7 +226,10 @@
             }
             claims.push((
                 former,
-                Message::Claim { kind: ledger.entry.kind, instance: ledger.entry.instance.clone() },
+                Message::Claim {
+                    function_id: ledger.entry.function_id,
+                    instance: ledger.entry.instance.clone(),
+                },
             ));
         }
         for (former, message) in claims {
@@ -233,28 +239,28 @@
 
     /// Another process claims an instance. If this process still owns it by the members known here, it hands
     /// the instance over when it learns of the change.
-    pub(crate) fn claimed(&mut self, from: SocketAddr, kind: FunctionId, instance: String) {
+    pub(crate) fn claimed(&mut self, from: SocketAddr, function_id: FunctionId, instance: String) {
         let entry = self.entries.get(&instance);
-        if entry.is_some_and(|entry| self.owner_of(kind, &entry.zone) == Some(self.me)) {
-            return self.pause_disputed(kind, &instance);
+        if entry.is_some_and(|entry| self.owner_of(function_id, &entry.zone) == Some(self.me)) {
+            return self.pause_disputed(function_id, &instance);
         }
-        if let Some(owner) = self.likely_owner(from, kind, &instance) {
-            return self.send(from, Message::HandedTo { kind, instance, owner });
+        if let Some(owner) = self.likely_owner(from, function_id, &instance) {
+            return self.send(from, Message::HandedTo { function_id, instance, owner });
         }
         // Grants handed over to this process go on to the claimer.
         let early = self.early.remove(&instance).map(|early| early.grants).unwrap_or_default();
         let grants = self.parked.get(&instance).into_iter().flatten().chain(&early);
         let grants = grants.take(MAX_GRANTED_SLOTS).map(|grant| grant.as_granted_slot(self.now)).collect();
-        self.send(from, Message::Handover { kind, instance, grants, complete: true });
+        self.send(from, Message::Handover { function_id, instance, grants, complete: true });
     }
 
     /// Two processes consider themselves the owner. One of them is behind, and the claimer grants slots after
     /// its wait.
-    fn pause_disputed(&mut self, kind: FunctionId, instance: &str) {
+    fn pause_disputed(&mut self, function_id: FunctionId, instance: &str) {
         if injected(Defect::ClaimsIgnored) {
             return;
         }
-        let Some(pool) = self.pools.get_mut(&kind) else { return };
+        let Some(pool) = self.pools.get_mut(&function_id) else { return };
         if let Some(ledger) = pool.ledgers.iter_mut().find(|ledger| ledger.entry.instance == instance) {
             ledger.pause_until(self.now + DISPUTE_PAUSE);
         }
@@ -264,11 +270,11 @@
     pub(crate) fn redirect_claim(
         &mut self,
         from: SocketAddr,
-        kind: FunctionId,
+        function_id: FunctionId,
         instance: &str,
         owner: SocketAddr,
     ) {
-        let Some(pool) = self.pools.get_mut(&kind) else { return };
+        let Some(pool) = self.pools.get_mut(&function_id) else { return };
         let ledger = pool.ledgers.iter_mut().find(|ledger| ledger.entry.instance == instance);
         let Some(ledger) = ledger.filter(|ledger| ledger.awaits == Some(from)) else { return };
         if owner != self.me {
@@ -279,8 +285,9 @@
     fn handover_message(&self, pending: &Pending) -> Message {
         let slot = |grant: &SlotGrant| grant.as_granted_slot(self.now);
         let grants = pending.grants.iter().take(MAX_GRANTED_SLOTS).map(slot).collect();
-        let (kind, instance, complete) = (pending.kind, pending.instance.clone(), pending.complete);
-        Message::Handover { kind, instance, grants, complete }
+        let (function_id, instance, complete) =
+            (pending.function_id, pending.instance.clone(), pending.complete);
+        Message::Handover { function_id, instance, grants, complete }
     }
 
     /// Resends handovers that were not acknowledged.
@@ -308,7 +315,7 @@
     pub(crate) fn take_over(
         &mut self,
         from: SocketAddr,
-        kind: FunctionId,
+        function_id: FunctionId,
         instance: String,
         slots: Vec<GrantedSlot>,
         complete: bool,
@@ -323,7 +330,7 @@
             slot.left > 0 && !self.finished.is_returned(&(slot.to, slot.incarnation, slot.seq))
         };
         let grants: Vec<SlotGrant> = slots.iter().filter(held).map(to_grant).collect();
-        let pool = self.pools.get_mut(&kind);
+        let pool = self.pools.get_mut(&function_id);
         match pool.and_then(|pool| pool.ledgers.iter_mut().find(|ledger| ledger.entry.instance == instance)) {
             Some(ledger) => {
                 ledger.merge(grants);
@@ -336,7 +343,7 @@
             }
             None => {}
         }
-        self.serve(kind);
+        self.serve(function_id);
     }
 
     /// A handover was acknowledged.
--- a/crates/slot-allocation/src/instances.rs
+++ b/crates/slot-allocation/src/instances.rs
@@ -4,8 +4,9 @@
 use crate::defects::{injected, Defect};
 use crate::function_id::FunctionId;
 use crate::handover::Cause;
+use crate::ledger::InstanceLedger;
 use crate::messages::Message;
-use crate::pool::{InstanceLedger, SlotPool};
+use crate::pool::SlotPool;
 use crate::{Allocator, Entry, Function};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -14,38 +15,43 @@
     /// Updates the ledgers of all functions. Instances that another process may have granted slots of until
     /// now are paused first.
     pub(crate) fn update_all_pools(&mut self, cause: Cause) {
-        let mut kinds: BTreeSet<FunctionId> = self.pools.keys().copied().collect();
-        kinds.extend(self.by_kind.keys().copied());
-        self.update_pools(kinds, &cause);
+        let mut function_ids: BTreeSet<FunctionId> = self.pools.keys().copied().collect();
+        function_ids.extend(self.instances_by_function.keys().copied());
+        self.update_pools(function_ids, &cause);
     }
 
-    pub(crate) fn update_pools(&mut self, kinds: BTreeSet<FunctionId>, cause: &Cause) {
-        for kind in kinds {
-            let mine = self.owned(kind);
-            if mine.is_empty() && !self.pools.contains_key(&kind) {
+    pub(crate) fn update_pools(&mut self, function_ids: BTreeSet<FunctionId>, cause: &Cause) {
+        for function_id in function_ids {
+            let mine = self.owned(function_id);
+            if mine.is_empty() && !self.pools.contains_key(&function_id) {
                 continue;
             }
-            match self.functions.get(&kind).cloned() {
+            match self.functions.get(&function_id).cloned() {
                 Some(function) => self.update_pool(function, mine, cause),
-                None => self.close_pool(kind),
+                None => self.close_pool(function_id),
             }
         }
     }
 
     /// The instances of a function that this process owns.
-    pub(crate) fn owned(&self, kind: FunctionId) -> BTreeMap<String, Entry> {
-        if !self.functions.contains_key(&kind) {
+    pub(crate) fn owned(&self, function_id: FunctionId) -> BTreeMap<String, Entry> {
+        if !self.functions.contains_key(&function_id) {
             return BTreeMap::new();
         }
-        let all = self.by_kind.get(&kind).into_iter().flatten().filter_map(|id| self.entries.get(id));
-        let mine = all.filter(|entry| self.owner_of(kind, &entry.zone) == Some(self.me));
+        let all = self
+            .instances_by_function
+            .get(&function_id)
+            .into_iter()
+            .flatten()
+            .filter_map(|id| self.entries.get(id));
+        let mine = all.filter(|entry| self.owner_of(function_id, &entry.zone) == Some(self.me));
         mine.map(|entry| (entry.instance.clone(), entry.clone())).collect()
     }
 
     /// Rejects the queued calls of a function that was removed from the configuration, so that none goes
     /// unanswered, and keeps its grants: a later change may restore the function while they are held.
-    pub(crate) fn close_pool(&mut self, kind: FunctionId) {
-        let Some(pool) = self.pools.remove(&kind) else { return };
+    pub(crate) fn close_pool(&mut self, function_id: FunctionId) {
+        let Some(pool) = self.pools.remove(&function_id) else { return };
         for request in pool.queue {
             self.send(request.from, Message::RetryAfter { seq: request.seq, after: 500 });
         }
@@ -67,8 +73,9 @@
         mut mine: BTreeMap<String, Entry>,
         cause: &Cause,
     ) {
-        let (now, score, kind, boot) = (self.now, self.score, function.kind, function.boot);
-        let pool = self.pools.entry(kind).or_insert_with(|| SlotPool::new(function, now).with_score(score));
+        let (now, score, function_id, boot) = (self.now, self.score, function.id, function.boot);
+        let pool =
+            self.pools.entry(function_id).or_insert_with(|| SlotPool::new(function, now).with_score(score));
         let (mut kept, dropped): (Vec<InstanceLedger>, Vec<InstanceLedger>) =
             pool.ledgers.drain(..).partition(|ledger| mine.contains_key(&ledger.entry.instance));
         for ledger in &mut kept {
@@ -83,7 +90,7 @@
         for entry in mine.into_values() {
             kept.push(self.new_ledger(entry, boot, cause));
         }
-        if let Some(pool) = self.pools.get_mut(&kind) {
+        if let Some(pool) = self.pools.get_mut(&function_id) {
             pool.ledgers = kept;
         }
     }
--- a/crates/slot-allocation/src/lib.rs
+++ b/crates/slot-allocation/src/lib.rs
@@ -8,8 +8,8 @@
 //! granted at once. A new owner waits for the handover of the former one, or until the requesters have
 //! reported the slots that they hold.
 //!
-//! - `requests`, `granting`: a call at its requester, and at the owner; `pool`, `selection`: the owner's
-//!   ledgers, and the choice of an instance;
+//! - `requests`, `granting`: a call at its requester, and at the owner; `pool`, `ledger`, `selection`: the
+//!   owner's ledgers, and the choice of an instance;
 //! - `membership`, `owners`, `handover`, `reachability`: who owns which instance, changes of owner, and who
 //!   can be reached;
 //! - `receive`, `messages`, `datagram`, `function_id`, `incarnations`, `finished_calls`: the protocol, the
@@ -27,6 +27,7 @@
 mod handover;
 pub mod incarnations;
 mod instances;
+pub mod ledger;
 mod membership;
 pub mod messages;
 pub mod owners;
@@ -43,11 +44,12 @@
 use function_id::{name_hash, FunctionId};
 use handover::{Cause, Early, Pending};
 use incarnations::Incarnations;
+use ledger::SlotGrant;
 use messages::{Ended, Message};
 use oorandom::Rand32;
 use owners::Owners;
+use pool::SlotPool;
 pub use pool::{Entry, Function, LoadReport};
-use pool::{SlotGrant, SlotPool};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -189,7 +191,7 @@
 
 #[derive(Debug, Clone)]
 struct Call {
-    kind: FunctionId,
+    function_id: FunctionId,
     priority: u8,
     /// A call that ends by its aim has its full value; after that it is worth less until its `end`.
     aim: Duration,
@@ -214,7 +216,7 @@
 struct UnusedGrant {
     to: SocketAddr,
     seq: u32,
-    kind: FunctionId,
+    function_id: FunctionId,
     instance: u32,
     sent: Duration,
     tries: u32,
@@ -225,10 +227,10 @@
 
 impl UnusedGrant {
     fn message(&self) -> Message {
-        let UnusedGrant { seq, kind, instance, .. } = *self;
+        let UnusedGrant { seq, function_id, instance, .. } = *self;
         match self.refused {
-            true => Message::Refused { seq, kind, instance },
-            false => Message::Release { seq, kind, instance },
+            true => Message::Refused { seq, function_id, instance },
+            false => Message::Release { seq, function_id, instance },
         }
     }
 }
@@ -260,7 +262,7 @@
     handed_to: HashMap<String, (SocketAddr, Duration)>,
     functions: BTreeMap<FunctionId, Function>,
     entries: BTreeMap<String, Entry>, // all instances, by id
-    by_kind: HashMap<FunctionId, Vec<String>>,
+    instances_by_function: HashMap<FunctionId, Vec<String>>,
     departed: Departed,
     pools: BTreeMap<FunctionId, SlotPool>,
     score: selection::Score,
@@ -330,7 +332,7 @@
             handed_to: HashMap::new(),
             functions: BTreeMap::new(),
             entries: BTreeMap::new(),
-            by_kind: HashMap::new(),
+            instances_by_function: HashMap::new(),
             departed: Departed::default(),
             pools: BTreeMap::new(),
             score: selection::index,
@@ -365,13 +367,13 @@
     }
 
     /// Returns a grant that no call awaits, or (instance 0) withdraws a queued request.
-    fn return_unused(&mut self, to: SocketAddr, seq: u32, kind: FunctionId, instance: u32) {
-        self.give_back(to, seq, kind, instance, false);
+    fn return_unused(&mut self, to: SocketAddr, seq: u32, function_id: FunctionId, instance: u32) {
+        self.give_back(to, seq, function_id, instance, false);
     }
 
-    fn give_back(&mut self, to: SocketAddr, seq: u32, kind: FunctionId, instance: u32, refused: bool) {
+    fn give_back(&mut self, to: SocketAddr, seq: u32, function_id: FunctionId, instance: u32, refused: bool) {
         let now = self.now;
-        let unused = UnusedGrant { to, seq, kind, instance, sent: now, tries: 1, began: now, refused };
+        let unused = UnusedGrant { to, seq, function_id, instance, sent: now, tries: 1, began: now, refused };
         let message = unused.message();
         if !self.unused_grants.iter().any(|s| (s.to, s.seq, s.instance) == (to, seq, instance))
             && self.unused_grants.len() < 4096
@@ -397,20 +399,20 @@
     pub fn update_instances(&mut self, now: Duration, changed: Vec<Entry>, ended: &[String]) {
         self.now = now;
         // Only the functions affected are updated: a large fleet changes many times a second.
-        let mut kinds = BTreeSet::new();
+        let mut function_ids = BTreeSet::new();
         for id in ended {
             self.departed.note(now, id);
             if let Some(old) = self.entries.remove(id) {
-                kinds.insert(old.kind);
-                if let Some(ids) = self.by_kind.get_mut(&old.kind) {
+                function_ids.insert(old.function_id);
+                if let Some(ids) = self.instances_by_function.get_mut(&old.function_id) {
                     ids.retain(|other| other != id);
                 }
             }
         }
         for entry in changed {
             self.departed.is_back(&entry.instance);
-            kinds.insert(entry.kind);
-            let ids = self.by_kind.entry(entry.kind).or_default();
+            function_ids.insert(entry.function_id);
+            let ids = self.instances_by_function.entry(entry.function_id).or_default();
             if !ids.contains(&entry.instance) {
                 ids.push(entry.instance.clone());
             }
@@ -418,7 +420,7 @@
             let entry = Entry { ready: entry.ready || ready, ..entry };
             self.entries.insert(entry.instance.clone(), entry);
         }
-        self.update_pools(kinds, &Cause::Update);
+        self.update_pools(function_ids, &Cause::Update);
         self.claim();
         self.pump();
     }
@@ -430,8 +432,8 @@
     }
 
     /// The owner of the instances of this function in this zone.
-    fn owner_of(&self, kind: FunctionId, zone: &str) -> Option<SocketAddr> {
-        self.owners.owner(kind, zone)
+    fn owner_of(&self, function_id: FunctionId, zone: &str) -> Option<SocketAddr> {
+        self.owners.owner(function_id, zone)
     }
 
     fn region(&self, zone: &str) -> Option<&str> {
@@ -451,12 +453,12 @@
             Stage::Returning { .. } => return,
         };
         let ended = if matches!(call.stage, Stage::Requesting { .. }) { Ended::Idle } else { ended };
-        let message = Message::Return { seq, kind: call.kind, ended, ms: ms(held) };
+        let message = Message::Return { seq, function_id: call.function_id, ended, ms: ms(held) };
         call.stage = Stage::Returning { owner, ended, ms: ms(held), sent: now, tries: 1, began: now };
-        let kind = call.kind;
+        let function_id = call.function_id;
         self.send(owner, message);
         if let Some((granted_by, instance)) = granted_by {
-            self.return_unused(granted_by, seq, kind, instance);
+            self.return_unused(granted_by, seq, function_id, instance);
         }
         self.pump();
     }
@@ -468,8 +470,8 @@
             return;
         }
         let Some(entry) = self.entries.get_mut(instance) else { return self.pump() };
-        let kind = entry.kind;
-        let mut pool = self.pools.get_mut(&kind);
+        let function_id = entry.function_id;
+        let mut pool = self.pools.get_mut(&function_id);
         let ledger =
             pool.as_mut().and_then(|pool| pool.ledgers.iter_mut().find(|b| b.entry.instance == instance));
         let first = !std::mem::replace(&mut entry.ready, true);
@@ -485,7 +487,7 @@
         if first {
             self.actions.push_back(Action::InstanceReady { instance: instance.to_string() });
         }
-        self.serve(kind);
+        self.serve(function_id);
         self.pump();
     }
 
@@ -506,7 +508,7 @@
 
     fn forget(&mut self, instance: &str) {
         if let Some(old) = self.entries.remove(instance) {
-            if let Some(ids) = self.by_kind.get_mut(&old.kind) {
+            if let Some(ids) = self.instances_by_function.get_mut(&old.function_id) {
                 ids.retain(|other| other != instance);
             }
         }
@@ -525,9 +527,9 @@
         self.resend();
         self.resend_handovers();
         self.claim();
-        let kinds: Vec<FunctionId> = self.pools.keys().copied().collect();
-        for kind in kinds {
-            self.sweep(kind);
+        let function_ids: Vec<FunctionId> = self.pools.keys().copied().collect();
+        for function_id in function_ids {
+            self.sweep(function_id);
         }
         self.probe();
         self.short_peers.retain(|_, at| *at + CAPACITY_VALID_FOR > now);
@@ -573,8 +575,8 @@
     }
 
     /// The name of a known function.
-    pub fn name(&self, kind: FunctionId) -> Option<&str> {
-        self.functions.get(&kind).map(|f| f.name.as_str())
+    pub fn name(&self, function_id: FunctionId) -> Option<&str> {
+        self.functions.get(&function_id).map(|f| f.name.as_str())
     }
 
     /// Whether `tick` has work to do soon.
--- a/crates/slot-allocation/src/membership.rs
+++ b/crates/slot-allocation/src/membership.rs
@@ -12,9 +12,9 @@
     /// Sets the functions of the configuration; no slots are granted of functions that it lacks.
     pub fn set_functions(&mut self, now: Duration, functions: Vec<Function>) {
         self.now = now;
-        self.functions = functions.into_iter().map(|f| (f.kind, f)).collect();
-        for (kind, pool) in &mut self.pools {
-            if let Some(function) = self.functions.get(kind) {
+        self.functions = functions.into_iter().map(|function| (function.id, function)).collect();
+        for (function_id, pool) in &mut self.pools {
+            if let Some(function) = self.functions.get(function_id) {
                 pool.function = function.clone();
             }
         }
@@ -76,13 +76,19 @@
         for (&seq, call) in &self.calls {
             let Stage::Holding { owner, instance, .. } = &call.stage else { continue };
             let Some(entry) = self.entries.get(instance) else { continue };
-            let Some(new) = self.owner_of(call.kind, &entry.zone) else { continue };
+            let Some(new) = self.owner_of(call.function_id, &entry.zone) else { continue };
             if new != *owner || fresh.contains(&new) {
-                reported.push((seq, new, instance.clone(), call.kind, ms(call.end.saturating_sub(self.now))));
+                reported.push((
+                    seq,
+                    new,
+                    instance.clone(),
+                    call.function_id,
+                    ms(call.end.saturating_sub(self.now)),
+                ));
             }
         }
-        for (seq, new, instance, kind, left) in reported {
-            self.report_held(seq, new, kind, instance, left);
+        for (seq, new, instance, function_id, left) in reported {
+            self.report_held(seq, new, function_id, instance, left);
         }
     }
 
@@ -91,7 +97,7 @@
         &mut self,
         seq: u32,
         new: SocketAddr,
-        kind: FunctionId,
+        function_id: FunctionId,
         instance: String,
         left: u32,
     ) {
@@ -102,6 +108,6 @@
         }
         let id = name_hash(&instance);
         self.unused_grants.retain(|unused| (unused.to, unused.seq, unused.instance) != (new, seq, id));
-        self.send(new, Message::Holds { seq, kind, instance, left });
+        self.send(new, Message::Holds { seq, function_id, instance, left });
     }
 }
--- a/crates/slot-allocation/src/messages.rs
+++ b/crates/slot-allocation/src/messages.rs
@@ -41,7 +41,7 @@
 pub enum Message<F = FunctionId> {
     /// Requests a slot. Times in ms: `aim` until the call's full value ends, `left` until its deadline.
     #[serde(rename = "Ask")]
-    Request { seq: u32, kind: F, priority: u8, aim: u32, left: u32, avoid: u32, hops: u8 },
+    Request { seq: u32, function_id: F, priority: u8, aim: u32, left: u32, avoid: u32, hops: u8 },
     /// Grants a slot, with the free slots that remain and the number of queued calls.
     Grant { seq: u32, instance: String, at: SocketAddr, free: u8, waiting: u8 },
     /// The request is known and queued: the reply to a repeated request.
@@ -55,42 +55,42 @@
     RetryAfter { seq: u32, after: u32 },
     /// Returns a slot, or withdraws a request; `ms` is how long it was held. Without a function (`NONE`) the
     /// owner searches for it.
-    Return { seq: u32, kind: F, ended: Ended, ms: u32 },
+    Return { seq: u32, function_id: F, ended: Ended, ms: u32 },
     /// Acknowledges a return.
     #[serde(rename = "Noted")]
     ReturnAck { seq: u32 },
     /// Reports to a new owner: this slot is held, for `left` ms.
-    Holds { seq: u32, kind: F, instance: String, left: u32 },
+    Holds { seq: u32, function_id: F, instance: String, left: u32 },
     /// Acknowledges `Holds`. Instances are named by their hash here and below.
     #[serde(rename = "Heard")]
-    HoldsAck { seq: u32, kind: F, instance: u32 },
+    HoldsAck { seq: u32, function_id: F, instance: u32 },
     /// Returns a slot that no call awaits; with instance 0 withdraws a queued request. With a number that no
     /// call has it serves as a ping.
     #[serde(rename = "Unwanted")]
-    Release { seq: u32, kind: F, instance: u32 },
+    Release { seq: u32, function_id: F, instance: u32 },
     /// Acknowledges `Release` and `Refused`.
     #[serde(rename = "Dropped")]
     ReleaseAck { seq: u32, instance: u32 },
     /// Capacity of a function at its owner: free slots, queued calls, duration of a call in ms.
     #[serde(rename = "Room")]
-    Capacity { kind: F, free: u8, waiting: u8, run: u16 },
+    Capacity { function_id: F, free: u8, waiting: u8, run: u16 },
     /// Asks a requester whether it still holds a slot, of a grant that is held for long or was not tracked
     /// for a while.
     #[serde(rename = "Still")]
     CheckGrant {
         seq: u32,
-        kind: F,
+        function_id: F,
         instance: u32,
         #[serde(rename = "life")]
         incarnation: u32,
     },
     /// Returns a grant that the requester won't use: by its own list the instance leaves, or has ended.
     /// Answered with `ReleaseAck`.
-    Refused { seq: u32, kind: F, instance: u32 },
+    Refused { seq: u32, function_id: F, instance: u32 },
     /// Sent to the new owner of an instance: the sender grants no more slots there, and these are held.
     #[serde(rename = "HandsOver")]
     Handover {
-        kind: F,
+        function_id: F,
         instance: String,
         #[serde(rename = "loans")]
         grants: Vec<GrantedSlot>,
@@ -101,27 +101,27 @@
     HandoverAck { instance: u32 },
     /// Sent to the former owner of an instance: the sender owns it from now on, and waits for its handover.
     #[serde(rename = "Claims")]
-    Claim { kind: F, instance: String },
+    Claim { function_id: F, instance: String },
     /// Reply to `Claim` of a process that has already handed the instance over to another.
     #[serde(rename = "GaveTo")]
-    HandedTo { kind: F, instance: String, owner: SocketAddr },
+    HandedTo { function_id: F, instance: String, owner: SocketAddr },
 }
 
 impl<F: Copy> Message<F> {
     /// The function that the message is about, if it is about one.
     pub fn function(&self) -> Option<F> {
         match self {
-            Message::Request { kind, .. }
-            | Message::Return { kind, .. }
-            | Message::Holds { kind, .. }
-            | Message::HoldsAck { kind, .. }
-            | Message::Release { kind, .. }
-            | Message::Capacity { kind, .. }
-            | Message::CheckGrant { kind, .. }
-            | Message::Refused { kind, .. }
-            | Message::Handover { kind, .. }
-            | Message::Claim { kind, .. }
-            | Message::HandedTo { kind, .. } => Some(*kind),
+            Message::Request { function_id, .. }
+            | Message::Return { function_id, .. }
+            | Message::Holds { function_id, .. }
+            | Message::HoldsAck { function_id, .. }
+            | Message::Release { function_id, .. }
+            | Message::Capacity { function_id, .. }
+            | Message::CheckGrant { function_id, .. }
+            | Message::Refused { function_id, .. }
+            | Message::Handover { function_id, .. }
+            | Message::Claim { function_id, .. }
+            | Message::HandedTo { function_id, .. } => Some(*function_id),
             Message::Grant { .. }
             | Message::Queued { .. }
             | Message::Redirect { .. }
@@ -135,8 +135,8 @@
     /// The same message with another identifier of its function.
     pub fn map_function<G>(self, identify: impl FnOnce(F) -> G) -> Message<G> {
         match self {
-            Message::Request { seq, kind, priority, aim, left, avoid, hops } => {
-                Message::Request { seq, kind: identify(kind), priority, aim, left, avoid, hops }
+            Message::Request { seq, function_id, priority, aim, left, avoid, hops } => {
+                Message::Request { seq, function_id: identify(function_id), priority, aim, left, avoid, hops }
             }
             Message::Grant { seq, instance, at, free, waiting } => {
                 Message::Grant { seq, instance, at, free, waiting }
@@ -144,36 +144,38 @@
             Message::Queued { seq, free, waiting } => Message::Queued { seq, free, waiting },
             Message::Redirect { seq, zone } => Message::Redirect { seq, zone },
             Message::RetryAfter { seq, after } => Message::RetryAfter { seq, after },
-            Message::Return { seq, kind, ended, ms } => {
-                Message::Return { seq, kind: identify(kind), ended, ms }
+            Message::Return { seq, function_id, ended, ms } => {
+                Message::Return { seq, function_id: identify(function_id), ended, ms }
             }
             Message::ReturnAck { seq } => Message::ReturnAck { seq },
-            Message::Holds { seq, kind, instance, left } => {
-                Message::Holds { seq, kind: identify(kind), instance, left }
+            Message::Holds { seq, function_id, instance, left } => {
+                Message::Holds { seq, function_id: identify(function_id), instance, left }
             }
-            Message::HoldsAck { seq, kind, instance } => {
-                Message::HoldsAck { seq, kind: identify(kind), instance }
+            Message::HoldsAck { seq, function_id, instance } => {
+                Message::HoldsAck { seq, function_id: identify(function_id), instance }
             }
-            Message::Release { seq, kind, instance } => {
-                Message::Release { seq, kind: identify(kind), instance }
+            Message::Release { seq, function_id, instance } => {
+                Message::Release { seq, function_id: identify(function_id), instance }
             }
             Message::ReleaseAck { seq, instance } => Message::ReleaseAck { seq, instance },
-            Message::Capacity { kind, free, waiting, run } => {
-                Message::Capacity { kind: identify(kind), free, waiting, run }
+            Message::Capacity { function_id, free, waiting, run } => {
+                Message::Capacity { function_id: identify(function_id), free, waiting, run }
             }
-            Message::CheckGrant { seq, kind, instance, incarnation } => {
-                Message::CheckGrant { seq, kind: identify(kind), instance, incarnation }
+            Message::CheckGrant { seq, function_id, instance, incarnation } => {
+                Message::CheckGrant { seq, function_id: identify(function_id), instance, incarnation }
             }
-            Message::Refused { seq, kind, instance } => {
-                Message::Refused { seq, kind: identify(kind), instance }
+            Message::Refused { seq, function_id, instance } => {
+                Message::Refused { seq, function_id: identify(function_id), instance }
             }
-            Message::Handover { kind, instance, grants, complete } => {
-                Message::Handover { kind: identify(kind), instance, grants, complete }
+            Message::Handover { function_id, instance, grants, complete } => {
+                Message::Handover { function_id: identify(function_id), instance, grants, complete }
             }
             Message::HandoverAck { instance } => Message::HandoverAck { instance },
-            Message::Claim { kind, instance } => Message::Claim { kind: identify(kind), instance },
-            Message::HandedTo { kind, instance, owner } => {
-                Message::HandedTo { kind: identify(kind), instance, owner }
+            Message::Claim { function_id, instance } => {
+                Message::Claim { function_id: identify(function_id), instance }
+            }
+            Message::HandedTo { function_id, instance, owner } => {
+                Message::HandedTo { function_id: identify(function_id), instance, owner }
             }
         }
     }
--- a/crates/slot-allocation/src/owners.rs
+++ b/crates/slot-allocation/src/owners.rs
@@ -114,11 +114,11 @@
 
     /// The owner of the instances of this function in this zone. While the members are provisional only a
     /// process of the zone itself: others of the zone may not be discovered yet.
-    pub fn owner(&self, kind: FunctionId, zone: &str) -> Option<SocketAddr> {
+    pub fn owner(&self, function_id: FunctionId, zone: &str) -> Option<SocketAddr> {
         if self.provisional && !self.members.iter().any(|member| member.zone == zone) {
             return None;
         }
-        owner_among(self.members.iter().filter(|member| !self.has_ended(member.at)), kind, zone)
+        owner_among(self.members.iter().filter(|member| !self.has_ended(member.at)), function_id, zone)
     }
 
     pub fn region(&self, zone: &str) -> Option<&str> {
@@ -129,13 +129,13 @@
 /// The owner among these members: of the zone's, or else of the region's, or else of all.
 pub fn owner_among<'a>(
     members: impl Iterator<Item = &'a Member> + Clone,
-    kind: FunctionId,
+    function_id: FunctionId,
     zone: &str,
 ) -> Option<SocketAddr> {
     let region = members.clone().find(|member| member.zone == zone).map(|member| member.region.as_str());
     let heaviest = |near: &dyn Fn(&Member) -> bool| {
         let open = members.clone().filter(|member| near(member));
-        open.max_by_key(|member| weight(kind, &member.at)).map(|member| member.at)
+        open.max_by_key(|member| weight(function_id, &member.at)).map(|member| member.at)
     };
     heaviest(&|member| member.zone == zone)
         .or_else(|| heaviest(&|member| Some(member.region.as_str()) == region))
@@ -144,12 +144,12 @@
 
 /// The random weight of an address for a function. It depends on the short hash alone, so that processes of
 /// earlier releases compute the same owners.
-pub fn weight(kind: FunctionId, at: &SocketAddr) -> u64 {
+pub fn weight(function_id: FunctionId, at: &SocketAddr) -> u64 {
     let octets = match at {
         SocketAddr::V4(v4) => u64::from(u32::from(*v4.ip())) << 16 | u64::from(v4.port()),
         SocketAddr::V6(v6) => (u128::from(*v6.ip()) as u64).rotate_left(16) ^ u64::from(v6.port()),
     };
-    let mut x = octets ^ u64::from(kind.short_hash()).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mut x = octets ^ u64::from(function_id.short_hash()).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     for by in [0xbf58_476d_1ce4_e5b9_u64, 0x94d0_49bb_1331_11eb] {
         x = (x ^ (x >> 30)).wrapping_mul(by);
     }
--- a/crates/slot-allocation/src/pool.rs
+++ b/crates/slot-allocation/src/pool.rs
@@ -2,15 +2,13 @@
 
 use crate::defects::{injected, Defect};
 use crate::function_id::{name_hash, FunctionId};
-use crate::messages::{Ended, GrantedSlot};
-use crate::selection::{index, BootTimes, IndexInputs, InstanceStats, Score, RATE_FLOOR};
+use crate::ledger::{InstanceLedger, SlotGrant};
+use crate::messages::Ended;
+use crate::selection::{index, BootTimes, IndexInputs, Score, RATE_FLOOR};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A grant expires this long after the end of its call, to allow for the reply's latency and for a slow
-/// clock.
-const EXPIRY_GRACE: Duration = Duration::from_millis(300);
 /// How long an instance grants nothing after it refused a call as full although its ledger showed a free
 /// slot.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
@@ -30,10 +28,6 @@
 /// A call that is late anyway waits at most this share of the time it has left, so that its client can still
 /// retry.
 const LATE_WAIT_SHARE: f64 = 0.5;
-/// A requester is queried about a grant that is held for this long, or for this many times the mean run time,
-/// whichever is longer.
-const CHECK_AFTER: Duration = Duration::from_millis(1000);
-const CHECK_AFTER_RUNS: f64 = 8.0;
 /// Priorities up to this are urgent.
 pub const URGENT: u8 = 1;
 /// A call is redirected only if it gains more than this.
@@ -47,7 +41,7 @@
 /// The parameters of a function.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Function {
-    pub kind: FunctionId,
+    pub id: FunctionId,
     pub name: String,
     pub slots: usize,
     pub boot: Duration,
@@ -57,7 +51,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Entry {
     pub instance: String,
-    pub kind: FunctionId,
+    pub function_id: FunctionId,
     pub at: SocketAddr,
     pub zone: String,
     /// The instance has started: it is listed as ready, or a connection to it succeeded.
@@ -68,45 +62,6 @@
     pub since: Duration,
 }
 
-#[derive(Debug, Clone)]
-pub struct SlotGrant {
-    pub to: SocketAddr,
-    /// The incarnation of the requester's process. A later incarnation does not hold the slot, but the call
-    /// may still run.
-    pub incarnation: u32,
-    pub seq: u32,
-    pub since: Duration,
-    pub until: Duration,
-    priority: u8,
-    /// When the requester is next asked whether it still holds the slot, and how often it has been asked.
-    check_at: Duration,
-    checks: u32,
-}
-
-impl SlotGrant {
-    fn matches(&self, from: SocketAddr, incarnation: u32, seq: u32) -> bool {
-        self.to == from && self.seq == seq && self.incarnation == incarnation
-    }
-}
-
-#[derive(Debug)]
-pub struct InstanceLedger {
-    pub entry: Entry,
-    pub grants: Vec<SlotGrant>,
-    paused_until: Duration,
-    /// The former owner whose handover ends the pause.
-    pub awaits: Option<SocketAddr>,
-    /// When the first pause ends: grants made before are known from then on.
-    pub complete_from: Duration,
-    /// When the instance is next claimed from its former owner.
-    pub claim_due: Duration,
-    silent: u32,
-    pub dialled: Duration,
-    /// A dial has failed: the first connection that succeeds shows how long the start took.
-    pub refused: bool,
-    stats: InstanceStats,
-}
-
 /// A call that requests a slot.
 #[derive(Debug, Clone)]
 pub struct SlotRequest {
@@ -134,7 +89,7 @@
 /// The load of a function as its owner reports it to the autoscaler.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LoadReport {
-    pub kind: FunctionId,
+    pub function_id: FunctionId,
     pub rate: f64,
     pub busy: f64,
     pub peak: usize,
@@ -523,17 +478,8 @@
     }
 
     pub fn grant(&mut self, now: Duration, i: usize, request: &SlotRequest) {
-        let mean_run = Duration::from_secs_f64(self.run_of(request.priority) * CHECK_AFTER_RUNS);
-        let grant = SlotGrant {
-            to: request.from,
-            incarnation: request.incarnation,
-            seq: request.seq,
-            since: now,
-            until: request.end + EXPIRY_GRACE,
-            priority: request.priority,
-            check_at: now + mean_run.max(CHECK_AFTER),
-            checks: 0,
-        };
+        let mean_run = Duration::from_secs_f64(self.run_of(request.priority));
+        let grant = SlotGrant::new(now, request, mean_run);
         let ledger = &mut self.ledgers[i];
         ledger.stats.granted(now, ledger.grants.len());
         ledger.grants.push(grant);
@@ -691,9 +637,7 @@
     /// Schedules a check of all grants of this requester at once.
     pub fn check_requester(&mut self, now: Duration, from: SocketAddr) {
         let of = self.ledgers.iter_mut().flat_map(|ledger| &mut ledger.grants);
-        for grant in of.filter(|grant| grant.to == from && now >= grant.since + CHECK_AFTER / 4) {
-            (grant.check_at, grant.checks) = (now, 0);
-        }
+        of.filter(|grant| grant.to == from).for_each(|grant| grant.check_soon(now));
     }
 
     /// The grants to be checked now: requester, incarnation, call and instance.
@@ -703,7 +647,7 @@
             return all;
         }
         for ledger in &mut self.ledgers {
-            for grant in ledger.grants.iter_mut().filter(|grant| now >= grant.check_at) {
+            for grant in ledger.grants.iter_mut().filter(|grant| grant.is_check_due(now)) {
                 grant.schedule_check(now);
                 all.push((grant.to, grant.incarnation, grant.seq, name_hash(&ledger.entry.instance)));
             }
@@ -728,7 +672,7 @@
         (self.reported, self.changed) = (now, false);
         let peak = std::mem::take(&mut self.peak).max(self.granted() + self.queue.len());
         Some(LoadReport {
-            kind: self.function.kind,
+            function_id: self.function.id,
             rate: self.rate,
             busy: self.busy,
             peak,
@@ -746,98 +690,3 @@
         self.origins.iter().map(|(zone, calls)| (*zone, calls / all.max(1e-9))).collect()
     }
 }
-
-impl SlotGrant {
-    /// A grant that its requester reports.
-    pub fn reported(now: Duration, to: SocketAddr, incarnation: u32, seq: u32, left: Duration) -> SlotGrant {
-        let (check_at, until) = (now + CHECK_AFTER, now + left + EXPIRY_GRACE);
-        SlotGrant { to, incarnation, seq, since: now, until, priority: 0, check_at, checks: 0 }
-    }
-
-    /// The grant as it is handed over to a new owner.
-    pub fn as_granted_slot(&self, now: Duration) -> GrantedSlot {
-        let left = u32::try_from(self.until.saturating_sub(now).as_millis()).unwrap_or(u32::MAX);
-        GrantedSlot { to: self.to, incarnation: self.incarnation, seq: self.seq, left }
-    }
-
-    /// A grant that a former owner handed over. It may have been returned there meanwhile, so its requester
-    /// is queried soon.
-    pub fn from_handover(
-        now: Duration,
-        to: SocketAddr,
-        incarnation: u32,
-        seq: u32,
-        left: Duration,
-    ) -> SlotGrant {
-        SlotGrant {
-            check_at: now + CHECK_AFTER / 4,
-            until: now + left,
-            ..SlotGrant::reported(now, to, incarnation, seq, left)
-        }
-    }
-
-    /// Schedules the next check, with a growing interval.
-    fn schedule_check(&mut self, now: Duration) {
-        self.check_at = now + CHECK_AFTER / 4 * (1 << self.checks.min(2));
-        self.checks += 1;
-    }
-}
-
-impl InstanceLedger {
-    pub fn new(entry: Entry, paused_until: Duration, grants: Vec<SlotGrant>) -> Self {
-        let mut ledger = InstanceLedger {
-            entry,
-            grants,
-            paused_until,
-            awaits: None,
-            complete_from: paused_until,
-            claim_due: Duration::ZERO,
-            silent: 0,
-            dialled: Duration::ZERO,
-            refused: false,
-            stats: InstanceStats::default(),
-        };
-        // Grants kept from an earlier ownership may have been returned to another owner since.
-        for grant in &mut ledger.grants {
-            grant.check_at = Duration::ZERO;
-        }
-        ledger
-    }
-
-    /// Ends the wait for a handover; slots are granted from `paused_until` on.
-    pub fn stop_waiting(&mut self, paused_until: Duration) {
-        self.awaits = None;
-        self.paused_until = self.paused_until.min(paused_until);
-        self.complete_from = self.complete_from.min(paused_until);
-    }
-
-    /// Adds grants of a former owner that are not known yet.
-    pub fn merge(&mut self, grants: Vec<SlotGrant>) {
-        for grant in grants {
-            if !self.grants.iter().any(|old| old.matches(grant.to, grant.incarnation, grant.seq)) {
-                self.grants.push(grant);
-            }
-        }
-    }
-
-    /// No slots are granted before `then`.
-    pub fn pause_until(&mut self, then: Duration) {
-        self.paused_until = self.paused_until.max(then);
-    }
-
-    pub fn pause_end(&self) -> Duration {
-        self.paused_until
-    }
-
-    /// For how much longer no slot is granted although the instance accepts calls.
-    pub fn pause_left(&self, now: Duration) -> Duration {
-        self.paused_until.saturating_sub(now)
-    }
-
-    /// Whether slots can be granted now.
-    pub fn can_grant(&self, now: Duration) -> bool {
-        (self.entry.accepts_calls || injected(Defect::DrainingGranted))
-            && self.entry.ready
-            && now >= self.paused_until
-    }
-}
--- a/crates/slot-allocation/src/reachability.rs
+++ b/crates/slot-allocation/src/reachability.rs
@@ -102,7 +102,7 @@
         let (new, old): (Vec<_>, Vec<_>) = unknown.into_iter().partition(|at| !self.pinged.contains_key(at));
         for at in new.into_iter().chain(old).take(MAX_PINGS) {
             self.pinged.entry(at).or_insert(self.now);
-            self.send(at, Message::Release { seq: 0, kind: FunctionId::NONE, instance: 0 });
+            self.send(at, Message::Release { seq: 0, function_id: FunctionId::NONE, instance: 0 });
             self.actions.push_back(Action::Probe { owner: at });
         }
     }
@@ -118,8 +118,8 @@
     }
 
     /// Rejects the queued requests, to be retried later.
-    pub(crate) fn reject_waiting(&mut self, kind: FunctionId) {
-        let waiting = self.pools.get_mut(&kind).map(|pool| std::mem::take(&mut pool.queue));
+    pub(crate) fn reject_waiting(&mut self, function_id: FunctionId) {
+        let waiting = self.pools.get_mut(&function_id).map(|pool| std::mem::take(&mut pool.queue));
         for request in waiting.unwrap_or_default() {
             self.send(request.from, Message::RetryAfter { seq: request.seq, after: ms(ISOLATED_RETRY) });
         }
@@ -154,12 +154,12 @@
     /// it may reach another process.
     pub(crate) fn request_or_give_up(&mut self, seq: u32) {
         let Some(call) = self.calls.get(&seq) else { return };
-        let (kind, waited) = (call.kind, self.now.saturating_sub(call.arrived));
-        let zone = self.zone_for(kind);
-        let silent = self.owner_of(kind, &zone).is_some_and(|at| self.suspects.contains_key(&at));
+        let (function_id, waited) = (call.function_id, self.now.saturating_sub(call.arrived));
+        let zone = self.zone_for(function_id);
+        let silent = self.owner_of(function_id, &zone).is_some_and(|at| self.suspects.contains_key(&at));
         if silent && waited >= UNANSWERED_LIMIT {
             if let Some(Call { stage: Stage::Requesting { to, .. }, .. }) = self.calls.remove(&seq) {
-                self.return_unused(to, seq, kind, 0);
+                self.return_unused(to, seq, function_id, 0);
             }
             self.actions.push_back(Action::Reject { call: seq, after: ISOLATED_RETRY });
             return;
@@ -169,9 +169,9 @@
 
     /// A call was requested here whose owner, as far as is known, is another process: the requester may know
     /// that that process has ended.
-    pub(crate) fn probe_owner(&mut self, kind: FunctionId) {
+    pub(crate) fn probe_owner(&mut self, function_id: FunctionId) {
         let now = self.now;
-        let Some(owner) = self.owner_of(kind, &self.zone).filter(|at| *at != self.me) else { return };
+        let Some(owner) = self.owner_of(function_id, &self.zone).filter(|at| *at != self.me) else { return };
         let received = self
             .incarnations
             .last_received(&owner)
@@ -198,7 +198,7 @@
             })
             .collect();
         for at in due {
-            self.send(at, Message::Release { seq: 0, kind: FunctionId::NONE, instance: 0 });
+            self.send(at, Message::Release { seq: 0, function_id: FunctionId::NONE, instance: 0 });
             self.actions.push_back(Action::Probe { owner: at });
         }
         self.check_isolation();
--- a/crates/slot-allocation/src/receive.rs
+++ b/crates/slot-allocation/src/receive.rs
@@ -6,8 +6,9 @@
 use crate::function_id::{name_hash, FunctionId};
 use crate::handover::Cause;
 use crate::incarnations::Sender;
-use crate::messages::Message;
-use crate::pool::{SlotGrant, SlotRequest};
+use crate::ledger::{InstanceLedger, SlotGrant};
+use crate::messages::{Ended, Message};
+use crate::pool::SlotRequest;
 use crate::{ms, Action, Allocator, Call, Stage, RESEND_AFTER, RESEND_FOR, SUSPECT_RETRY};
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -87,7 +88,7 @@
         self.incarnation_queries.retain(|_, (_, sent_at)| now < *sent_at + RESEND_FOR);
         let number = self.rng.rand_u32() | 1;
         self.incarnation_queries.insert(at, (number, now));
-        self.send(at, Message::Release { seq: number, kind: FunctionId::NONE, instance: 0 });
+        self.send(at, Message::Release { seq: number, function_id: FunctionId::NONE, instance: 0 });
     }
 
     /// A late datagram of a former incarnation can still return the slots that it held, and nothing else.
@@ -127,20 +128,22 @@
             return;
         }
         let id = name_hash(&instance);
-        let fits = |kind| {
+        let fits = |function_id| {
             let entry = self.entries.get(&instance);
-            entry.is_none_or(|entry| entry.kind == kind) || injected(Defect::NumbersReused)
+            entry.is_none_or(|entry| entry.function_id == function_id) || injected(Defect::NumbersReused)
         };
         let may_send = self.may_send_to(&instance);
         match self.calls.get_mut(&seq) {
-            Some(call) if matches!(call.stage, Stage::Requesting { .. }) && fits(call.kind) && !may_send => {
-                let kind = call.kind;
+            Some(call)
+                if matches!(call.stage, Stage::Requesting { .. }) && fits(call.function_id) && !may_send =>
+            {
+                let function_id = call.function_id;
                 call.avoid = id;
-                self.give_back(from, seq, kind, id, true);
+                self.give_back(from, seq, function_id, id, true);
                 self.request_again_elsewhere(seq, from);
             }
-            Some(call) if matches!(call.stage, Stage::Requesting { .. }) && fits(call.kind) => {
-                let kind = call.kind;
+            Some(call) if matches!(call.stage, Stage::Requesting { .. }) && fits(call.function_id) => {
+                let function_id = call.function_id;
                 let requested_from = match call.stage {
                     Stage::Requesting { to, .. } => to,
                     _ => from,
@@ -156,16 +159,16 @@
                 let left = ms(call.end.saturating_sub(now));
                 // Another process granted a slot before the one that was asked last.
                 if requested_from != from {
-                    self.return_unused(requested_from, seq, kind, 0);
+                    self.return_unused(requested_from, seq, function_id, 0);
                 }
-                self.note_capacity(kind, from, free, waiting, 0);
+                self.note_capacity(function_id, from, free, waiting, 0);
                 // Granted by a process that is no longer the owner: the present owner counts the slot as held
                 // until it is returned or its call is over.
                 let zone = self.entries.get(&instance).map(|entry| entry.zone.clone());
                 if let Some(present) =
-                    zone.and_then(|zone| self.owner_of(kind, &zone)).filter(|at| *at != from)
+                    zone.and_then(|zone| self.owner_of(function_id, &zone)).filter(|at| *at != from)
                 {
-                    self.report_held(seq, present, kind, instance.clone(), left);
+                    self.report_held(seq, present, function_id, instance.clone(), left);
                 }
                 self.actions.push_back(Action::Dispatch { call: seq, instance, at });
             }
@@ -173,19 +176,92 @@
             Some(Call { stage: Stage::Holding { instance: held, .. }, .. }) if *held == instance => {}
             // The call is over, or another owner was quicker.
             other => {
-                let kind = other.map(|call| call.kind);
-                let kind = kind.or_else(|| self.entries.get(&instance).map(|entry| entry.kind));
-                if let Some(kind) = kind {
-                    self.return_unused(from, seq, kind, id);
+                let function_id = other.map(|call| call.function_id);
+                let function_id =
+                    function_id.or_else(|| self.entries.get(&instance).map(|entry| entry.function_id));
+                if let Some(function_id) = function_id {
+                    self.return_unused(from, seq, function_id, id);
                 }
             }
         }
     }
 
+    /// A requester returns a slot, or withdraws a request. Without a function (the return of a grant that nobody
+    /// awaits) all pools are searched.
+    fn slot_returned(
+        &mut self,
+        from: SocketAddr,
+        incarnation: u32,
+        seq: u32,
+        function_id: FunctionId,
+        ended: Ended,
+    ) {
+        let now = self.now;
+        if from != self.me {
+            self.finished.note(self.awake, (from, incarnation, seq), Finish::Returned);
+        }
+        let searched: Vec<FunctionId> = match function_id {
+            FunctionId::NONE => self.pools.keys().copied().collect(),
+            function_id => vec![function_id],
+        };
+        let (mut gone, mut returned_to) = (None, None);
+        for function_id in searched {
+            let Some(pool) = self.pools.get_mut(&function_id) else { continue };
+            let calls_before = pool.granted() + pool.queue.len();
+            gone = pool.return_slot(now, from, incarnation, seq, ended);
+            if gone.is_some() || pool.granted() + pool.queue.len() != calls_before {
+                returned_to = Some(function_id);
+                break;
+            }
+        }
+        if returned_to.is_none() {
+            let others = |grants: &mut Vec<SlotGrant>| {
+                grants.retain(|grant| !grant.matches(from, incarnation, seq));
+            };
+            self.parked.values_mut().for_each(others);
+        }
+        if let Some(ledger) = gone {
+            self.instance_gone(ledger);
+        }
+        self.send(from, Message::ReturnAck { seq });
+        if let Some(function_id) = returned_to.filter(|_| !injected(Defect::QueueNotServed)) {
+            self.serve(function_id);
+        }
+    }
+
+    /// The instance no longer responds. The list may show it again while other calls still run there.
+    fn instance_gone(&mut self, ledger: InstanceLedger) {
+        let instance = ledger.entry.instance;
+        self.forget(&instance);
+        if !ledger.grants.is_empty() {
+            self.parked.insert(instance.clone(), ledger.grants);
+        }
+        self.actions.push_back(Action::InstanceGone { instance });
+    }
+
+    /// A requester reports a slot that another owner granted, or about which it was asked.
+    fn held_slot_reported(&mut self, grant: SlotGrant, function_id: FunctionId, instance: String) {
+        let (from, seq) = (grant.to, grant.seq);
+        if injected(Defect::HoldsIgnored) || self.finished.is_returned(&(from, grant.incarnation, seq)) {
+            return;
+        }
+        let now = self.now;
+        let Some(pool) = self.pools.get_mut(&function_id) else { return };
+        if pool.record_held(now, grant, &instance) {
+            self.send(from, Message::HoldsAck { seq, function_id, instance: name_hash(&instance) });
+        }
+    }
+
+    /// A parked grant of an instance with this hash is not held any more.
+    fn forget_parked(&mut self, from: SocketAddr, incarnation: u32, seq: u32, instance: u32) {
+        let parked = self.parked.iter_mut().filter(|(id, _)| name_hash(id) == instance);
+        parked.for_each(|(_, grants)| grants.retain(|grant| !grant.matches(from, incarnation, seq)));
+    }
+
     pub(crate) fn handle_message(&mut self, from: SocketAddr, incarnation: u32, message: Message) {
         let now = self.now;
         match message {
-            Message::Request { seq, kind, priority, aim, left, avoid, hops } => {
+            Message::Request { seq, function_id, priority, aim, left, avoid, hops } => {
                 let request = SlotRequest {
                     from,
                     incarnation,
@@ -198,117 +274,67 @@
                     late: false,
                     hops,
                 };
-                self.handle_request(kind, request, hops);
+                self.handle_request(function_id, request, hops);
             }
-            Message::Return { seq, kind, ended, .. } => {
-                if from != self.me {
-                    self.finished.note(self.awake, (from, incarnation, seq), Finish::Returned);
-                }
-                // Without a function (the return of a grant that nobody awaits) all pools are searched.
-                let kinds: Vec<FunctionId> = match kind {
-                    FunctionId::NONE => self.pools.keys().copied().collect(),
-                    kind => vec![kind],
-                };
-                let (mut gone, mut kind) = (None, None);
-                for k in kinds {
-                    let Some(pool) = self.pools.get_mut(&k) else { continue };
-                    let had = pool.granted() + pool.queue.len();
-                    gone = pool.return_slot(now, from, incarnation, seq, ended);
-                    if gone.is_some() || pool.granted() + pool.queue.len() != had {
-                        kind = Some(k);
-                        break;
-                    }
-                }
-                if kind.is_none() && !self.parked.is_empty() {
-                    let same = |grant: &SlotGrant| {
-                        (grant.to, grant.incarnation, grant.seq) == (from, incarnation, seq)
-                    };
-                    self.parked.values_mut().for_each(|grants| grants.retain(|grant| !same(grant)));
-                }
-                if let Some(ledger) = gone {
-                    self.forget(&ledger.entry.instance);
-                    let instance = ledger.entry.instance;
-                    // The list may show the instance again while other calls still run there.
-                    if !ledger.grants.is_empty() {
-                        self.parked.insert(instance.clone(), ledger.grants);
-                    }
-                    self.actions.push_back(Action::InstanceGone { instance });
-                }
-                self.send(from, Message::ReturnAck { seq });
-                if let Some(kind) = kind.filter(|_| !injected(Defect::QueueNotServed)) {
-                    self.serve(kind);
-                }
+            Message::Return { seq, function_id, ended, .. } => {
+                self.slot_returned(from, incarnation, seq, function_id, ended)
             }
-            Message::Holds { seq, kind, instance, left } => {
-                if injected(Defect::HoldsIgnored) {
-                    return;
-                }
-                if self.finished.is_returned(&(from, incarnation, seq)) {
-                    return;
-                }
-                if let Some(pool) = self.pools.get_mut(&kind) {
-                    let grant =
-                        SlotGrant::reported(now, from, incarnation, seq, Duration::from_millis(left.into()));
-                    if pool.record_held(now, grant, &instance) {
-                        self.send(from, Message::HoldsAck { seq, kind, instance: name_hash(&instance) });
-                    }
-                }
+            Message::Holds { seq, function_id, instance, left } => {
+                let left = Duration::from_millis(left.into());
+                let grant = SlotGrant::reported(now, from, incarnation, seq, left);
+                self.held_slot_reported(grant, function_id, instance)
             }
-            Message::HoldsAck { seq, kind, instance } => match self.calls.get_mut(&seq) {
+            Message::HoldsAck { seq, function_id, instance } => match self.calls.get_mut(&seq) {
                 Some(Call { stage: Stage::Holding { owner, reported, .. }, .. }) => {
                     if *owner == from {
                         *reported = None;
                     }
                 }
                 // The slot was returned before the report was acknowledged.
-                _ => self.return_unused(from, seq, kind, instance),
+                _ => self.return_unused(from, seq, function_id, instance),
             },
-            Message::Release { seq, kind, instance } => {
+            Message::Release { seq, function_id, instance } => {
                 if instance == 0 && from != self.me {
                     self.finished.note(self.awake, (from, incarnation, seq), Finish::Served);
                 }
-                if let Some(pool) = self.pools.get_mut(&kind) {
+                if let Some(pool) = self.pools.get_mut(&function_id) {
                     pool.release(from, incarnation, seq, instance);
                 }
-                let parked = self.parked.iter_mut().filter(|(id, _)| name_hash(id) == instance);
-                parked.for_each(|(_, grants)| {
-                    grants.retain(|l| (l.to, l.incarnation, l.seq) != (from, incarnation, seq))
-                });
+                self.forget_parked(from, incarnation, seq, instance);
                 self.send(from, Message::ReleaseAck { seq, instance });
-                self.serve(kind);
+                self.serve(function_id);
             }
-            Message::Refused { seq, kind, instance } => {
-                if let Some(pool) = self.pools.get_mut(&kind) {
+            Message::Refused { seq, function_id, instance } => {
+                if let Some(pool) = self.pools.get_mut(&function_id) {
                     pool.refuse(now, from, incarnation, seq, instance);
                 }
-                let parked = self.parked.iter_mut().filter(|(id, _)| name_hash(id) == instance);
-                parked.for_each(|(_, grants)| {
-                    grants.retain(|l| (l.to, l.incarnation, l.seq) != (from, incarnation, seq))
-                });
+                self.forget_parked(from, incarnation, seq, instance);
                 self.send(from, Message::ReleaseAck { seq, instance });
-                self.serve(kind);
+                self.serve(function_id);
             }
             Message::ReleaseAck { seq, instance } => {
                 self.unused_grants.retain(|s| (s.to, s.seq, s.instance) != (from, seq, instance));
             }
-            Message::Handover { kind, instance, grants, complete } => {
-                self.take_over(from, kind, instance, grants, complete)
+            Message::Handover { function_id, instance, grants, complete } => {
+                self.take_over(from, function_id, instance, grants, complete)
             }
             Message::HandoverAck { instance } => self.handover_acknowledged(from, instance),
-            Message::Claim { kind, instance } => self.claimed(from, kind, instance),
-            Message::HandedTo { kind, instance, owner } => self.redirect_claim(from, kind, &instance, owner),
-            Message::Capacity { kind, free, waiting, run } => {
-                self.note_capacity(kind, from, free, waiting, run);
+            Message::Claim { function_id, instance } => self.claimed(from, function_id, instance),
+            Message::HandedTo { function_id, instance, owner } => {
+                self.redirect_claim(from, function_id, &instance, owner)
+            }
+            Message::Capacity { function_id, free, waiting, run } => {
+                self.note_capacity(function_id, from, free, waiting, run);
                 if waiting > 0 {
                     if self.short_peers.len() < 4096 {
-                        self.short_peers.insert((kind, from), now);
+                        self.short_peers.insert((function_id, from), now);
                     }
-                    self.announce_capacity(kind);
+                    self.announce_capacity(function_id);
                 } else if free > 0 {
-                    self.redirect_waiting(kind);
+                    self.redirect_waiting(function_id);
                 }
             }
-            Message::CheckGrant { seq, kind, instance, incarnation } => {
+            Message::CheckGrant { seq, function_id, instance, incarnation } => {
                 if incarnation != self.incarnation {
                     return;
                 }
@@ -317,26 +343,26 @@
                         if name_hash(held) == instance =>
                     {
                         let (instance, left) = (held.clone(), ms(end.saturating_sub(now)));
-                        self.send(from, Message::Holds { seq, kind, instance, left });
+                        self.send(from, Message::Holds { seq, function_id, instance, left });
                     }
                     // The grant or the return is on its way.
                     Some(Call { stage: Stage::Requesting { .. }, .. }) => {}
-                    _ => self.send(from, Message::Release { seq, kind, instance }),
+                    _ => self.send(from, Message::Release { seq, function_id, instance }),
                 }
             }
             Message::Grant { seq, instance, at, free, waiting } => {
                 self.granted(from, seq, instance, at, free, waiting)
             }
             Message::Queued { seq, free, waiting } => {
-                let waiting_kind = self.calls.get_mut(&seq).and_then(|call| match &mut call.stage {
+                let waiting_function = self.calls.get_mut(&seq).and_then(|call| match &mut call.stage {
                     Stage::Requesting { to, waits, tries, .. } if *to == from => {
                         (*waits, *tries) = (true, 1);
-                        Some(call.kind)
+                        Some(call.function_id)
                     }
                     _ => None,
                 });
-                if let Some(kind) = waiting_kind {
-                    self.note_capacity(kind, from, free, waiting, 0);
+                if let Some(function_id) = waiting_function {
+                    self.note_capacity(function_id, from, free, waiting, 0);
                 }
             }
             Message::Redirect { seq, zone } => {
@@ -355,9 +381,9 @@
             Message::RetryAfter { seq, after } => {
                 let Some(call) = self.calls.get(&seq) else { return };
                 if matches!(call.stage, Stage::Requesting { to, .. } if to == from) {
-                    let kind = call.kind;
+                    let function_id = call.function_id;
                     self.calls.remove(&seq);
-                    self.note_capacity(kind, from, 0, 1, 0);
+                    self.note_capacity(function_id, from, 0, 1, 0);
                     self.actions
                         .push_back(Action::Reject { call: seq, after: Duration::from_millis(after.into()) });
                 }
--- a/crates/slot-allocation/src/requests.rs
+++ b/crates/slot-allocation/src/requests.rs
@@ -19,7 +19,7 @@
     pub fn request_slot(
         &mut self,
         now: Duration,
-        kind: FunctionId,
+        function_id: FunctionId,
         priority: u8,
         aim: Duration,
         end: Duration,
@@ -28,13 +28,13 @@
         self.now = now;
         let seq = self.next;
         self.next = self.next.wrapping_add(1).max(1);
-        if self.calls.len() >= MAX_CALLS || !self.functions.contains_key(&kind) {
+        if self.calls.len() >= MAX_CALLS || !self.functions.contains_key(&function_id) {
             self.actions.push_back(Action::Reject { call: seq, after: Duration::from_millis(300) });
             return seq;
         }
         let avoid = if avoid.is_empty() { 0 } else { name_hash(avoid) };
         let stage = Stage::Requesting { to: self.me, sent: now, tries: 0, waits: false, hops: 0 };
-        self.calls.insert(seq, Call { kind, priority, aim, end, arrived: now, avoid, stage });
+        self.calls.insert(seq, Call { function_id, priority, aim, end, arrived: now, avoid, stage });
         self.request(seq, 0);
         self.pump();
         seq
@@ -42,17 +42,17 @@
 
     /// The zones that have instances of this function that accept calls; for each whether one of them has
     /// started, and the highest weight.
-    pub(crate) fn zones_of(&self, kind: FunctionId) -> BTreeMap<&str, (bool, u64)> {
+    pub(crate) fn zones_of(&self, function_id: FunctionId) -> BTreeMap<&str, (bool, u64)> {
         let mut zones: BTreeMap<&str, (bool, u64)> = BTreeMap::new();
-        for id in self.by_kind.get(&kind).into_iter().flatten() {
+        for id in self.instances_by_function.get(&function_id).into_iter().flatten() {
             let Some(entry) = self.entries.get(id).filter(|entry| entry.accepts_calls) else { continue };
             let (ready, heavy) = zones.entry(&entry.zone).or_default();
             // The weight is taken over started instances where there are any, else over those that are
             // starting.
             if entry.ready && !*ready {
-                (*ready, *heavy) = (true, weight(kind, &entry.at));
+                (*ready, *heavy) = (true, weight(function_id, &entry.at));
             } else if entry.ready == *ready {
-                *heavy = (*heavy).max(weight(kind, &entry.at));
+                *heavy = (*heavy).max(weight(function_id, &entry.at));
             }
         }
         zones
@@ -60,19 +60,19 @@
 
     /// The zone in which to request a slot: the nearest that has instances and, as far as is known, free
     /// slots.
-    pub(crate) fn zone_for(&self, kind: FunctionId) -> String {
+    pub(crate) fn zone_for(&self, function_id: FunctionId) -> String {
         let local_region = self.region(&self.zone);
         let cost = |zone: &str, ready: bool| {
             let far =
                 if zone == self.zone { 0 } else { 2 + 2 * u32::from(self.region(zone) != local_region) };
             let starting = if ready { 0 } else { 8 };
             let full = self
-                .capacity_at(kind, zone)
+                .capacity_at(function_id, zone)
                 .is_some_and(|capacity| capacity.free == 0 || capacity.waiting > 0);
-            let silent = self.owner_of(kind, zone).is_none_or(|at| self.suspects.contains_key(&at));
+            let silent = self.owner_of(function_id, zone).is_none_or(|at| self.suspects.contains_key(&at));
             far + starting + if full { 5 } else { 0 } + if silent { 30 } else { 0 }
         };
-        let zones = self.zones_of(kind);
+        let zones = self.zones_of(function_id);
         let best = zones.iter().min_by_key(|(zone, (ready, heavy))| (cost(zone, *ready), *heavy));
         best.map_or_else(|| self.zone.clone(), |(zone, _)| zone.to_string())
     }
@@ -88,15 +88,15 @@
 
     pub(crate) fn request(&mut self, seq: u32, hops: u8) {
         let Some(call) = self.calls.get(&seq) else { return };
-        let zone = self.zone_for(call.kind);
+        let zone = self.zone_for(call.function_id);
         self.request_in(seq, &zone, hops);
     }
 
     pub(crate) fn request_in(&mut self, seq: u32, zone: &str, hops: u8) {
         let Some(call) = self.calls.get(&seq) else { return };
         // Before any owner is known the call waits for one; this does not indicate a lack of instances.
-        let Some(to) = self.owner_of(call.kind, zone) else { return };
-        if to != self.me && (self.is_isolated() || !self.can_name(to, call.kind)) {
+        let Some(to) = self.owner_of(call.function_id, zone) else { return };
+        if to != self.me && (self.is_isolated() || !self.can_name(to, call.function_id)) {
             // No reply would arrive, or a slot of another function: the client may reach another process.
             self.calls.remove(&seq);
             self.actions.push_back(Action::Reject { call: seq, after: ISOLATED_RETRY });
@@ -114,7 +114,7 @@
         let (aim, left) = (call.aim.saturating_sub(self.now), call.end.saturating_sub(self.now));
         Message::Request {
             seq,
-            kind: call.kind,
+            function_id: call.function_id,
             priority: call.priority,
             aim: ms(aim),
             left: ms(left),
@@ -127,15 +127,15 @@
     /// from the owners.
     pub(crate) fn retarget_requests(&mut self) {
         let requested = self.calls.values().filter_map(|call| match call.stage {
-            Stage::Requesting { to, .. } if to != self.me => Some((call.kind, to)),
+            Stage::Requesting { to, .. } if to != self.me => Some((call.function_id, to)),
             _ => None,
         });
         let requested: HashSet<(FunctionId, SocketAddr)> = requested.collect();
-        let owns = |(kind, at): &(FunctionId, SocketAddr)| {
-            self.zones_of(*kind).keys().any(|zone| self.owner_of(*kind, zone) == Some(*at))
+        let owns = |(function_id, at): &(FunctionId, SocketAddr)| {
+            self.zones_of(*function_id).keys().any(|zone| self.owner_of(*function_id, zone) == Some(*at))
         };
         let owners: HashSet<(FunctionId, SocketAddr)> = requested.into_iter().filter(owns).collect();
-        self.resend_requests(|kind, to| !owners.contains(&(kind, to)));
+        self.resend_requests(|function_id, to| !owners.contains(&(function_id, to)));
     }
 
     /// Sends the requests of calls that arrived before any owner was known.
@@ -149,15 +149,15 @@
     /// Repeats the requests of calls that await a reply of another process for which `which` holds.
     pub(crate) fn resend_requests(&mut self, which: impl Fn(FunctionId, SocketAddr) -> bool) {
         let waits = |(&seq, call): (&u32, &Call)| match call.stage {
-            Stage::Requesting { to, .. } if to != self.me && which(call.kind, to) => {
-                Some((seq, call.kind, to))
+            Stage::Requesting { to, .. } if to != self.me && which(call.function_id, to) => {
+                Some((seq, call.function_id, to))
             }
             _ => None,
         };
         let lost: Vec<(u32, FunctionId, SocketAddr)> = self.calls.iter().filter_map(waits).collect();
-        for (seq, kind, to) in lost {
+        for (seq, function_id, to) in lost {
             if self.owners.member(to).is_some() {
-                self.return_unused(to, seq, kind, 0);
+                self.return_unused(to, seq, function_id, 0);
             }
             self.request(seq, 0);
         }
@@ -222,8 +222,12 @@
                     if now >= *sent + RESEND_AFTER * (1 << (*tries - 1).min(4)) {
                         (*sent, *tries) = (now, *tries + 1);
                         let left = ms(call.end.saturating_sub(now));
-                        let message =
-                            Message::Holds { seq, kind: call.kind, instance: instance.clone(), left };
+                        let message = Message::Holds {
+                            seq,
+                            function_id: call.function_id,
+                            instance: instance.clone(),
+                            left,
+                        };
                         holds.push((*owner, message));
                     }
                 }
@@ -233,7 +237,8 @@
                         ended.push(seq);
                     } else if now >= *sent + RESEND_AFTER * (1 << (*tries - 1).min(4)) {
                         (*sent, *tries) = (now, *tries + 1);
-                        let message = Message::Return { seq, kind: call.kind, ended: *how, ms: *ms };
+                        let message =
+                            Message::Return { seq, function_id: call.function_id, ended: *how, ms: *ms };
                         self.outgoing.entry(*owner).or_default().push(message);
                     }
                 }
@@ -259,8 +264,10 @@
             self.calls.remove(&seq);
         }
         for seq in expired {
-            if let Some(Call { kind, stage: Stage::Requesting { to, .. }, .. }) = self.calls.remove(&seq) {
-                self.return_unused(to, seq, kind, 0);
+            if let Some(Call { function_id, stage: Stage::Requesting { to, .. }, .. }) =
+                self.calls.remove(&seq)
+            {
+                self.return_unused(to, seq, function_id, 0);
             }
             self.actions.push_back(Action::Reject { call: seq, after: Duration::from_millis(200) });
         }
--- a/crates/slot-allocation/tests/disputes.rs
+++ b/crates/slot-allocation/tests/disputes.rs
@@ -30,10 +30,10 @@
     let mut allocator = Allocator::new(at(n), HERE.into(), member(n).incarnation, n.into(), Duration::ZERO);
     let boot = Duration::from_secs(1);
     allocator
-        .set_functions(MS, vec![Function { kind: FunctionId::of(name), name: name.into(), slots: 2, boot }]);
+        .set_functions(MS, vec![Function { id: FunctionId::of(name), name: name.into(), slots: 2, boot }]);
     let entry = Entry {
         instance: "i1".into(),
-        kind: FunctionId::of(name),
+        function_id: FunctionId::of(name),
         at: SocketAddr::from(([10, 2, 0, 1], 80)),
         zone: zone.into(),
         ready: true,
--- a/crates/slot-allocation/tests/functions_with_the_same_hash.rs
+++ b/crates/slot-allocation/tests/functions_with_the_same_hash.rs
@@ -29,7 +29,7 @@
 }
 
 fn function(name: &str) -> Function {
-    Function { kind: FunctionId::of(name), name: name.into(), slots: 8, boot: ms(1000) }
+    Function { id: FunctionId::of(name), name: name.into(), slots: 8, boot: ms(1000) }
 }
 
 fn instance_of(name: &str) -> String {
@@ -40,7 +40,7 @@
 fn entry(name: &str, n: u8) -> Entry {
     Entry {
         instance: instance_of(name),
-        kind: FunctionId::of(name),
+        function_id: FunctionId::of(name),
         at: SocketAddr::from(([10, 2, 0, n], 80)),
         zone: format!("z{n}"),
         ready: true,
@@ -137,8 +137,8 @@
 }
 
 fn request(name: &str) -> Message {
-    let kind = FunctionId::of(name);
-    Message::Request { seq: 7, kind, priority: 1, aim: 1000, left: 4000, avoid: 0, hops: 3 }
+    let function_id = FunctionId::of(name);
+    Message::Request { seq: 7, function_id, priority: 1, aim: 1000, left: 4000, avoid: 0, hops: 3 }
 }
 
 /// What an owner replies to a request of a process of the earlier release.
@@ -208,11 +208,11 @@
 
 #[test]
 fn earlier_form_is_unchanged() {
-    let kind = FunctionId::of(SECOND);
+    let function_id = FunctionId::of(SECOND);
     let messages = vec![
         request(SECOND),
-        Message::Return { seq: 7, kind, ended: Ended::Done, ms: 80 },
-        Message::Release { seq: 0, kind: FunctionId::NONE, instance: 0 },
+        Message::Return { seq: 7, function_id, ended: Ended::Done, ms: 80 },
+        Message::Release { seq: 0, function_id: FunctionId::NONE, instance: 0 },
     ];
     let datagram = Datagram { incarnation: EARLIER_RELEASE, messages };
     assert_eq!(datagram.encode_as(Form::ShortHashes), bytes_of(EARLIER_DATAGRAM));
@@ -225,7 +225,7 @@
 /// A ping finds out which incarnation is the present one, so every release must understand it.
 #[test]
 fn datagram_that_names_no_function_is_the_same_in_both_forms() {
-    let ping = Message::Release { seq: 5, kind: FunctionId::NONE, instance: 0 };
+    let ping = Message::Release { seq: 5, function_id: FunctionId::NONE, instance: 0 };
     let messages = vec![ping, Message::ReturnAck { seq: 3 }];
     let datagram = Datagram { incarnation: THIS_RELEASE, messages };
     assert_eq!(datagram.encode_as(Form::Identifiers), datagram.encode_as(Form::ShortHashes));
--- a/crates/slot-allocation/tests/harness/mod.rs
+++ b/crates/slot-allocation/tests/harness/mod.rs
@@ -478,7 +478,7 @@
         let there = self.instances.iter().filter(|i| i.ended.is_none());
         let entry = |i: &Instance| Entry {
             instance: i.id.clone(),
-            kind: FunctionId::of(&self.kinds[i.kind].0),
+            function_id: FunctionId::of(&self.kinds[i.kind].0),
             at: i.at,
             zone: i.zone.clone(),
             ready: self.now >= i.up,
@@ -748,7 +748,7 @@
     fn functions_without(&self, lacks: Option<usize>) -> Vec<Function> {
         let there = self.kinds.iter().enumerate().filter(|(n, _)| Some(*n) != lacks);
         let function = |(_, (name, slots, _)): (usize, &(String, usize, f64))| Function {
-            kind: FunctionId::of(name),
+            id: FunctionId::of(name),
             name: name.clone(),
             slots: *slots,
             boot: 300 * MS,
@@ -1244,7 +1244,7 @@
                 if pool.queue.windows(2).any(|pair| key(&pair[0]) > key(&pair[1])) {
                     found.push((Rule::ServiceOrder, format!("the queue of {who} is out of order")));
                 }
-                let idle = (who, pool.function.kind);
+                let idle = (who, pool.function.id);
                 if !pool.queue.is_empty() && pool.free(local_time) > 0 {
                     let since = *self.idle.entry(idle).or_insert(self.now);
                     if self.now > since + IDLE_SLOT {
--- a/crates/slot-allocation/tests/incarnations.rs
+++ b/crates/slot-allocation/tests/incarnations.rs
@@ -44,11 +44,11 @@
     // Begins as the only member: with another member present it would wait for a handover.
     allocator.set_members(now, vec![member(1, 12)]);
     allocator.set_members(now, vec![member(1, 12), member(2, 22)]);
-    let function = Function { kind: FunctionId::of(KIND), name: KIND.into(), slots, boot: ms(300) };
+    let function = Function { id: FunctionId::of(KIND), name: KIND.into(), slots, boot: ms(300) };
     allocator.set_functions(now, vec![function]);
     let entry = Entry {
         instance: "i-1".into(),
-        kind: FunctionId::of(KIND),
+        function_id: FunctionId::of(KIND),
         at: SocketAddr::from(([10, 2, 0, 1], 80)),
         zone: format!("z{zone}"),
         ready: true,
@@ -113,7 +113,7 @@
 fn request(seq: u32) -> Message {
     Message::Request {
         seq,
-        kind: FunctionId::of(KIND),
+        function_id: FunctionId::of(KIND),
         priority: 1,
         aim: 4000,
         left: 5000,
@@ -123,7 +123,7 @@
 }
 
 fn slot_return(seq: u32) -> Message {
-    Message::Return { seq, kind: FunctionId::of(KIND), ended: Ended::Done, ms: 5 }
+    Message::Return { seq, function_id: FunctionId::of(KIND), ended: Ended::Done, ms: 5 }
 }
 
 fn grant(seq: u32) -> Message {
@@ -132,10 +132,10 @@
 }
 
 fn holds(seq: u32) -> Message {
-    Message::Holds { seq, kind: FunctionId::of(KIND), instance: "i-1".into(), left: 5000 }
+    Message::Holds { seq, function_id: FunctionId::of(KIND), instance: "i-1".into(), left: 5000 }
 }
 
-const CAPACITY: Message = Message::Capacity { kind: FunctionId::NONE, free: 0, waiting: 0, run: 0 };
+const CAPACITY: Message = Message::Capacity { function_id: FunctionId::NONE, free: 0, waiting: 0, run: 0 };
 
 fn granted(messages: &[Message], seq: u32) -> bool {
     messages.iter().any(|message| matches!(message, Message::Grant { seq: of, .. } if *of == seq))
@@ -209,7 +209,10 @@
     requester.allocator.set_members(requester.now, vec![member(1, 12), member(2, 24)]);
     requester.pull();
     let received = |incarnation| {
-        (incarnation, Message::HoldsAck { seq: call, kind: FunctionId::of(KIND), instance: name_hash("i-1") })
+        (
+            incarnation,
+            Message::HoldsAck { seq: call, function_id: FunctionId::of(KIND), instance: name_hash("i-1") },
+        )
     };
     let reported = |requester: &mut Driven| {
         requester.sent.clear();
@@ -239,7 +242,7 @@
     let mut owner = driven(1, 1);
     let local = owner.request_slot();
     owner.receive(22, request(7));
-    owner.receive(22, Message::Release { seq: 7, kind: FunctionId::of(KIND), instance: 0 });
+    owner.receive(22, Message::Release { seq: 7, function_id: FunctionId::of(KIND), instance: 0 });
     owner.receive(22, request(7));
     owner.allocator.settle(owner.now, local, Ended::Done);
     owner.pull();
--- a/crates/slot-allocation/tests/reachability.rs
+++ b/crates/slot-allocation/tests/reachability.rs
@@ -46,14 +46,14 @@
             incarnation: u32::from(n) * 2 + 10,
         };
         let function = |name: &str| Function {
-            kind: FunctionId::of(name),
+            id: FunctionId::of(name),
             name: name.into(),
             slots: 4,
             boot: Duration::from_secs(1),
         };
         let entry = |n: u8| Entry {
             instance: format!("i{n}"),
-            kind: FunctionId::of(&format!("f{n}")),
+            function_id: FunctionId::of(&format!("f{n}")),
             at: SocketAddr::from(([10, 2, 0, n], 80)),
             zone: format!("z{n}"),
             ready: true,
--- a/crates/slot-allocation/tests/resetting_partition.rs
+++ b/crates/slot-allocation/tests/resetting_partition.rs
@@ -59,14 +59,14 @@
         let ids: Vec<u8> = (1..=schedulers).collect();
         let members: Vec<Member> = ids.iter().map(|n| member(*n)).collect();
         let function = Function {
-            kind: FunctionId::of("f"),
+            id: FunctionId::of("f"),
             name: "f".into(),
             slots: SLOTS,
             boot: Duration::from_secs(1),
         };
         let entry = |zone: u8| Entry {
             instance: format!("i{zone}"),
-            kind: FunctionId::of("f"),
+            function_id: FunctionId::of("f"),
             at: SocketAddr::from(([10, 2, 0, zone], 80)),
             zone: format!("z{zone}"),
             ready: true,
--- a/crates/slot-allocation/tests/selection.rs
+++ b/crates/slot-allocation/tests/selection.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tindock_slot_allocation::function_id::{name_hash, FunctionId};
+use tindock_slot_allocation::ledger::InstanceLedger;
 use tindock_slot_allocation::messages::Ended;
-use tindock_slot_allocation::pool::{Function, InstanceLedger, SlotPool, SlotRequest, Verdict};
+use tindock_slot_allocation::pool::{Function, SlotPool, SlotRequest, Verdict};
 use tindock_slot_allocation::selection::{index, Energy, IndexInputs, OFF_AFTER};
 use tindock_slot_allocation::Entry;
 use Energy::{Busy, Off, Setup};
@@ -26,7 +27,7 @@
 
 impl Pool {
     fn new(instances: usize, slots: usize, boot: u64) -> Pool {
-        let function = Function { kind: FunctionId::of("dock"), name: "dock".into(), slots, boot: ms(boot) };
+        let function = Function { id: FunctionId::of("dock"), name: "dock".into(), slots, boot: ms(boot) };
         let now = Duration::from_secs(100);
         let mut pool = Pool { pool: SlotPool::new(function, now), now, seq: 0, random_state: 0 };
         for n in 0..instances {
@@ -38,7 +39,7 @@
     fn add(&mut self, n: usize) {
         let entry = Entry {
             instance: format!("i-{n}"),
-            kind: FunctionId::of("dock"),
+            function_id: FunctionId::of("dock"),
             at: SocketAddr::from(([10, 0, 0, n as u8], 80)),
             zone: "a".into(),
             ready: true,
--- a/crates/system-processes/examples/proxy_cost.rs
+++ b/crates/system-processes/examples/proxy_cost.rs
@@ -83,7 +83,7 @@
     let member = Member { at: me, zone: "a".into(), region: "r".into(), incarnation: 1 };
     slots.set_members(Duration::ZERO, vec![member]);
     let function = |name: &String| Function {
-        kind: FunctionId::of(name),
+        id: FunctionId::of(name),
         name: name.clone(),
         slots: SLOTS,
         boot: Duration::from_secs(1),
@@ -91,7 +91,7 @@
     let functions = catalogue.services.iter().map(|s| function(&s.name)).collect();
     slots.set_functions(Duration::ZERO, functions);
     let entry = |n: usize| Entry {
-        kind: FunctionId::of(&format!("s{:03}", n / INSTANCES)),
+        function_id: FunctionId::of(&format!("s{:03}", n / INSTANCES)),
         instance: format!("i-{:03}-{}", n / INSTANCES, n % INSTANCES),
         at: SocketAddr::from(([10, 0, 1, 1], 1024 + n as u16)),
         zone: "a".into(),
--- a/crates/system-processes/src/budget.rs
+++ b/crates/system-processes/src/budget.rs
@@ -28,9 +28,9 @@
         Budget { ratio: ratio.max(0.0), slack: slack.max(0.0), part, windows: HashMap::new() }
     }
 
-    fn part_at(&mut self, now: Duration, kind: FunctionId) -> &mut (u64, u32, u32) {
+    fn part_at(&mut self, now: Duration, function_id: FunctionId) -> &mut (u64, u32, u32) {
         let number = (now.as_millis() / self.part.as_millis().max(1)) as u64;
-        let window = self.windows.entry(kind).or_default();
+        let window = self.windows.entry(function_id).or_default();
         while window.parts.front().is_some_and(|(n, ..)| *n + u64::from(PARTS_PER_WINDOW) < number) {
             window.parts.pop_front();
         }
@@ -42,15 +42,15 @@
     }
 
     /// Counts a client's request for this function.
-    pub fn record_request(&mut self, now: Duration, kind: FunctionId) {
-        self.part_at(now, kind).1 += 1;
+    pub fn record_request(&mut self, now: Duration, function_id: FunctionId) {
+        self.part_at(now, function_id).1 += 1;
     }
 
     /// Whether a retry is allowed, and counts it if so. `proxies` are known to share the slack.
-    pub fn try_retry(&mut self, now: Duration, kind: FunctionId, proxies: usize) -> bool {
+    pub fn try_retry(&mut self, now: Duration, function_id: FunctionId, proxies: usize) -> bool {
         let (ratio, slack) = (self.ratio, self.slack / (proxies as f64 + 1.0));
-        let number = self.part_at(now, kind).0;
-        let Some(window) = self.windows.get_mut(&kind) else { return false };
+        let number = self.part_at(now, function_id).0;
+        let Some(window) = self.windows.get_mut(&function_id) else { return false };
         let within = window.parts.iter().filter(|(n, ..)| *n + u64::from(PARTS_PER_WINDOW) > number);
         let requests: u32 = within.map(|(_, requests, _)| requests).sum();
         let retries: u32 = window.parts.iter().map(|(.., retries)| retries).sum();
--- a/crates/system-processes/src/client.rs
+++ b/crates/system-processes/src/client.rs
@@ -148,7 +148,7 @@
 
 /// The function that an attempt goes to, and its target and end by the proxy's clock.
 struct Plan {
-    kind: FunctionId,
+    function_id: FunctionId,
     route: Route,
     target: Duration,
     work: Work,
@@ -294,8 +294,7 @@
         let Some(configuration) = state.configuration() else {
             return Err(refused_unsent(RETRY_AFTER_NO_CONFIGURATION));
         };
-        let (catalogue, finder) = &*configuration;
-        let Some(route) = finder.find(&head.host, &head.target) else {
+        let Some(route) = configuration.route(&head.host, &head.target) else {
             // The route may be in a newer configuration: a 404 is correct only if the local one is known to
             // be the newest.
             return Err(if state.has_newest() {
@@ -304,15 +303,14 @@
                 refused_unsent(RETRY_AFTER_NO_ROUTE)
             });
         };
-        let route = catalogue.routes[route].clone();
+        let route = route.clone();
         let random = state.random();
-        let Some(service) = catalogue.services.get(route.choose(random) as usize) else {
+        let Some((service, function_id)) = configuration.service(&route, random) else {
             return Err(Final::NoRoute);
         };
-        let kind = FunctionId::of(&service.name);
         state.open_calls.set_service(open, &service.name);
         let now = state.now();
-        state.budget.record_request(now, kind);
+        state.budget.record_request(now, function_id);
         let deadline_ms = head.deadline_ms.unwrap_or(u32::MAX).min(route.timeout_ms);
         let allowed = Duration::from_millis(deadline_ms.into());
         let received = state.since_start(received);
@@ -323,7 +321,7 @@
             state.taken_while_leaving.refused += 1;
             return Err(refused_unsent(RETRY_AFTER_LEAVING));
         }
-        Ok(Plan { kind, route, target, work })
+        Ok(Plan { function_id, route, target, work })
     }
 
     /// Sends the request to workers until it has its one answer.
@@ -410,7 +408,7 @@
             state.taken_while_leaving.refused += 1;
             return Err(permit.unused().conclude(RETRY_AFTER_LEAVING, false).into());
         }
-        if is_retry && !state.may_retry(now, plan.kind) {
+        if is_retry && !state.may_retry(now, plan.function_id) {
             return Err(permit.unused().conclude(retry_after, false).into());
         }
         Ok(permit)
@@ -421,8 +419,14 @@
         let (call, slot) = {
             let mut state = self.shared.borrow_mut();
             let (sender, slot) = oneshot::channel();
-            let call =
-                state.request_slot(plan.kind, plan.route.priority, plan.target, plan.work, avoid, sender);
+            let call = state.request_slot(
+                plan.function_id,
+                plan.route.priority,
+                plan.target,
+                plan.work,
+                avoid,
+                sender,
+            );
             (call, slot)
         };
         pump(&self.shared);
--- a/crates/system-processes/src/lib.rs
+++ b/crates/system-processes/src/lib.rs
@@ -2,6 +2,7 @@
 //! controller (`archive`) on core machines. This crate does the I/O; the decisions are made in crates without
 //! I/O: slot allocation, peer sampling, control store, controller, autoscaler and configuration.
 
+pub mod active_configuration;
 pub mod agent;
 pub mod budget;
 pub mod cli;
--- a/crates/system-processes/src/proxy.rs
+++ b/crates/system-processes/src/proxy.rs
@@ -1,6 +1,7 @@
 //! The proxy of an edge machine: its state, its links to the agent and to other proxies, its start and end.
 //! `client` serves client connections, `workers` sends requests to workers, `readiness` answers probes.
 
+use crate::active_configuration::ActiveConfiguration;
 use crate::budget::Budget;
 use crate::messages::{AgentMessage, Demand, Listed, ProxyInfo, ProxyMessage};
 use crate::open_calls::{CallId, OpenCalls, Stage, TakenWhileLeaving};
@@ -15,12 +16,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tindock_configuration::{Catalogue, Finder, Limits, Route};
+use tindock_configuration::{Catalogue, Limits, Route};
 use tindock_lifecycle::{GracePeriod, Lifecycle, Phase, Refused, RunTimes, Terminated};
 use tindock_slot_allocation::datagram::incarnation_number;
 use tindock_slot_allocation::function_id::FunctionId;
 use tindock_slot_allocation::messages::Ended;
-use tindock_slot_allocation::{Action, Allocator, Entry, Function, LoadReport, Member};
+use tindock_slot_allocation::{Action, Allocator, Entry, LoadReport, Member};
 use tindock_upstream::Connection;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -54,7 +55,7 @@
 pub struct State {
     pub settings: Settings,
     start: Instant,
-    catalogue: Option<Rc<(Catalogue, Finder)>>,
+    configuration: Option<Rc<ActiveConfiguration>>,
     regions: HashMap<String, String>,
     /// Zones with their regions; messages name a zone by its index here.
     zones: Vec<(String, String)>,
@@ -113,7 +114,7 @@
     let limits = &settings.limits;
     let state = State {
         start,
-        catalogue: None,
+        configuration: None,
         regions: settings.zones_with_regions().into_iter().collect(),
         zones: settings.zones_with_regions(),
         allocator: Allocator::new(
@@ -186,7 +187,7 @@
         // A fenced allocator may grant no slots, so its proxy refuses requests: the platform is to send new
         // clients to other proxies.
         !self.lifecycle.is_leaving()
-            && self.catalogue.is_some()
+            && self.configuration.is_some()
             && self.instances_known
             && !self.allocator.is_fenced()
     }
@@ -263,14 +264,14 @@
         self.run_times.measure(now, RouteKey::of(route), took);
     }
 
-    /// The configuration in force, with its index.
-    pub fn configuration(&self) -> Option<Rc<(Catalogue, Finder)>> {
-        self.catalogue.clone()
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Rc<ActiveConfiguration>> {
+        self.configuration.clone()
     }
 
     /// Bounds of clients' requests.
     pub fn limits(&self) -> Limits {
-        self.catalogue.as_ref().map(|current| current.0.limits).unwrap_or_default()
+        self.configuration.as_ref().map(|current| current.catalogue().limits).unwrap_or_default()
     }
 
     /// Whether the configuration in force is known to be the newest.
@@ -304,10 +305,11 @@
 
     /// Whether the budget allows another send of a request that has reached a worker; counts the retries it
     /// withholds.
-    pub fn may_retry(&mut self, now: Duration, kind: FunctionId) -> bool {
-        let allowed = self.budget.try_retry(now, kind, self.known_proxies.max(self.owner_count.unwrap_or(1)));
+    pub fn may_retry(&mut self, now: Duration, function_id: FunctionId) -> bool {
+        let allowed =
+            self.budget.try_retry(now, function_id, self.known_proxies.max(self.owner_count.unwrap_or(1)));
         if !allowed {
-            *self.withheld_retries.entry(kind).or_default() += 1;
+            *self.withheld_retries.entry(function_id).or_default() += 1;
         }
         allowed
     }
@@ -315,7 +317,7 @@
     /// Requests a slot from the allocator. Returns the call's number, which the caller settles at the end.
     pub fn request_slot(
         &mut self,
-        kind: FunctionId,
+        function_id: FunctionId,
         priority: u8,
         target: Duration,
         work: Work,
@@ -323,7 +325,7 @@
         slot: oneshot::Sender<Slot>,
     ) -> u32 {
         let now = self.now();
-        let call = self.allocator.request_slot(now, kind, priority, target, work.end, avoid);
+        let call = self.allocator.request_slot(now, function_id, priority, target, work.end, avoid);
         self.waiting.insert(call, Waiting { slot, work });
         self.wake.notify_one();
         call
@@ -353,19 +355,13 @@
 
     fn put_in_force(&mut self, now: Duration, catalogue: Catalogue) {
         // A process never goes back to an older revision.
-        if self.catalogue.as_ref().is_some_and(|current| current.0.revision >= catalogue.revision) {
+        if self.configuration.as_ref().is_some_and(|current| current.revision() >= catalogue.revision) {
             return;
         }
-        let functions = catalogue.services.iter().map(|s| Function {
-            kind: FunctionId::of(&s.name),
-            name: s.name.clone(),
-            slots: if s.max_inflight == 0 { 1024 } else { s.max_inflight as usize },
-            boot: Duration::from_millis(s.boot_ms.into()),
-        });
-        self.allocator.set_functions(now, functions.collect());
-        let finder = Finder::new(&catalogue);
-        info!("revision {} in force", catalogue.revision);
-        self.catalogue = Some(Rc::new((catalogue, finder)));
+        let configuration = ActiveConfiguration::new(catalogue);
+        self.allocator.set_functions(now, configuration.functions());
+        info!("revision {} in force", configuration.revision());
+        self.configuration = Some(Rc::new(configuration));
     }
 
     /// Handles a message of the agent. False if it does not apply to the local state: the link is to be
@@ -377,7 +373,7 @@
             AgentMessage::Change(change) => {
                 // The agent applied the change to the revision that it sent before. A proxy with another
                 // revision gets the full configuration when it reconnects, so its link ends here.
-                match self.catalogue.as_ref().and_then(|current| current.0.apply(&change)) {
+                match self.configuration.as_ref().and_then(|current| current.apply(&change)) {
                     Some(catalogue) => self.put_in_force(now, catalogue),
                     None => return false,
                 }
@@ -433,7 +429,7 @@
 
     /// The revision of the configuration in force; 0 without one.
     fn revision(&self) -> u64 {
-        self.catalogue.as_ref().map_or(0, |current| current.0.revision)
+        self.configuration.as_ref().map_or(0, |current| current.revision())
     }
 
     /// The answer to an operator's request for the slot report.
@@ -455,7 +451,7 @@
 
     fn demand(&self, report: LoadReport) -> Option<Demand> {
         Some(Demand {
-            service: self.allocator.name(report.kind)?.to_string(),
+            service: self.allocator.name(report.function_id)?.to_string(),
             zone: self.settings.zone.clone(),
             rate: report.rate as f32,
             busy: report.busy as f32,
@@ -470,7 +466,7 @@
 
 fn entry(now: Duration, listed: Listed) -> Entry {
     Entry {
-        kind: FunctionId::of(&listed.service),
+        function_id: FunctionId::of(&listed.service),
         instance: listed.instance,
         at: listed.at,
         zone: listed.zone,
@@ -649,8 +645,8 @@
             }
             if now >= last_summary + LOG_SUMMARY_INTERVAL {
                 last_summary = now;
-                for (kind, tries) in std::mem::take(&mut state.withheld_retries) {
-                    let service = state.allocator.name(kind).unwrap_or("a removed service");
+                for (function_id, tries) in std::mem::take(&mut state.withheld_retries) {
+                    let service = state.allocator.name(function_id).unwrap_or("a removed service");
                     let pause = LOG_SUMMARY_INTERVAL.as_secs();
                     warn!("retry budget of {service} spent: {tries} retries withheld in {pause} s");
                 }
--- a/crates/system-processes/src/slot_report.rs
+++ b/crates/system-processes/src/slot_report.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 use tindock_http1::RequestHead;
 use tindock_slot_allocation::function_id::FunctionId;
-use tindock_slot_allocation::pool::{InstanceLedger, SlotPool};
+use tindock_slot_allocation::ledger::InstanceLedger;
+use tindock_slot_allocation::pool::SlotPool;
 use tindock_slot_allocation::Allocator;
 
 pub const PATH: &str = "/v1/loans";
@@ -138,21 +139,25 @@
         remaining -= of.instances.len();
     }
     let mut remote: Vec<_> = allocator.capacities().collect();
-    remote.sort_by_key(|(kind, at, capacity)| (std::cmp::Reverse(capacity.received), *kind, *at));
+    remote
+        .sort_by_key(|(function_id, at, capacity)| (std::cmp::Reverse(capacity.received), *function_id, *at));
     let more_remote = truncate(&mut remote, MAX_REMOTE_CAPACITIES);
-    let capacity =
-        |(kind, at, capacity): (FunctionId, std::net::SocketAddr, &tindock_slot_allocation::Capacity)| {
-            RemoteCapacity {
-                // A function may be missing from this proxy's configuration.
-                function: allocator.name(kind).map_or_else(|| format!("#{kind}"), str::to_string),
-                allocator: at.to_string(),
-                zone: allocator.zone_at(at).map(str::to_string),
-                free: capacity.free.into(),
-                waiting: capacity.waiting.into(),
-                run_ms: capacity.run.into(),
-                age_ms: now.saturating_sub(capacity.received).as_millis() as u64,
-            }
-        };
+    let capacity = |(function_id, at, capacity): (
+        FunctionId,
+        std::net::SocketAddr,
+        &tindock_slot_allocation::Capacity,
+    )| {
+        RemoteCapacity {
+            // A function may be missing from this proxy's configuration.
+            function: allocator.name(function_id).map_or_else(|| format!("#{function_id}"), str::to_string),
+            allocator: at.to_string(),
+            zone: allocator.zone_at(at).map(str::to_string),
+            free: capacity.free.into(),
+            waiting: capacity.waiting.into(),
+            run_ms: capacity.run.into(),
+            age_ms: now.saturating_sub(capacity.received).as_millis() as u64,
+        }
+    };
     let mut remote: Vec<RemoteCapacity> = remote.into_iter().map(capacity).collect();
     remote.sort_by(|a, b| (&a.function, &a.allocator).cmp(&(&b.function, &b.allocator)));
     let mut passed_over: Vec<_> = allocator.suspects().collect();
--- a/crates/system-processes/tests/slot_report.rs
+++ b/crates/system-processes/tests/slot_report.rs
@@ -157,7 +157,8 @@
             clients.push(client);
         }
         let other = UdpSocket::bind((loopback(9), port - 1)).await.unwrap();
-        let capacity = Message::Capacity { kind: FunctionId::of("sums"), free: 3, waiting: 0, run: 90 };
+        let capacity =
+            Message::Capacity { function_id: FunctionId::of("sums"), free: 3, waiting: 0, run: 90 };
         let datagram = Datagram { incarnation: 1, messages: vec![capacity] }.encode();
         let mut table;
         loop {
@@ -211,7 +212,7 @@
     allocator.set_members(Duration::ZERO, vec![member(1, "a")]);
     allocator.set_members(Duration::ZERO, vec![member(1, "a"), member(2, "b")]);
     let function =
-        |name: String| Function { kind: FunctionId::of(&name), name, slots: 2, boot: Duration::from_secs(1) };
+        |name: String| Function { id: FunctionId::of(&name), name, slots: 2, boot: Duration::from_secs(1) };
     allocator.set_functions(Duration::ZERO, functions.map(function).collect());
     allocator
 }
@@ -221,7 +222,7 @@
     let since = Duration::ZERO;
     Entry {
         instance,
-        kind: FunctionId::of(function),
+        function_id: FunctionId::of(function),
         at,
         zone: zone.into(),
         ready,
@@ -244,7 +245,8 @@
     // Added later, and the first by its id.
     allocator.update_instances(Duration::ZERO, vec![entry("a".into(), "f0000", "a", true)], &[]);
     for n in 0..MAX_REMOTE_CAPACITIES as u32 + 3 {
-        let message = Message::Capacity { kind: FunctionId::with_short_hash(n), free: 1, waiting: 0, run: 5 };
+        let message =
+            Message::Capacity { function_id: FunctionId::with_short_hash(n), free: 1, waiting: 0, run: 5 };
         let now = Duration::from_millis(1 + u64::from(n >= 3));
         let datagram = Datagram { incarnation: 1, messages: vec![message] }.encode();
         assert!(allocator.receive(now, SocketAddr::from(([10, 0, 0, 2], 7301)), &datagram));
@@ -291,7 +293,7 @@
     let scaler = allocator
         .load_reports(ms(1000), ms(0))
         .into_iter()
-        .find(|load| load.kind == FunctionId::of("near"))
+        .find(|load| load.function_id == FunctionId::of("near"))
         .unwrap();
     assert!(near.rate > 0.5 && (near.rate - scaler.rate).abs() <= 0.005, "{} {}", near.rate, scaler.rate);
 }
