Incarnation numbers tell the newest form of datagrams that a process understands

The lowest bit alone could tell earlier releases from this one, but not this one from the next. Three more bits hold the number of the newest form, 1 so far; 28 random bits are left.

--- a/crates/slot-allocation/src/datagram.rs
+++ b/crates/slot-allocation/src/datagram.rs
@@ -25,6 +25,12 @@
 /// releases drop such a datagram.
 const IDENTIFIED: u8 = 0;
 
+/// In the incarnation numbers of earlier releases the lowest bit is set. In others it is not, and the bits above
+/// it number the newest form that the process understands.
+const EARLIER_RELEASE_BIT: u32 = 1;
+const FORM_BITS: u32 = 3;
+const NEWEST_FORM: u32 = 1;
+
 /// How a datagram names functions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Form {
@@ -35,18 +41,19 @@
 }
 
 impl Form {
-    /// The form for a process of this incarnation. Earlier releases number their incarnations with odd numbers.
+    /// The form for a process of this incarnation.
     pub fn understood_by(incarnation: u32) -> Form {
-        match incarnation % 2 {
-            1 => Form::ShortHashes,
-            _ => Form::Identifiers,
+        match incarnation & EARLIER_RELEASE_BIT {
+            0 => Form::Identifiers,
+            _ => Form::ShortHashes,
         }
     }
 }
 
-/// An incarnation number of a process that understands both forms.
+/// An incarnation number of a process of this release.
 pub fn incarnation_number(seed: u64) -> u32 {
-    ((seed ^ seed >> 32) as u32 & !1).max(2)
+    let random = (seed ^ seed >> 32) as u32;
+    random << (1 + FORM_BITS) | NEWEST_FORM << 1
 }
 
 /// A datagram: the incarnation of the sending process, and its messages.
--- a/crates/slot-allocation/tests/functions_with_the_same_hash.rs
+++ b/crates/slot-allocation/tests/functions_with_the_same_hash.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tindock_slot_allocation::datagram::{Datagram, Form};
+use tindock_slot_allocation::datagram::{incarnation_number, Datagram, Form};
 use tindock_slot_allocation::function_id::FunctionId;
 use tindock_slot_allocation::messages::{Ended, Message};
 use tindock_slot_allocation::{Action, Allocator, Entry, Function, Member};
@@ -222,6 +222,17 @@
     assert_eq!(read.encode_as(Form::ShortHashes), bytes_of(EARLIER_DATAGRAM));
 }
 
+#[test]
+fn incarnation_number_tells_the_form() {
+    for seed in (0..1000u64).map(|n| n.wrapping_mul(0x9e37_79b9_7f4a_7c15)) {
+        let as_earlier_releases = (seed ^ seed >> 32) as u32 | 1;
+        assert_eq!(Form::understood_by(as_earlier_releases), Form::ShortHashes);
+        assert_eq!(Form::understood_by(incarnation_number(seed)), Form::Identifiers);
+        // Stands for no process.
+        assert_ne!(incarnation_number(seed), 0);
+    }
+}
+
 /// A ping finds out which incarnation is the present one, so every release must understand it.
 #[test]
 fn datagram_that_names_no_function_is_the_same_in_both_forms() {
