KNOWN-RED: a slot returned by an earlier release under a hash that two functions have

Seen: an owner of this release grants a slot to a process of the earlier one; a change adds a function whose name has the same short hash; the process returns the slot by the hash, and the owner finds it in neither's pool. It comes back only when its call must be over (1 slot held in place of 0 in the test).

No product code.

--- a/crates/slot-allocation/tests/functions_with_the_same_hash.rs
+++ b/crates/slot-allocation/tests/functions_with_the_same_hash.rs
@@ -256,3 +256,20 @@
     }
     assert_eq!(Datagram::decode(&datagram.encode()), Some(datagram));
 }
+
+/// Guards against a slot that stays taken until its call must be over: its return named two functions.
+#[test]
+fn return_of_the_earlier_release_frees_its_slot_though_another_function_has_the_hash() {
+    let mut owner = scheduler(2, [EARLIER_RELEASE, THIS_RELEASE], &[FIRST]);
+    let datagram = |message| {
+        Datagram { incarnation: EARLIER_RELEASE, messages: vec![message] }.encode_as(Form::ShortHashes)
+    };
+    reply(&mut owner, EARLIER_RELEASE, &datagram(request(FIRST)));
+    let granted = |owner: &Allocator| owner.pools().map(|pool| pool.granted()).sum::<usize>();
+    assert_eq!(granted(&owner), 1);
+    owner.set_functions(ms(3002), [FIRST, SECOND].iter().map(|name| function(name)).collect());
+    let function_id = FunctionId::of(FIRST);
+    let message = Message::Return { seq: 7, function_id, ended: Ended::Done, ms: 80 };
+    assert!(owner.receive(ms(3003), at(1), &datagram(message)));
+    assert_eq!(granted(&owner), 0);
+}
